--- /dev/null
+++ b/lib/libburdock-operator/source/bundle_commands.cpp
@@ -0,0 +1,155 @@
+#include "bundle_commands.hpp"
+
+#include "console.hpp"
+
+#include <burdock/hash/digest.hpp>
+#include <burdock/runtime/link/keys.hpp>
+#include <burdock/schema/document.hpp>
+#include <burdock/schema/signing.hpp>
+
+#include <google/protobuf/util/json_util.h>
+#include <google/protobuf/util/message_differencer.h>
+#include <iostream>
+
+namespace burdock::ops::detail {
+
+namespace {
+
+using Arguments = std::vector<std::string>;
+
+std::optional<schema::Bundle> readBundle(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    auto checked = schema::parseBundle(path, *text);
+    for (const auto &fault : checked.faults) {
+        std::cerr << schema::toString(fault) << "\n";
+    }
+    return std::move(checked.document);
+}
+
+ExitCode checkBundle(const Arguments &arguments, const Options & /*options*/)
+{
+    const auto bundle = readBundle(arguments[0]);
+    if (!bundle) {
+        return ExitCode::BadInput;
+    }
+    std::cout << arguments[0] << ": version " << bundle->version() << " is well formed\n";
+    return ExitCode::Ok;
+}
+
+ExitCode signBundle(const Arguments &arguments, const Options &options)
+{
+    const auto text = readFile(arguments[0]);
+    const auto key = readFile(options.key);
+    if (!readBundle(arguments[0]) || !text) {
+        return ExitCode::BadInput;
+    }
+    const auto signedBundle = key ? schema::sign(*text, std::string_view(*key).substr(0, key->find('\n'))) : std::nullopt;
+    if (!signedBundle) {
+        return fail(ExitCode::BadInput, "--key must name a file that `bundle keygen` wrote");
+    }
+    std::string json;
+    static_cast<void>(google::protobuf::util::MessageToJsonString(*signedBundle, &json));
+    if (!writeFile(options.out, json)) {
+        return fail(ExitCode::Failed, "--out can't be written");
+    }
+    return ExitCode::Ok;
+}
+
+ExitCode makeSigningKey(const Arguments & /*arguments*/, const Options &options)
+{
+    const auto key = schema::makeSigningKey();
+    if (!writeFile(options.out, key.secretKey + "\n")) {
+        return fail(ExitCode::Failed, "--out can't be written");
+    }
+    std::cout << key.publicKey << "\n";
+    return ExitCode::Ok;
+}
+
+ExitCode showBundle(const Arguments & /*arguments*/, const Options &options)
+{
+    PlatformConsole console(options);
+    Rollout rollout(console.store());
+    const auto accepted = console.wait(rollout.accepted());
+    if (accepted.answer != StoreAnswer::Found) {
+        return fail(ExitCode::Failed, "there is no accepted bundle, or the platform can't be reached");
+    }
+    std::cout << toJson(accepted.bundle) << "\n";
+    return ExitCode::Ok;
+}
+
+ExitCode diffBundles(const Arguments &arguments, const Options & /*options*/)
+{
+    const auto before = readBundle(arguments[0]);
+    const auto after = readBundle(arguments[1]);
+    if (!before || !after) {
+        return ExitCode::BadInput;
+    }
+    std::string report;
+    google::protobuf::util::MessageDifferencer differencer;
+    differencer.ReportDifferencesToString(&report);
+    static_cast<void>(differencer.Compare(*before, *after));
+    std::cout << report;
+    return ExitCode::Ok;
+}
+
+ExitCode makeLinkKeys(const Arguments & /*arguments*/, const Options & /*options*/)
+{
+    const auto keys = runtime::link::makeKeys();
+    std::cout << boost::json::serialize(boost::json::object{{"public_key", keys.publicKey}, {"secret_key", keys.secretKey}}) << "\n";
+    return ExitCode::Ok;
+}
+
+ExitCode hashApiKey(const Arguments &arguments, const Options & /*options*/)
+{
+    std::cout << hash::toHex(hash::asBytes(hash::plainDigest256(arguments[0]))) << "\n";
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+SimpleCommand::SimpleCommand(std::string_view name, std::string_view help, std::size_t argumentCount, Body body)
+    : m_name(name),
+      m_help(help),
+      m_argumentCount(argumentCount),
+      m_body(body)
+{
+}
+
+std::string_view SimpleCommand::name() const
+{
+    return m_name;
+}
+
+std::string_view SimpleCommand::help() const
+{
+    return m_help;
+}
+
+ExitCode SimpleCommand::run(const std::vector<std::string> &arguments, const Options &options)
+{
+    if (arguments.size() != m_argumentCount) {
+        return fail(ExitCode::BadInput, "usage: burdockpaddle " + std::string(m_help));
+    }
+    return m_body(arguments, options);
+}
+
+void addBundleCommands(std::vector<std::unique_ptr<Command>> &commands)
+{
+    const auto add = [&commands](std::string_view name, std::string_view help, std::size_t count, SimpleCommand::Body body) {
+        commands.push_back(std::make_unique<SimpleCommand>(name, help, count, body));
+    };
+    add("bundle check", "bundle check FILE", 1, checkBundle);
+    add("bundle sign", "bundle sign FILE --key=KEYFILE --out=SIGNED", 1, signBundle);
+    add("bundle keygen", "bundle keygen --out=KEYFILE    (prints the public key)", 0, makeSigningKey);
+    add("bundle show", "bundle show --platform=IP:PORT", 0, showBundle);
+    add("bundle diff", "bundle diff OLD NEW", 2, diffBundles);
+    add("keys links", "keys links    (prints a key pair for links between processes)", 0, makeLinkKeys);
+    add("keys hash", "keys hash APIKEY    (prints the api_key_hash for a bundle)", 1, hashApiKey);
+}
+
+} // namespace burdock::ops::detail
--- /dev/null
+++ b/lib/libburdock-operator/source/fleet_commands.cpp
@@ -0,0 +1,192 @@
+#include "bundle_commands.hpp"
+#include "console.hpp"
+
+#include <burdock/schema/document.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace burdock::ops::detail {
+
+namespace {
+
+using Arguments = std::vector<std::string>;
+
+std::string yesNo(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+ExitCode applyRollout(const Arguments &arguments, const Options &options)
+{
+    const auto text = readFile(arguments[0]);
+    if (!text) {
+        return fail(ExitCode::BadInput, arguments[0] + " can't be read");
+    }
+    const auto checked = schema::parseSignedBundle(arguments[0], *text);
+    if (!checked.document) {
+        return fail(ExitCode::BadInput, schema::toString(checked.faults.front()));
+    }
+    PlatformConsole console(options);
+    Rollout rollout(console.store());
+    const auto result = console.wait(rollout.apply(*checked.document));
+    return reportRollout(console, result, options);
+}
+
+ExitCode editBundle(const Options &options, std::function<bool(schema::Bundle &)> edit)
+{
+    const auto key = readFile(options.key);
+    if (!key) {
+        return fail(ExitCode::BadInput, "--key must name a file that `bundle keygen` wrote");
+    }
+    PlatformConsole console(options);
+    Rollout rollout(console.store());
+    const auto result = console.wait(rollout.edit(key->substr(0, key->find('\n')), std::move(edit)));
+    return reportRollout(console, result, options);
+}
+
+ExitCode setZone(const std::string &name, bool isOut, const Options &options)
+{
+    bool isKnown = false;
+    const auto code = editBundle(options, [&](schema::Bundle &bundle) {
+        for (auto &zone : *bundle.mutable_zones()) {
+            if (zone.name() == name) {
+                isKnown = true;
+                const bool changes = zone.out() != isOut;
+                zone.set_out(isOut);
+                return changes;
+            }
+        }
+        return false;
+    });
+    if (code == ExitCode::Ok && !isKnown) {
+        return fail(ExitCode::BadInput, "no availability zone is called " + name);
+    }
+    return code;
+}
+
+ExitCode zoneOut(const Arguments &arguments, const Options &options)
+{
+    return setZone(arguments[0], true, options);
+}
+
+ExitCode zoneIn(const Arguments &arguments, const Options &options)
+{
+    return setZone(arguments[0], false, options);
+}
+
+ExitCode zoneStatus(const Arguments & /*arguments*/, const Options &options)
+{
+    PlatformConsole console(options);
+    Rollout rollout(console.store());
+    const auto accepted = console.wait(rollout.accepted());
+    if (accepted.answer != StoreAnswer::Found) {
+        return fail(ExitCode::Failed, "there is no accepted bundle, or the platform can't be reached");
+    }
+    const auto statuses = console.wait(askAll(console.store()));
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &zone : accepted.bundle.zones()) {
+        u64 running = 0;
+        for (const auto &status : statuses) {
+            const bool isEndpointThere = status.vm.zone == zone.name() && status.vm.pool != platform::EntryPool;
+            running += isEndpointThere ? status.number("running") : 0;
+        }
+        rows.push_back({zone.name(), zone.out() ? "out" : "in", std::to_string(running)});
+    }
+    printTable({"zone", "state", "running"}, rows, options);
+    return ExitCode::Ok;
+}
+
+ExitCode drain(const Arguments &arguments, const Options &options)
+{
+    return editBundle(options, [&](schema::Bundle &bundle) {
+        const auto &drained = bundle.drained_endpoints();
+        if (std::find(drained.begin(), drained.end(), arguments[0]) != drained.end()) {
+            return false;
+        }
+        bundle.add_drained_endpoints(arguments[0]);
+        return true;
+    });
+}
+
+ExitCode undrain(const Arguments &arguments, const Options &options)
+{
+    return editBundle(options, [&](schema::Bundle &bundle) {
+        auto *drained = bundle.mutable_drained_endpoints();
+        const auto kept = std::remove(drained->begin(), drained->end(), arguments[0]);
+        const bool changes = kept != drained->end();
+        drained->erase(kept, drained->end());
+        return changes;
+    });
+}
+
+ExitCode endpointStatus(const Arguments & /*arguments*/, const Options &options)
+{
+    PlatformConsole console(options);
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &status : console.wait(askAll(console.store()))) {
+        if (status.vm.pool == platform::EntryPool) {
+            continue;
+        }
+        rows.push_back({status.vm.name, status.vm.zone, status.vm.pool, status.isReachable ? "up" : "unreachable",
+                        std::to_string(status.number("running")), std::to_string(status.number("queued")),
+                        std::to_string(status.number("limit")), yesNo(status.flag("cold")), yesNo(status.flag("leaving"))});
+    }
+    printTable({"endpoint", "zone", "pool", "state", "running", "queued", "limit", "cold", "leaving"}, rows, options);
+    return ExitCode::Ok;
+}
+
+ExitCode fleetStatus(const Arguments & /*arguments*/, const Options &options)
+{
+    PlatformConsole console(options);
+    Rollout rollout(console.store());
+    const auto accepted = console.wait(rollout.accepted());
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &status : console.wait(askAll(console.store()))) {
+        const u64 version = status.number("config_version");
+        const bool isBehind = version < accepted.current.version();
+        const bool isEntry = status.vm.pool == platform::EntryPool;
+        const u64 running = isEntry ? status.number("runs") : status.number("running");
+        rows.push_back({status.vm.name, isEntry ? "entry" : "endpoint", status.vm.zone, status.isReachable ? "up" : "unreachable",
+                        std::to_string(version) + (isBehind ? " (behind)" : ""), std::to_string(running), yesNo(status.flag("leaving")),
+                        yesNo(status.flag("cold"))});
+    }
+    printTable({"vm", "role", "zone", "state", "config", "running", "leaving", "cold"}, rows, options);
+    return accepted.answer == StoreAnswer::Unreachable ? fail(ExitCode::Failed, "the platform can't be reached") : ExitCode::Ok;
+}
+
+ExitCode rolloutStatus(const Arguments & /*arguments*/, const Options &options)
+{
+    PlatformConsole console(options);
+    Rollout rollout(console.store());
+    const auto accepted = console.wait(rollout.accepted());
+    if (accepted.answer != StoreAnswer::Found) {
+        return fail(ExitCode::Failed, "there is no accepted bundle, or the platform can't be reached");
+    }
+    RolloutResult result;
+    result.code = ExitCode::Ok;
+    result.version = accepted.current.version();
+    auto once = options;
+    once.patienceMs = 0;
+    return reportRollout(console, result, once);
+}
+
+} // namespace
+
+void addFleetCommands(std::vector<std::unique_ptr<Command>> &commands)
+{
+    const auto add = [&commands](std::string_view name, std::string_view help, std::size_t count, SimpleCommand::Body body) {
+        commands.push_back(std::make_unique<SimpleCommand>(name, help, count, body));
+    };
+    add("rollout apply", "rollout apply SIGNED --platform=IP:PORT", 1, applyRollout);
+    add("rollout status", "rollout status --platform=IP:PORT", 0, rolloutStatus);
+    add("zone out", "zone out ZONE --platform=IP:PORT --key=KEYFILE", 1, zoneOut);
+    add("zone in", "zone in ZONE --platform=IP:PORT --key=KEYFILE", 1, zoneIn);
+    add("zone status", "zone status --platform=IP:PORT", 0, zoneStatus);
+    add("endpoint drain", "endpoint drain VM --platform=IP:PORT --key=KEYFILE", 1, drain);
+    add("endpoint undrain", "endpoint undrain VM --platform=IP:PORT --key=KEYFILE", 1, undrain);
+    add("endpoint status", "endpoint status --platform=IP:PORT", 0, endpointStatus);
+    add("status", "status --platform=IP:PORT", 0, fleetStatus);
+}
+
+} // namespace burdock::ops::detail
--- /dev/null
+++ b/lib/libburdock-operator/source/fleet_status.cpp
@@ -0,0 +1,72 @@
+#include <burdock/ops/fleet_status.hpp>
+
+#include <burdock/runtime/http/client.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <algorithm>
+
+namespace burdock::ops {
+
+namespace {
+
+constexpr Duration AskTimeout = std::chrono::seconds(1);
+constexpr Duration AskAgain = std::chrono::milliseconds(100);
+constexpr u16 Ok = 200;
+
+boost::asio::awaitable<ProcessStatus> ask(membership::ListedVm vm)
+{
+    ProcessStatus status;
+    status.vm = std::move(vm);
+    runtime::http::Request request;
+    request.target = "/statusz";
+    const auto exchange = co_await runtime::http::exchange(runtime::http::parseAddress(status.vm.adminAddress), request, AskTimeout);
+    if (exchange.progress != runtime::http::Progress::Answered || exchange.response.status != Ok) {
+        co_return status;
+    }
+    boost::system::error_code error;
+    auto value = boost::json::parse(exchange.response.body, error);
+    if (!error && value.is_object()) {
+        status.isReachable = true;
+        status.document = std::move(value.get_object());
+    }
+    co_return status;
+}
+
+} // namespace
+
+u64 ProcessStatus::number(std::string_view key) const
+{
+    const auto *value = document.if_contains(key);
+    return value != nullptr && value->is_number() ? value->to_number<u64>() : 0;
+}
+
+bool ProcessStatus::flag(std::string_view key) const
+{
+    const auto *value = document.if_contains(key);
+    return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+boost::asio::awaitable<std::vector<ProcessStatus>> askAll(platform::ObjectStore &store)
+{
+    std::vector<ProcessStatus> statuses;
+    const auto list = co_await store.watchVms(0, std::chrono::milliseconds(100));
+    for (const auto &vm : list.vms) {
+        statuses.push_back(co_await ask(vm));
+    }
+    co_return statuses;
+}
+
+boost::asio::awaitable<std::vector<ProcessStatus>> awaitVersion(platform::ObjectStore &store, u64 version, Duration patience)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (true) {
+        auto statuses = co_await askAll(store);
+        std::erase_if(statuses, [version](const auto &status) { return status.isReachable && status.number("config_version") >= version; });
+        if (statuses.empty() || std::chrono::steady_clock::now() >= until) {
+            co_return statuses;
+        }
+        co_await runtime::sleepFor(AskAgain);
+    }
+}
+
+} // namespace burdock::ops
--- /dev/null
+++ b/lib/libburdock-platform/include/burdock/platform/http_object_store.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <burdock/platform/object_store.hpp>
+#include <burdock/runtime/http/client.hpp>
+
+#include <atomic>
+
+namespace burdock::platform {
+
+/** @brief The object API over HTTP; docs/INTERFACES.md has the calls. */
+class HttpObjectStore : public ObjectStore
+{
+public:
+    /** @param timeout longest wait for an answer, beyond the wait of a watch */
+    HttpObjectStore(const runtime::http::Address &address, Duration timeout);
+
+    [[nodiscard]] boost::asio::awaitable<ReadResult> read(const ObjectId &id) override;
+    [[nodiscard]] boost::asio::awaitable<WriteResult> create(const ObjectId &id, std::string_view value) override;
+    [[nodiscard]] boost::asio::awaitable<WriteResult> replace(const ObjectId &id, std::string_view value, u64 version) override;
+    [[nodiscard]] boost::asio::awaitable<ReadResult> watch(const ObjectId &id, u64 version, Duration wait) override;
+    [[nodiscard]] boost::asio::awaitable<VmList> watchVms(u64 version, Duration wait) override;
+
+private:
+    [[nodiscard]] boost::asio::awaitable<WriteResult> write(const ObjectId &id, std::string_view value, std::string_view header,
+                                                            std::string condition);
+
+    runtime::http::Address m_address;
+    Duration m_timeout;
+};
+
+} // namespace burdock::platform
--- /dev/null
+++ b/lib/libburdock-platform/include/burdock/platform/object_store.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <burdock/membership/member_table.hpp>
+#include <burdock/store_answer.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/** @brief The systems around burdockpaddle, behind interfaces. */
+namespace burdock::platform {
+
+/** @brief Kind and name of an object. */
+struct ObjectId
+{
+    std::string kind;
+    std::string name;
+};
+
+struct ReadResult
+{
+    StoreAnswer answer = StoreAnswer::Unreachable; ///< Found, Absent or Unreachable; Unknown if no answer came in time
+    std::string value;
+    u64 version = 0; ///< of the object, rises with each write
+};
+
+struct WriteResult
+{
+    StoreAnswer answer = StoreAnswer::Unreachable; ///< Written, Conflict, Unknown or Unreachable
+    u64 version = 0;
+};
+
+/** @brief The platform's list of VMs; lags behind what is. */
+struct VmList
+{
+    StoreAnswer answer = StoreAnswer::Unreachable; ///< Found or Unreachable
+    u64 version = 0;
+    std::vector<membership::ListedVm> vms;
+};
+
+/**
+ * @brief The platform's object API. Each call counts against its rates, a waiting watch as one.
+ *
+ * Thread-safe.
+ */
+class ObjectStore
+{
+public:
+    virtual ~ObjectStore() = default;
+
+    [[nodiscard]] virtual boost::asio::awaitable<ReadResult> read(const ObjectId &id) = 0;
+
+    /** @brief Writes only if there is no object of this id. */
+    [[nodiscard]] virtual boost::asio::awaitable<WriteResult> create(const ObjectId &id, std::string_view value) = 0;
+
+    /** @brief Writes only if the object still has this version. */
+    [[nodiscard]] virtual boost::asio::awaitable<WriteResult> replace(const ObjectId &id, std::string_view value, u64 version) = 0;
+
+    /** @brief Waits until the object's version is above the given one, then reads it; Absent if the wait ended without a change. */
+    [[nodiscard]] virtual boost::asio::awaitable<ReadResult> watch(const ObjectId &id, u64 version, Duration wait) = 0;
+
+    /** @brief As watch(), for the list of VMs. */
+    [[nodiscard]] virtual boost::asio::awaitable<VmList> watchVms(u64 version, Duration wait) = 0;
+};
+
+/** @brief Pool under which the platform lists the entry VMs. */
+inline constexpr std::string_view EntryPool = "entry";
+
+} // namespace burdock::platform
--- /dev/null
+++ b/lib/libburdock-platform/source/http_engine.cpp
@@ -0,0 +1,236 @@
+#include <burdock/platform/http_engine.hpp>
+
+#include <boost/json.hpp>
+
+namespace burdock::platform {
+
+namespace {
+
+namespace http = runtime::http;
+namespace json = boost::json;
+
+constexpr u16 Ok = 200;
+constexpr u16 Conflict = 409;
+
+std::string toJson(const GenerateRequest &request)
+{
+    json::array keys;
+    for (const auto &key : request.blockKeys) {
+        keys.push_back(json::value(hash::toHex(hash::asBytes(key))));
+    }
+    const json::object body{
+        {"run_id", request.runId},         {"model", request.model},       {"weight_version", request.weightVersion},
+        {"adapter", request.adapter},      {"prompt", request.prompt},     {"delivered", request.delivered},
+        {"max_tokens", request.maxTokens}, {"priority", request.priority}, {"block_keys", std::move(keys)},
+    };
+    return json::serialize(body);
+}
+
+u32 numberOf(const json::object &object, std::string_view key)
+{
+    const auto *value = object.if_contains(key);
+    return value != nullptr && value->is_int64() ? static_cast<u32>(value->get_int64()) : 0;
+}
+
+std::string textOf(const json::object &object, std::string_view key)
+{
+    const auto *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+std::vector<std::string> textsOf(const json::object &object, std::string_view key)
+{
+    std::vector<std::string> texts;
+    const auto *value = object.if_contains(key);
+    if (value == nullptr || !value->is_array()) {
+        return texts;
+    }
+    for (const auto &item : value->get_array()) {
+        if (item.is_string()) {
+            texts.emplace_back(item.get_string());
+        }
+    }
+    return texts;
+}
+
+// One run as JSON lines: a head, texts and pings, and a last line that says that the answer is whole.
+class HttpGeneration : public Generation
+{
+public:
+    HttpGeneration(const http::Address &address, Duration silence, std::string body)
+        : m_call(address, silence),
+          m_body(std::move(body))
+    {
+    }
+
+    boost::asio::awaitable<GenerateHead> start() override
+    {
+        http::Request request;
+        request.method = "POST";
+        request.target = "/v1/generate";
+        request.headers.emplace_back("Content-Type", "application/json");
+        request.body = std::move(m_body);
+        GenerateHead head;
+        head.progress = co_await m_call.send(request);
+        if (head.progress != http::Progress::Answered) {
+            co_return head;
+        }
+        head.status = m_call.head().status;
+        head.bootId = std::string(m_call.head().header("Engine-Boot-Id"));
+        if (head.status != Ok) {
+            co_return head;
+        }
+        const auto line = co_await nextLine();
+        if (!line || !line->contains("head") || !line->at("head").is_object()) {
+            head.progress = http::Progress::MayBeSent;
+            co_return head;
+        }
+        const auto &facts = line->at("head").get_object();
+        head.promptTokens = numberOf(facts, "prompt_tokens");
+        head.cachedTokens = numberOf(facts, "cached_tokens");
+        head.weightVersion = textOf(facts, "weight_version");
+        co_return head;
+    }
+
+    boost::asio::awaitable<GenerateEvent> next() override
+    {
+        GenerateEvent event;
+        while (true) {
+            const auto line = co_await nextLine();
+            if (!line) {
+                co_return event;
+            }
+            if (line->contains("text")) {
+                event.kind = GenerateEventKind::Text;
+                event.text = textOf(*line, "text");
+                co_return event;
+            }
+            if (line->contains("done") && line->at("done").is_object()) {
+                event.kind = GenerateEventKind::Done;
+                event.outputTokens = numberOf(line->at("done").get_object(), "output_tokens");
+                co_return event;
+            }
+        }
+    }
+
+private:
+    boost::asio::awaitable<std::optional<json::object>> nextLine()
+    {
+        while (true) {
+            const auto end = m_buffer.find('\n');
+            if (end != std::string::npos) {
+                boost::system::error_code error;
+                auto value = json::parse(std::string_view(m_buffer).substr(0, end), error);
+                m_buffer.erase(0, end + 1);
+                if (error || !value.is_object()) {
+                    co_return std::nullopt;
+                }
+                co_return std::move(value.get_object());
+            }
+            if (m_isEnd) {
+                co_return std::nullopt;
+            }
+            const auto piece = co_await m_call.read();
+            m_buffer += piece.data;
+            m_isEnd = piece.isEnd || piece.isBroken;
+        }
+    }
+
+    http::Call m_call;
+    std::string m_body;
+    std::string m_buffer;
+    bool m_isEnd = false;
+};
+
+std::string blockPath(const cache::BlockKey &key)
+{
+    return "/v1/cache/" + hash::toHex(hash::asBytes(key));
+}
+
+json::object objectOf(const http::Exchange &exchange)
+{
+    if (exchange.progress != http::Progress::Answered || exchange.response.status != Ok) {
+        return {};
+    }
+    boost::system::error_code error;
+    auto value = json::parse(exchange.response.body, error);
+    return error || !value.is_object() ? json::object() : std::move(value.get_object());
+}
+
+} // namespace
+
+HttpEngine::HttpEngine(const http::Address &address, Duration silence)
+    : m_address(address),
+      m_silence(silence)
+{
+}
+
+std::unique_ptr<Generation> HttpEngine::generate(const GenerateRequest &request)
+{
+    return std::make_unique<HttpGeneration>(m_address, m_silence, toJson(request));
+}
+
+boost::asio::awaitable<EngineState> HttpEngine::state()
+{
+    http::Request request;
+    request.target = "/v1/state";
+    const auto body = objectOf(co_await http::exchange(m_address, request, m_silence));
+    EngineState state;
+    state.isReachable = body.contains("boot_id");
+    state.bootId = textOf(body, "boot_id");
+    state.loadedVersions = textsOf(body, "loaded");
+    co_return state;
+}
+
+boost::asio::awaitable<OrderResult> HttpEngine::load(const std::string &model, const std::string &version, u64 fence)
+{
+    constexpr Duration LoadTimeout = std::chrono::seconds(60);
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/orders/load";
+    request.body = json::serialize(json::object{{"model", model}, {"version", version}, {"fence", fence}});
+    const auto exchange = co_await http::exchange(m_address, request, LoadTimeout);
+    if (exchange.progress != http::Progress::Answered) {
+        co_return OrderResult::Failed;
+    }
+    if (exchange.response.status == Conflict) {
+        co_return OrderResult::Refused;
+    }
+    co_return exchange.response.status == Ok ? OrderResult::Done : OrderResult::Failed;
+}
+
+boost::asio::awaitable<std::optional<std::string>> HttpEngine::exportBlock(const cache::BlockKey &key)
+{
+    http::Request request;
+    request.target = blockPath(key);
+    auto exchange = co_await http::exchange(m_address, request, m_silence);
+    if (exchange.progress != http::Progress::Answered || exchange.response.status != Ok) {
+        co_return std::nullopt;
+    }
+    co_return std::move(exchange.response.body);
+}
+
+boost::asio::awaitable<bool> HttpEngine::importBlock(const cache::BlockKey &key, const std::string &payload)
+{
+    http::Request request;
+    request.method = "PUT";
+    request.target = blockPath(key);
+    request.body = payload;
+    const auto exchange = co_await http::exchange(m_address, request, m_silence);
+    co_return exchange.progress == http::Progress::Answered &&exchange.response.status == Ok;
+}
+
+boost::asio::awaitable<CacheEvents> HttpEngine::events(u64 afterSequence)
+{
+    http::Request request;
+    request.target = "/v1/cache-events?after=" + std::to_string(afterSequence);
+    const auto body = objectOf(co_await http::exchange(m_address, request, m_silence));
+    CacheEvents events;
+    events.isKnown = body.contains("last");
+    events.lastSequence = numberOf(body, "last");
+    events.hasGap = numberOf(body, "first") > afterSequence + 1;
+    events.dropped = textsOf(body, "dropped");
+    co_return events;
+}
+
+} // namespace burdock::platform
--- /dev/null
+++ b/lib/libburdock-platform/source/http_object_store.cpp
@@ -0,0 +1,155 @@
+#include <burdock/platform/http_object_store.hpp>
+
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace burdock::platform {
+
+namespace {
+
+namespace http = runtime::http;
+namespace json = boost::json;
+
+constexpr u16 Ok = 200;
+constexpr u16 NotModified = 304;
+constexpr u16 NotFound = 404;
+constexpr u16 PreconditionFailed = 412;
+
+std::string pathOf(const ObjectId &id)
+{
+    return "/v1/objects/" + id.kind + "/" + id.name;
+}
+
+std::string waitQuery(u64 version, Duration wait)
+{
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    return "?after=" + std::to_string(version) + "&wait_ms=" + std::to_string(waitMs);
+}
+
+u64 versionOf(const http::Response &response)
+{
+    const auto text = response.header("Object-Version");
+    u64 version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+ReadResult toReadResult(http::Exchange &&exchange)
+{
+    ReadResult result;
+    if (exchange.progress != http::Progress::Answered) {
+        return result;
+    }
+    switch (exchange.response.status) {
+    case Ok:
+        result.answer = StoreAnswer::Found;
+        result.version = versionOf(exchange.response);
+        result.value = std::move(exchange.response.body);
+        break;
+    case NotModified:
+    case NotFound:
+        result.answer = StoreAnswer::Absent;
+        break;
+    default:
+        break;
+    }
+    return result;
+}
+
+WriteResult toWriteResult(const http::Exchange &exchange)
+{
+    if (exchange.progress == http::Progress::NotSent) {
+        return {StoreAnswer::Unreachable, 0};
+    }
+    if (exchange.progress == http::Progress::Answered && exchange.response.status == Ok) {
+        return {StoreAnswer::Written, versionOf(exchange.response)};
+    }
+    if (exchange.progress == http::Progress::Answered && exchange.response.status == PreconditionFailed) {
+        return {StoreAnswer::Conflict, 0};
+    }
+    // A 5xx may come from something in front of the store after the write took effect.
+    return {StoreAnswer::Unknown, 0};
+}
+
+std::string textOf(const json::object &object, std::string_view key)
+{
+    const auto *value = object.if_contains(key);
+    const auto *text = value == nullptr ? nullptr : value->if_string();
+    return text == nullptr ? std::string() : std::string(*text);
+}
+
+std::vector<membership::ListedVm> parseVms(const std::string &body)
+{
+    std::vector<membership::ListedVm> vms;
+    boost::system::error_code error;
+    const auto document = json::parse(body, error);
+    if (error || !document.is_array()) {
+        return vms;
+    }
+    for (const auto &row : document.get_array()) {
+        if (const auto *object = row.if_object()) {
+            vms.push_back({textOf(*object, "name"), textOf(*object, "zone"), textOf(*object, "pool"), textOf(*object, "link"),
+                           textOf(*object, "admin"), textOf(*object, "state") == "leaving"});
+        }
+    }
+    return vms;
+}
+
+} // namespace
+
+HttpObjectStore::HttpObjectStore(const http::Address &address, Duration timeout)
+    : m_address(address),
+      m_timeout(timeout)
+{
+}
+
+boost::asio::awaitable<ReadResult> HttpObjectStore::read(const ObjectId &id)
+{
+    http::Request request;
+    request.target = pathOf(id);
+    co_return toReadResult(co_await http::exchange(m_address, request, m_timeout));
+}
+
+boost::asio::awaitable<WriteResult> HttpObjectStore::create(const ObjectId &id, std::string_view value)
+{
+    co_return co_await write(id, value, "If-None-Match", "*");
+}
+
+boost::asio::awaitable<WriteResult> HttpObjectStore::replace(const ObjectId &id, std::string_view value, u64 version)
+{
+    co_return co_await write(id, value, "If-Match", std::to_string(version));
+}
+
+boost::asio::awaitable<WriteResult> HttpObjectStore::write(const ObjectId &id, std::string_view value, std::string_view header,
+                                                           std::string condition)
+{
+    http::Request request;
+    request.method = "PUT";
+    request.target = pathOf(id);
+    request.headers.emplace_back(std::string(header), std::move(condition));
+    request.body = std::string(value);
+    co_return toWriteResult(co_await http::exchange(m_address, request, m_timeout));
+}
+
+boost::asio::awaitable<ReadResult> HttpObjectStore::watch(const ObjectId &id, u64 version, Duration wait)
+{
+    http::Request request;
+    request.target = pathOf(id) + waitQuery(version, wait);
+    co_return toReadResult(co_await http::exchange(m_address, request, wait + m_timeout));
+}
+
+boost::asio::awaitable<VmList> HttpObjectStore::watchVms(u64 version, Duration wait)
+{
+    http::Request request;
+    request.target = "/v1/vms" + waitQuery(version, wait);
+    const auto result = toReadResult(co_await http::exchange(m_address, request, wait + m_timeout));
+    VmList list;
+    list.answer = result.answer;
+    list.version = result.version;
+    if (result.answer == StoreAnswer::Found) {
+        list.vms = parseVms(result.value);
+    }
+    co_return list;
+}
+
+} // namespace burdock::platform
--- /dev/null
+++ b/lib/libburdock-runtime/include/burdock/runtime/clock.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+namespace burdock::runtime {
+
+/** @brief Monotonic time, as the decisions take it. */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    [[nodiscard]] virtual TimePoint now() const = 0;
+};
+
+/** @brief The machine's steady clock. */
+class SteadyClock : public Clock
+{
+public:
+    [[nodiscard]] TimePoint now() const override;
+};
+
+} // namespace burdock::runtime
--- /dev/null
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <burdock/runtime/http/message.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+namespace burdock::runtime::http {
+
+/** @brief How far a request got; decides whether it may have run. */
+enum class Progress : u8 {
+    NotSent, ///< no byte was written
+    MayBeSent, ///< bytes were written, no answer came
+    Answered, ///< the head of an answer came
+};
+
+/** @brief A piece of an answer's body. */
+struct Piece
+{
+    std::string data;
+    bool isEnd = false; ///< the body came to its proper end
+    bool isBroken = false; ///< the connection failed before the end
+};
+
+/**
+ * @brief One request on a connection of its own.
+ *
+ * Guards against connections that went silent for good while new ones work: it shows as a request that gets no answer on a
+ * reused connection. A fresh connection for each request holds because new ones work; the price is one round trip, under a
+ * millisecond within a region.
+ */
+class Call
+{
+public:
+    /** @param ioTimeout longest silence of the peer that is waited for */
+    Call(const Address &address, Duration ioTimeout);
+    ~Call();
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+
+    /** @brief Connects, sends the request and reads the head of the answer. */
+    [[nodiscard]] boost::asio::awaitable<Progress> send(const Request &request);
+
+    /** @brief Status and headers of the answer; the body is left out. */
+    [[nodiscard]] const Response &head() const;
+
+    /** @brief The next piece of the body. */
+    [[nodiscard]] boost::asio::awaitable<Piece> read();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/** @brief What came of a request whose whole answer was awaited. */
+struct Exchange
+{
+    Progress progress = Progress::NotSent;
+    Response response; ///< whole if progress is Answered
+};
+
+/** @brief Sends a request and reads the whole answer. */
+[[nodiscard]] boost::asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout);
+
+} // namespace burdock::runtime::http
--- /dev/null
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <burdock/runtime/http/message.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace burdock::runtime::http {
+
+/** @brief Where the answer to one request goes. */
+class Reply
+{
+public:
+    virtual ~Reply() = default;
+
+    /** @brief Sends a whole answer. False if the connection is gone. */
+    virtual boost::asio::awaitable<bool> send(const Response &response) = 0;
+
+    /** @brief Begins a streamed answer; the response's body is left out. */
+    virtual boost::asio::awaitable<bool> begin(const Response &head) = 0;
+
+    /** @brief Sends a piece of a streamed answer. */
+    virtual boost::asio::awaitable<bool> write(std::string_view piece) = 0;
+
+    /** @brief Ends a streamed answer. Without it the connection is cut, so that the caller can't take a part for the whole. */
+    virtual boost::asio::awaitable<bool> end() = 0;
+};
+
+/** @brief Answers requests. Called from several threads, one connection at a time each. */
+class Handler
+{
+public:
+    virtual ~Handler() = default;
+    virtual boost::asio::awaitable<void> handle(const Request &request, Reply &reply) = 0;
+};
+
+struct ServerLimits
+{
+    u32 headerBytes = 16 * 1024;
+    u64 bodyBytes = 4 * 1024 * 1024;
+    /** Time for one whole request to arrive, and for one piece of an answer to be taken. */
+    Duration ioTimeout = std::chrono::seconds(30);
+};
+
+/** @brief An HTTP/1.1 server on one address. */
+class Server
+{
+public:
+    /** @throws std::system_error if the address can't be bound */
+    Server(boost::asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler);
+    ~Server();
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    [[nodiscard]] u16 port() const;
+
+    /** @brief Takes no new connections, and no further request on those that are open. */
+    void stopListening();
+
+    /** @brief Cuts all connections. */
+    void closeAll();
+
+    /** @brief Requests that are being answered. */
+    [[nodiscard]] u32 busyConnections() const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl; // shared with the connections' coroutines
+};
+
+} // namespace burdock::runtime::http
--- /dev/null
+++ b/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <burdock/membership/member_table.hpp>
+#include <burdock/runtime/http/message.hpp>
+#include <burdock/runtime/link/context.hpp>
+
+#include <burdock/link.pb.h>
+#include <memory>
+#include <string>
+
+namespace burdock::runtime::link {
+
+/** @brief Takes what happens on links to endpoint processes. Called on one thread at a time for each link. */
+class ClientHandler
+{
+public:
+    virtual ~ClientHandler() = default;
+
+    /** @brief The heartbeat to send now. */
+    [[nodiscard]] virtual schema::Heartbeat heartbeat() = 0;
+
+    virtual void onMessage(const std::string &peer, const schema::LinkMessage &message) = 0;
+
+    /** @brief A silent link was replaced by a new socket; runs on it are to be resumed. */
+    virtual void onReplaced(const std::string &peer) = 0;
+
+    virtual void onHealth(const std::string &peer, membership::LinkHealth health) = 0;
+};
+
+struct ClientOptions
+{
+    Duration beat = std::chrono::milliseconds(250);
+    /** Silent beats after which the socket is replaced. */
+    u32 silentBeats = 3;
+    /** Replacements without a word after which the peer counts as dead. */
+    u32 replacementsUntilDead = 2;
+};
+
+/**
+ * @brief A link to one endpoint process.
+ *
+ * Nothing but heartbeats goes out until the peer has answered one on the present socket, so a message that never left is told
+ * apart from one that may have arrived. Thread-safe.
+ */
+class Client
+{
+public:
+    Client(Context &context, const std::string &peer, const http::Address &address, const ClientOptions &options, ClientHandler &handler);
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /** @brief Sends once the link is established. */
+    void send(const schema::LinkMessage &message);
+
+    /**
+     * @brief Takes a run request back.
+     * @return true if it was still waiting, so that it provably never left
+     */
+    [[nodiscard]] bool withdraw(const schema::RunRef &ref);
+
+    /** @brief Identifies the peer's process; 0 until it was heard. */
+    [[nodiscard]] u64 peerBootId() const;
+
+    void close();
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl; // shared with handlers on the pool
+};
+
+} // namespace burdock::runtime::link
--- /dev/null
+++ b/lib/libburdock-runtime/include/burdock/runtime/mailbox.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace burdock::runtime {
+
+/**
+ * @brief Messages for one coroutine, from any thread.
+ *
+ * Shared ownership: a sender may still hold the mailbox when the coroutine has ended.
+ */
+template <typename Message>
+class Mailbox : public std::enable_shared_from_this<Mailbox<Message>>
+{
+public:
+    /** @param strand the executor of the receiving coroutine, which must not run on two threads at once */
+    explicit Mailbox(const boost::asio::any_io_executor &strand)
+        : m_strand(strand),
+          m_timer(strand)
+    {
+    }
+
+    /** @brief Adds a message. Thread-safe. */
+    void push(Message message)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_messages.push_back(std::move(message));
+        }
+        boost::asio::post(m_strand, [self = this->shared_from_this()] { self->m_timer.cancel(); });
+    }
+
+    /** @brief The next message, or nothing once the deadline has passed. Only on the strand. */
+    boost::asio::awaitable<std::optional<Message>> receive(TimePoint deadline)
+    {
+        while (true) {
+            if (auto message = take()) {
+                co_return message;
+            }
+            if (std::chrono::steady_clock::now() >= deadline) {
+                co_return std::nullopt;
+            }
+            m_timer.expires_at(deadline);
+            boost::system::error_code ignored;
+            co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+    }
+
+private:
+    std::optional<Message> take()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_messages.empty()) {
+            return std::nullopt;
+        }
+        std::optional<Message> message(std::move(m_messages.front()));
+        m_messages.pop_front();
+        return message;
+    }
+
+    boost::asio::any_io_executor m_strand;
+    boost::asio::steady_timer m_timer;
+    std::mutex m_mutex;
+    std::deque<Message> m_messages;
+};
+
+} // namespace burdock::runtime
--- /dev/null
+++ b/lib/libburdock-runtime/include/burdock/runtime/sleep.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace burdock::runtime {
+
+/** @brief Suspends the coroutine. */
+[[nodiscard]] boost::asio::awaitable<void> sleepFor(Duration duration);
+
+} // namespace burdock::runtime
--- /dev/null
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -0,0 +1,300 @@
+#include <burdock/runtime/http/server.hpp>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <set>
+
+namespace burdock::runtime::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+
+constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+
+void copyHeaders(const Headers &from, beast::http::fields &to)
+{
+    for (const auto &[name, value] : from) {
+        to.insert(name, value);
+    }
+}
+
+class BeastReply : public Reply
+{
+public:
+    BeastReply(beast::tcp_stream &stream, Duration timeout, bool keepAlive)
+        : m_stream(stream),
+          m_timeout(timeout),
+          m_keepAlive(keepAlive)
+    {
+    }
+
+    asio::awaitable<bool> send(const Response &response) override
+    {
+        beast::http::response<beast::http::string_body> message(beast::http::int_to_status(response.status), 11);
+        copyHeaders(response.headers, message);
+        message.body() = response.body;
+        message.keep_alive(m_keepAlive);
+        message.prepare_payload();
+        m_stream.expires_after(m_timeout);
+        const auto [error, size] = co_await beast::http::async_write(m_stream, message, Awaitable);
+        m_isWhole = !error;
+        co_return m_isWhole;
+    }
+
+    asio::awaitable<bool> begin(const Response &head) override
+    {
+        beast::http::response<beast::http::empty_body> message(beast::http::int_to_status(head.status), 11);
+        copyHeaders(head.headers, message);
+        message.keep_alive(m_keepAlive);
+        message.chunked(true);
+        beast::http::response_serializer<beast::http::empty_body> serializer(message);
+        m_stream.expires_after(m_timeout);
+        const auto [error, size] = co_await beast::http::async_write_header(m_stream, serializer, Awaitable);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> write(std::string_view piece) override
+    {
+        m_stream.expires_after(m_timeout);
+        const auto buffers = beast::http::make_chunk(asio::buffer(piece));
+        const auto [error, size] = co_await asio::async_write(m_stream, buffers, Awaitable);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> end() override
+    {
+        m_stream.expires_after(m_timeout);
+        const auto [error, size] = co_await asio::async_write(m_stream, beast::http::make_chunk_last(), Awaitable);
+        m_isWhole = !error;
+        co_return m_isWhole;
+    }
+
+    [[nodiscard]] bool isWhole() const
+    {
+        return m_isWhole;
+    }
+
+private:
+    beast::tcp_stream &m_stream;
+    Duration m_timeout;
+    bool m_keepAlive;
+    bool m_isWhole = false;
+};
+
+Request toRequest(beast::http::request<beast::http::string_body> &&message)
+{
+    Request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+// The status that answers a request which could not be read; 0 if the connection is gone.
+u16 statusFor(const boost::system::error_code &error)
+{
+    if (error == beast::http::error::body_limit) {
+        return 413;
+    }
+    if (error == beast::http::error::header_limit) {
+        return 431;
+    }
+    if (error == beast::error::timeout) {
+        return 408;
+    }
+    const bool isBroken = error.category() == beast::http::make_error_code(beast::http::error::bad_method).category();
+    const bool isEnd = error == beast::http::error::end_of_stream || error == beast::http::error::partial_message;
+    return isBroken && !isEnd ? 400 : 0;
+}
+
+Response malformedRequest(u16 status)
+{
+    Response response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "application/problem+json");
+    response.body = R"({"title":"malformed request","verdict":"not_run"})";
+    return response;
+}
+
+} // namespace
+
+class Server::Impl : public std::enable_shared_from_this<Server::Impl>
+{
+public:
+    Impl(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler)
+        : m_context(context),
+          m_acceptor(asio::make_strand(context)),
+          m_limits(limits),
+          m_handler(handler)
+    {
+        const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        m_port = m_acceptor.local_endpoint().port();
+    }
+
+    void start()
+    {
+        asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
+    }
+
+    void stopListening()
+    {
+        m_isStopping = true;
+        asio::dispatch(m_acceptor.get_executor(), [self = shared_from_this()] {
+            boost::system::error_code ignored;
+            self->m_acceptor.close(ignored);
+        });
+    }
+
+    void closeAll()
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto *stream : m_streams) {
+            asio::post(stream->get_executor(), [self = shared_from_this(), stream] { self->closeIfOpen(stream); });
+        }
+    }
+
+    [[nodiscard]] u16 port() const
+    {
+        return m_port;
+    }
+
+    [[nodiscard]] u32 busyConnections() const
+    {
+        return m_busy;
+    }
+
+private:
+    void closeIfOpen(beast::tcp_stream *stream)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_streams.count(stream) > 0) {
+            boost::system::error_code ignored;
+            stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            stream->socket().close(ignored);
+        }
+    }
+
+    static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
+    {
+        while (!self->m_isStopping) {
+            Tcp::socket socket(asio::make_strand(self->m_context));
+            const auto [error] = co_await self->m_acceptor.async_accept(socket, Awaitable);
+            if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+                co_return;
+            }
+            if (error) {
+                // Out of descriptors, most likely; waiting a moment lets some connections end.
+                asio::steady_timer pause(self->m_acceptor.get_executor(), std::chrono::milliseconds(20));
+                co_await pause.async_wait(Awaitable);
+                continue;
+            }
+            const auto strand = socket.get_executor();
+            asio::co_spawn(strand, serve(self, std::move(socket)), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        beast::tcp_stream stream(std::move(socket));
+        self->track(&stream);
+        beast::flat_buffer buffer;
+        while (!self->m_isStopping && co_await self->serveOne(stream, buffer)) { }
+        self->untrack(&stream);
+        stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    }
+
+    // Answers one request; true if the connection may carry another.
+    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+    {
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.header_limit(m_limits.headerBytes);
+        parser.body_limit(m_limits.bodyBytes);
+        stream.expires_after(m_limits.ioTimeout);
+        const auto [error, size] = co_await beast::http::async_read(stream, buffer, parser, Awaitable);
+        if (error) {
+            if (const u16 status = statusFor(error); status != 0) {
+                BeastReply reply(stream, m_limits.ioTimeout, false);
+                const Response problem = malformedRequest(status);
+                co_await reply.send(problem);
+            }
+            co_return false;
+        }
+        ++m_busy;
+        const bool keepAlive = parser.get().keep_alive() && !m_isStopping;
+        const auto request = toRequest(parser.release());
+        BeastReply reply(stream, m_limits.ioTimeout, keepAlive);
+        co_await m_handler.handle(request, reply);
+        --m_busy;
+        co_return keepAlive &&reply.isWhole();
+    }
+
+    void track(beast::tcp_stream *stream)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_streams.insert(stream);
+    }
+
+    void untrack(beast::tcp_stream *stream)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_streams.erase(stream);
+    }
+
+    asio::io_context &m_context;
+    Tcp::acceptor m_acceptor;
+    ServerLimits m_limits;
+    Handler &m_handler;
+    u16 m_port = 0;
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<u32> m_busy{0};
+    std::mutex m_mutex;
+    std::set<beast::tcp_stream *> m_streams;
+};
+
+Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler)
+    : m_impl(std::make_shared<Impl>(context, address, limits, handler))
+{
+    m_impl->start();
+}
+
+Server::~Server()
+{
+    m_impl->stopListening();
+}
+
+u16 Server::port() const
+{
+    return m_impl->port();
+}
+
+void Server::stopListening()
+{
+    m_impl->stopListening();
+}
+
+void Server::closeAll()
+{
+    m_impl->closeAll();
+}
+
+u32 Server::busyConnections() const
+{
+    return m_impl->busyConnections();
+}
+
+} // namespace burdock::runtime::http
--- /dev/null
+++ b/lib/libburdock-schema/include/burdock/schema/signing.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <burdock/bundle.pb.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace burdock::schema {
+
+/** @brief An Ed25519 key pair in hex. */
+struct SigningKey
+{
+    std::string publicKey;
+    std::string secretKey;
+};
+
+[[nodiscard]] SigningKey makeSigningKey();
+
+/** @brief Signs a document; nothing if the key is not a hex Ed25519 secret key. */
+[[nodiscard]] std::optional<SignedBundle> sign(std::string_view document, std::string_view secretKeyHex);
+
+/** @brief True if one of the trusted signers, given in hex, signed the document. */
+[[nodiscard]] bool isTrusted(const SignedBundle &bundle, std::span<const std::string> trustedSigners);
+
+} // namespace burdock::schema
--- /dev/null
+++ b/lib/libburdock-schema/source/document.cpp
@@ -0,0 +1,237 @@
+#include <burdock/schema/document.hpp>
+
+#include "json_check.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace burdock::schema {
+
+namespace {
+
+using detail::FaultList;
+using Names = std::set<std::string, std::less<>>;
+
+constexpr std::size_t ApiKeyHashHexDigits = 64;
+constexpr std::size_t PublicKeyHexDigits = 64;
+constexpr std::size_t CurveKeyCharacters = 40;
+constexpr u32 MaxLimit = 100'000;
+constexpr u32 MinBlockBytes = 64;
+constexpr u32 MaxBlockBytes = 1U << 20U;
+constexpr u32 MinHeartbeatMs = 20;
+constexpr u32 MaxHeartbeatMs = 60'000;
+constexpr u32 MaxWorkers = 256;
+
+bool isHex(std::string_view text, std::size_t digits)
+{
+    return text.size() == digits && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+bool isAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    const auto port = text.substr(colon + 1);
+    return !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+std::string item(const std::string &list, int index)
+{
+    return "$." + list + "[" + std::to_string(index) + "]";
+}
+
+// Names in a list; reports empty and repeated ones.
+template <typename Items>
+Names namesOf(const Items &items, const std::string &list, FaultList &faults)
+{
+    Names names;
+    for (int i = 0; i < items.size(); ++i) {
+        const auto &name = items[i].name();
+        if (name.empty()) {
+            faults.add(item(list, i) + ".name", "must not be empty");
+        } else if (!names.insert(name).second) {
+            faults.add(item(list, i) + ".name", "'" + name + "' stands in the list twice");
+        }
+    }
+    return names;
+}
+
+void require(bool holds, const std::string &path, const std::string &reason, FaultList &faults)
+{
+    if (!holds) {
+        faults.add(path, reason);
+    }
+}
+
+void checkPools(const Bundle &bundle, FaultList &faults)
+{
+    for (int i = 0; i < bundle.pools_size(); ++i) {
+        const auto &pool = bundle.pools(i);
+        const auto path = item("pools", i);
+        require(pool.cold_limit() >= 1, path + ".cold_limit", "must be at least 1", faults);
+        require(pool.warm_limit() >= pool.cold_limit(), path + ".warm_limit", "must not be below cold_limit", faults);
+        require(pool.warm_limit() <= MaxLimit, path + ".warm_limit", "must not be above 100000", faults);
+        require(pool.queue_limit() <= MaxLimit, path + ".queue_limit", "must not be above 100000", faults);
+    }
+}
+
+void checkModelsAndServices(const Bundle &bundle, const Names &pools, FaultList &faults)
+{
+    for (int i = 0; i < bundle.models_size(); ++i) {
+        const auto &model = bundle.models(i);
+        require(pools.count(model.pool()) > 0, item("models", i) + ".pool", "names no pool: '" + model.pool() + "'", faults);
+        require(!model.weight_version().empty(), item("models", i) + ".weight_version", "must not be empty", faults);
+    }
+    for (int i = 0; i < bundle.services_size(); ++i) {
+        const auto &service = bundle.services(i);
+        require(pools.count(service.pool()) > 0, item("services", i) + ".pool", "names no pool: '" + service.pool() + "'", faults);
+        for (int j = 0; j < service.non_repeatable_size(); ++j) {
+            const auto path = item("services", i) + ".non_repeatable[" + std::to_string(j) + "]";
+            require(!service.non_repeatable(j).method().empty(), path + ".method", "must not be empty", faults);
+            require(service.non_repeatable(j).path_prefix().starts_with('/'), path + ".path_prefix", "must start with /", faults);
+        }
+    }
+}
+
+void checkCustomers(const Bundle &bundle, FaultList &faults)
+{
+    Names hashes;
+    for (int i = 0; i < bundle.customers_size(); ++i) {
+        const auto &customer = bundle.customers(i);
+        const auto path = item("customers", i);
+        require(isHex(customer.api_key_hash(), ApiKeyHashHexDigits), path + ".api_key_hash", "must be 64 lower-case hex digits", faults);
+        require(hashes.insert(customer.api_key_hash()).second, path + ".api_key_hash", "is another customer's too", faults);
+        require(customer.requests_per_second() >= 0, path + ".requests_per_second", "must not be negative", faults);
+    }
+}
+
+void checkPolicy(const Policy &policy, FaultList &faults)
+{
+    const auto within = [&](const char *field, double value, double lowest, double highest) {
+        if (value < lowest || value > highest) {
+            faults.add(std::string("$.policy.") + field, "must be from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        }
+    };
+    within("block_bytes", policy.block_bytes(), MinBlockBytes, MaxBlockBytes);
+    within("weight_first_token_ms", policy.weight_first_token_ms(), 0, 1e6);
+    within("weight_recomputed_ktoken", policy.weight_recomputed_ktoken(), 0, 1e6);
+    within("weight_link_mib", policy.weight_link_mib(), 0, 1e6);
+    within("bounded_load_percent", policy.bounded_load_percent(), 100, 1000);
+    within("retry_budget_percent", policy.retry_budget_percent(), 0, 20);
+    within("cache_link_bytes_per_second", static_cast<double>(policy.cache_link_bytes_per_second()), 1, 1e12);
+    within("prefill_tokens_per_second", policy.prefill_tokens_per_second(), 1, 1e7);
+    within("concurrent_weight_loads", policy.concurrent_weight_loads(), 1, 100);
+    within("default_deadline_ms", policy.default_deadline_ms(), 100, 3'600'000);
+}
+
+void checkBundle(const Bundle &bundle, FaultList &faults)
+{
+    require(bundle.version() >= 1, "$.version", "must be at least 1", faults);
+    require(bundle.zones_size() > 0, "$.zones", "must name at least one availability zone", faults);
+    namesOf(bundle.zones(), "zones", faults);
+    for (int i = 0; i < bundle.zones_size(); ++i) {
+        require(bundle.zones(i).weight_percent() <= 100, item("zones", i) + ".weight_percent", "must not be above 100", faults);
+    }
+    const auto pools = namesOf(bundle.pools(), "pools", faults);
+    namesOf(bundle.models(), "models", faults);
+    namesOf(bundle.services(), "services", faults);
+    namesOf(bundle.customers(), "customers", faults);
+    checkPools(bundle, faults);
+    checkModelsAndServices(bundle, pools, faults);
+    checkCustomers(bundle, faults);
+    checkPolicy(bundle.policy(), faults);
+}
+
+void checkEntrySettings(const DaemonSettings &settings, FaultList &faults)
+{
+    const auto &entry = settings.entry();
+    require(isAddress(entry.listen()), "$.entry.listen", "must be IP:port", faults);
+    for (int i = 0; i < entry.seed_links_size(); ++i) {
+        require(isAddress(entry.seed_links(i)), "$.entry.seed_links[" + std::to_string(i) + "]", "must be IP:port", faults);
+    }
+}
+
+void checkEndpointSettings(const DaemonSettings &settings, FaultList &faults)
+{
+    const auto &endpoint = settings.endpoint();
+    require(isAddress(endpoint.listen()), "$.endpoint.listen", "must be IP:port", faults);
+    require(isAddress(endpoint.backend()), "$.endpoint.backend", "must be IP:port", faults);
+    require(!endpoint.pool().empty(), "$.endpoint.pool", "must not be empty", faults);
+    for (int i = 0; i < endpoint.stores_size(); ++i) {
+        require(isAddress(endpoint.stores(i)), "$.endpoint.stores[" + std::to_string(i) + "]", "must be IP:port", faults);
+    }
+}
+
+void checkSettings(const DaemonSettings &settings, FaultList &faults)
+{
+    require(!settings.name().empty(), "$.name", "must not be empty", faults);
+    require(!settings.zone().empty(), "$.zone", "must not be empty", faults);
+    require(isAddress(settings.admin_listen()), "$.admin_listen", "must be IP:port", faults);
+    require(isAddress(settings.platform()), "$.platform", "must be IP:port", faults);
+    require(settings.links().public_key().size() == CurveKeyCharacters, "$.links.public_key", "must be a Z85 key of 40 characters", faults);
+    require(settings.links().secret_key().size() == CurveKeyCharacters, "$.links.secret_key", "must be a Z85 key of 40 characters", faults);
+    const auto beat = settings.links().heartbeat_ms();
+    require(beat == 0 || (beat >= MinHeartbeatMs && beat <= MaxHeartbeatMs), "$.links.heartbeat_ms", "must be from 20 to 60000", faults);
+    require(settings.workers() <= MaxWorkers, "$.workers", "must not be above 256", faults);
+    require(settings.trusted_signers_size() > 0, "$.trusted_signers", "must name at least one public key", faults);
+    for (int i = 0; i < settings.trusted_signers_size(); ++i) {
+        require(isHex(settings.trusted_signers(i), PublicKeyHexDigits), item("trusted_signers", i), "must be 64 lower-case hex digits",
+                faults);
+    }
+    const Names levels{"", "debug", "info", "warning", "error"};
+    require(levels.count(settings.log_level()) > 0, "$.log_level", "must be debug, info, warning or error", faults);
+    switch (settings.role()) {
+    case DaemonSettings::ENTRY:
+        checkEntrySettings(settings, faults);
+        break;
+    case DaemonSettings::ENDPOINT:
+        checkEndpointSettings(settings, faults);
+        break;
+    default:
+        faults.add("$.role", "must be ENTRY or ENDPOINT");
+    }
+}
+
+template <typename Document>
+Checked<Document> parse(const std::string &file, std::string_view json, const std::function<void(const Document &, FaultList &)> &check)
+{
+    FaultList faults(file);
+    Document document;
+    detail::readJson(json, document, faults);
+    if (faults.isEmpty()) {
+        check(document, faults);
+    }
+    if (!faults.isEmpty()) {
+        return {std::nullopt, faults.take()};
+    }
+    return {std::move(document), {}};
+}
+
+} // namespace
+
+std::string toString(const Fault &fault)
+{
+    return fault.file + ": " + fault.path + ": " + fault.reason;
+}
+
+Checked<Bundle> parseBundle(const std::string &file, std::string_view json)
+{
+    return parse<Bundle>(file, json, checkBundle);
+}
+
+Checked<DaemonSettings> parseSettings(const std::string &file, std::string_view json)
+{
+    return parse<DaemonSettings>(file, json, checkSettings);
+}
+
+Checked<SignedBundle> parseSignedBundle(const std::string &file, std::string_view json)
+{
+    return parse<SignedBundle>(file, json, [](const SignedBundle &bundle, FaultList &faults) {
+        require(!bundle.document().empty(), "$.document", "must not be empty", faults);
+    });
+}
+
+} // namespace burdock::schema
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <burdock/admission/admission_controller.hpp>
+#include <burdock/link.pb.h>
+#include <burdock/runtime/ordered_mutex.hpp>
+#include <burdock/serving/endpoint/run_outlet.hpp>
+#include <burdock/serving/process.hpp>
+
+#include <atomic>
+#include <map>
+
+namespace burdock::serving {
+
+/** @brief The one door of an endpoint: every run goes in and out through it. Thread-safe. */
+class AdmissionGate
+{
+public:
+    AdmissionGate(Process &process, const admission::AdmissionPolicy &policy);
+
+    void setPolicy(const admission::AdmissionPolicy &policy);
+
+    /** @brief Waits for room. None if the run may start; otherwise the refusal. */
+    [[nodiscard]] boost::asio::awaitable<Refusal> enter(admission::AdmissionRequest request, std::shared_ptr<RunSignals> signals,
+                                                        const RunOutlet &outlet);
+
+    /** @brief Gives room back. */
+    void leave(const admission::FinishedRun &run);
+
+    /** @brief The endpoint showed a sign of a restart. */
+    void noteRestart();
+
+    [[nodiscard]] schema::EndpointLoad load() const;
+
+private:
+    enum class Place : u8 {
+        Queued,
+        Admitted,
+        Evicted,
+    };
+    struct Waiting
+    {
+        std::shared_ptr<RunSignals> signals; // shared with the run's coroutine
+        Place place = Place::Queued;
+    };
+
+    void settle(admission::Ticket ticket, Place place);
+
+    Process &m_process;
+    mutable runtime::OrderedMutex<runtime::LockLevel::Admission> m_mutex;
+    admission::AdmissionController m_controller;
+    std::map<admission::Ticket, Waiting> m_waiting;
+    admission::Ticket m_lastTicket = 0;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <burdock/admission/admission_controller.hpp>
+#include <burdock/runtime/tracer.hpp>
+#include <burdock/serving/endpoint/run_outlet.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace burdock::serving {
+
+/** @brief How a run at the back end ended. */
+struct Conclusion
+{
+    admission::RunOutcome outcome = admission::RunOutcome::Success;
+    schema::RunEnd end;
+    /** Set if the back end was never asked; then `end` does not count. */
+    std::optional<Refusal> refusal;
+};
+
+/** @brief Runs admitted requests at the back end beside the process. Thread-safe. */
+class BackEndRunner
+{
+public:
+    virtual ~BackEndRunner() = default;
+
+    /** @brief A reason to refuse before waiting for room; none if there is none. */
+    [[nodiscard]] virtual Refusal check(const schema::RunRequest &request) = 0;
+
+    /** @brief Runs a request and sends head and data to the outlet, but not the end. */
+    [[nodiscard]] virtual boost::asio::awaitable<Conclusion> run(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
+                                                                 const runtime::SpanContext &parent)
+        = 0;
+
+    /** @brief What remains to be done once the end has been sent. */
+    [[nodiscard]] virtual boost::asio::awaitable<void> afterEnd(const schema::RunRequest &request) = 0;
+
+    /** @brief `model@version` of the weights that new requests find; empty for plain services. */
+    [[nodiscard]] virtual std::vector<std::string> loaded() const = 0;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <burdock/platform/engine.hpp>
+#include <burdock/runtime/ordered_mutex.hpp>
+#include <burdock/serving/endpoint/admission_gate.hpp>
+
+#include <string>
+#include <vector>
+
+namespace burdock::serving {
+
+/** @brief Follows an engine's boot id and loaded weights. Thread-safe. */
+class EngineWatch
+{
+public:
+    EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate);
+
+    /** @brief Polls until the process stops. */
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+    /** @brief Takes note of a boot id seen in an answer; true if the engine had restarted. */
+    bool noteBootId(const std::string &bootId);
+
+    /** @brief The engine did not answer, or cut a connection. */
+    void noteUnreachable();
+
+    void setLoaded(std::vector<std::string> loaded);
+    [[nodiscard]] std::vector<std::string> loaded() const;
+    [[nodiscard]] bool hasLoaded(const std::string &weightName) const;
+    [[nodiscard]] bool isReachable() const;
+    [[nodiscard]] std::string bootId() const;
+
+private:
+    Process &m_process;
+    platform::Engine &m_engine;
+    AdmissionGate &m_gate;
+    mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex;
+    std::string m_bootId;
+    std::vector<std::string> m_loaded;
+    bool m_isReachable = false;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/kept_cache.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <burdock/cache/cost_model.hpp>
+#include <burdock/cache/export_queue.hpp>
+#include <burdock/platform/block_store.hpp>
+#include <burdock/platform/engine.hpp>
+#include <burdock/runtime/ordered_mutex.hpp>
+#include <burdock/serving/config/config_holder.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace burdock::serving {
+
+/** @brief A store VM and a name to hash. */
+struct NamedStore
+{
+    std::string name;
+    std::unique_ptr<platform::BlockStore> store;
+};
+
+/**
+ * @brief Kept cache of one endpoint: what its engine holds as far as is known, imports before runs, exports after them.
+ *
+ * Thread-safe.
+ */
+class KeptCache
+{
+public:
+    KeptCache(Process &process, ConfigHolder &config, platform::Engine &engine, std::vector<NamedStore> stores);
+
+    /**
+     * @brief Imports blocks that the engine lacks, if that costs less than computing them again.
+     * @return blocks imported; a failure on the way leaves the rest to recomputation
+     */
+    [[nodiscard]] boost::asio::awaitable<u32> prepare(const std::vector<cache::BlockKey> &keys);
+
+    /** @brief The engine has computed or used these blocks; new ones are considered for export. */
+    void noteRun(const std::vector<cache::BlockKey> &keys, u32 cachedTokens);
+
+    /** @brief The engine restarted and holds nothing. */
+    void forgetEngine();
+
+    /** @brief Exports in the background until the process stops. */
+    [[nodiscard]] boost::asio::awaitable<void> exportLoop();
+
+    /** @brief Follows the engine's cache events until the process stops. */
+    [[nodiscard]] boost::asio::awaitable<void> eventLoop();
+
+private:
+    [[nodiscard]] std::size_t firstUnheld(const std::vector<cache::BlockKey> &keys) const;
+    [[nodiscard]] cache::ImportCase importCase(std::size_t blocks) const;
+    [[nodiscard]] std::vector<const NamedStore *> storesFor(const cache::BlockKey &key);
+    [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> fetch(const cache::BlockKey &root, const cache::BlockKey &key);
+    [[nodiscard]] boost::asio::awaitable<void> exportOne(const cache::ExportCandidate &candidate);
+    void avoidStore(const std::string &name);
+    void noteTransfer(std::size_t bytes, Duration time);
+
+    Process &m_process;
+    ConfigHolder &m_config;
+    platform::Engine &m_engine;
+    std::vector<NamedStore> m_stores;
+
+    mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex; // guards what follows
+    std::set<cache::BlockKey> m_held; // blocks that the engine holds, as far as is known
+    std::set<cache::BlockKey> m_exported;
+    std::map<cache::BlockKey, cache::BlockKey> m_roots; // first block of the prompt that a waiting block belongs to
+    cache::ExportQueue m_exports;
+    std::map<std::string, TimePoint> m_avoidUntil; // by store name
+    double m_blockBytes;
+    double m_linkBytesPerSecond;
+    u64 m_queuedBytes = 0;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/once_store.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <burdock/link.pb.h>
+#include <burdock/once/once_machine.hpp>
+#include <burdock/platform/object_store.hpp>
+#include <burdock/serving/process.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <string>
+
+namespace burdock::serving {
+
+/** @brief A call that was judged by its record in the platform. */
+struct OnceClaim
+{
+    once::Action action = once::Action::Refuse; ///< Run, ReturnRecorded or Refuse
+    RefusalReason refusal = RefusalReason::None;
+    schema::OnceRecord recorded; ///< if ReturnRecorded
+    platform::ObjectId id;
+    once::Nonce nonce{};
+    hash::Digest256 digest{};
+    u64 version = 0; ///< of our claim, if Run
+};
+
+/** @brief Carries out the once machine on the platform's objects. Thread-safe. */
+class OnceStore
+{
+public:
+    OnceStore(Process &process, platform::ObjectStore &store);
+
+    /** @brief Claims a call for this attempt. */
+    [[nodiscard]] boost::asio::awaitable<OnceClaim> claim(const std::string &customer, const schema::ServiceWork &work);
+
+    /** @brief Records the outcome of a call that ran. */
+    [[nodiscard]] boost::asio::awaitable<void> recordDone(const OnceClaim &claim, u32 status, const std::string &contentType,
+                                                          const std::string &body);
+
+    /** @brief Frees the record of a call that provably never ran, so that it can be sent again. */
+    [[nodiscard]] boost::asio::awaitable<void> release(const OnceClaim &claim);
+
+private:
+    [[nodiscard]] boost::asio::awaitable<void> replaceOwn(const OnceClaim &claim, const schema::OnceRecord &record);
+
+    Process &m_process;
+    platform::ObjectStore &m_store;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <burdock/serving/endpoint/back_end_runner.hpp>
+#include <burdock/serving/endpoint/engine_watch.hpp>
+#include <burdock/serving/endpoint/kept_cache.hpp>
+
+namespace burdock::serving {
+
+/** @brief Runs prompts on a model engine. */
+class PromptRunner : public BackEndRunner
+{
+public:
+    PromptRunner(Process &process, platform::Engine &engine, EngineWatch &watch, KeptCache &cache);
+
+    [[nodiscard]] Refusal check(const schema::RunRequest &request) override;
+    [[nodiscard]] boost::asio::awaitable<Conclusion> run(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
+                                                         const runtime::SpanContext &parent) override;
+    [[nodiscard]] boost::asio::awaitable<void> afterEnd(const schema::RunRequest &request) override;
+    [[nodiscard]] std::vector<std::string> loaded() const override;
+
+private:
+    [[nodiscard]] boost::asio::awaitable<Conclusion> relay(const platform::GenerateHead &head, platform::Generation &generation,
+                                                           RunOutlet &outlet, TimePoint deadline);
+    [[nodiscard]] Conclusion broken(bool mayHaveRun, bool crashed, std::string detail) const;
+    [[nodiscard]] boost::asio::awaitable<bool> hasCrashed(const std::string &bootId);
+
+    Process &m_process;
+    platform::Engine &m_engine;
+    EngineWatch &m_watch;
+    KeptCache &m_cache;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <burdock/retry/quarantine.hpp>
+#include <burdock/serving/config/config_holder.hpp>
+#include <burdock/serving/endpoint/admission_gate.hpp>
+#include <burdock/serving/endpoint/back_end_runner.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace burdock::serving {
+
+/** @brief All runs of one endpoint process: starts, resumes and forgets them. Thread-safe. */
+class RunRegistry
+{
+public:
+    RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, std::size_t tailBytes);
+
+    /** @brief Where answers go; set once before the first message. */
+    void setServer(runtime::link::Server &server);
+
+    void begin(const runtime::link::PeerId &peer, const schema::RunRequest &request);
+    void resume(const runtime::link::PeerId &peer, const schema::RunResume &resume);
+    void acknowledge(const schema::RunAck &ack);
+    void cancel(const schema::RunCancel &cancel);
+
+    /** @brief Notes that a peer's link lives. */
+    void notePeer(const runtime::link::PeerId &peer);
+
+    /** @brief Forgets runs that are over, and cancels prompts whose entry has been silent for too long. Until the process stops. */
+    [[nodiscard]] boost::asio::awaitable<void> sweepLoop();
+
+    /** @brief No new work from now on. */
+    void setLeaving();
+    [[nodiscard]] bool isLeaving() const;
+
+    /** @brief True once no run is under way and every answer has been taken. */
+    [[nodiscard]] bool isIdle() const;
+
+    [[nodiscard]] schema::EndpointLoad load() const;
+    void mergeSuspect(const retry::SuspectRecord &record);
+    [[nodiscard]] std::vector<retry::SuspectRecord> suspects() const;
+
+private:
+    struct Entry
+    {
+        std::shared_ptr<RunOutlet> outlet; // shared with the run's coroutine; null for an attempt that will never run here
+        bool isPrompt = false;
+        TimePoint touched{};
+    };
+
+    [[nodiscard]] static std::string keyOf(const schema::RunRef &ref);
+    [[nodiscard]] std::shared_ptr<RunOutlet> find(const schema::RunRef &ref);
+    [[nodiscard]] boost::asio::awaitable<void> execute(schema::RunRequest request, std::shared_ptr<RunOutlet> outlet,
+                                                       std::shared_ptr<RunSignals> signals, TimePoint deadline);
+    [[nodiscard]] boost::asio::awaitable<void> runAdmitted(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
+                                                           bool isSuspect, const runtime::SpanContext &span);
+    [[nodiscard]] Refusal eligibility(const schema::RunRequest &request) const;
+    [[nodiscard]] retry::SuspectState suspectState(const schema::RunRequest &request);
+    void noteOutcome(const schema::RunRequest &request, const Conclusion &conclusion);
+    void refuse(RunOutlet &outlet, const Refusal &refusal);
+    void sweep();
+
+    Process &m_process;
+    ConfigHolder &m_config;
+    AdmissionGate &m_gate;
+    BackEndRunner &m_runner;
+    std::size_t m_tailBytes;
+    runtime::link::Server *m_server = nullptr;
+    std::atomic<bool> m_isLeaving{false};
+    std::atomic<u32> m_coroutines{0};
+
+    mutable runtime::OrderedMutex<runtime::LockLevel::Runs> m_mutex; // guards what follows
+    std::unordered_map<std::string, Entry> m_runs;
+    std::unordered_map<runtime::link::PeerId, TimePoint> m_peers;
+    retry::Quarantine m_quarantine;
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/weight_orders.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <burdock/platform/engine.hpp>
+#include <burdock/platform/object_store.hpp>
+#include <burdock/serving/config/config_holder.hpp>
+#include <burdock/serving/endpoint/engine_watch.hpp>
+#include <burdock/weights/load_slots.hpp>
+
+#include <atomic>
+#include <optional>
+#include <string>
+
+namespace burdock::serving {
+
+/**
+ * @brief Has an engine load the weights that the configuration names, a few replicas of a pool at a time.
+ *
+ * Orders carry the incarnation number of this process as fencing number; it rises with each start, by conditional update.
+ */
+class WeightOrders
+{
+public:
+    WeightOrders(Process &process, ConfigHolder &config, platform::ObjectStore &store, platform::Engine &engine, EngineWatch &watch,
+                 std::string pool);
+
+    /** @brief Takes an incarnation number, then follows the configuration until the process stops. */
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+    /** @brief Fencing number of this process; 0 until it has one. */
+    [[nodiscard]] u64 incarnation() const;
+
+private:
+    struct Wanted
+    {
+        std::string model;
+        std::string version;
+    };
+    enum class SlotResult : u8 {
+        Taken,
+        Busy,
+        PlatformDown,
+    };
+
+    [[nodiscard]] boost::asio::awaitable<void> takeIncarnation();
+    [[nodiscard]] std::optional<Wanted> nextWanted() const;
+    [[nodiscard]] boost::asio::awaitable<void> load(const Wanted &wanted);
+    [[nodiscard]] boost::asio::awaitable<SlotResult> takeSlot(weights::LoadSlots &slots);
+    [[nodiscard]] boost::asio::awaitable<void> releaseSlot(weights::LoadSlots &slots);
+    [[nodiscard]] platform::ObjectId slotsId() const;
+
+    Process &m_process;
+    ConfigHolder &m_config;
+    platform::ObjectStore &m_store;
+    platform::Engine &m_engine;
+    EngineWatch &m_watch;
+    std::string m_pool;
+    std::atomic<u64> m_incarnation{0};
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <burdock/retry/retry_budget.hpp>
+#include <burdock/serving/entry/fleet.hpp>
+#include <burdock/serving/entry/run_table.hpp>
+#include <burdock/verdict.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace burdock::serving {
+
+/** @brief A caller's request on its way to an endpoint. */
+struct RunSpec
+{
+    std::shared_ptr<const Snapshot> config; ///< in force when the request came
+    std::string pool;
+    std::string customer;
+    i32 priority = 0;
+    TimePoint deadline{};
+    u64 fingerprint = 0;
+    std::optional<schema::PromptWork> prompt; ///< without weight version and block keys, which follow from the endpoint
+    std::optional<schema::ServiceWork> service;
+
+    [[nodiscard]] bool isRepeatable() const;
+};
+
+/** @brief Takes an answer as it comes. */
+class RunSink
+{
+public:
+    virtual ~RunSink() = default;
+
+    /** @brief The answer begins. False if the caller is gone. */
+    virtual boost::asio::awaitable<bool> head(const schema::RunHead &head) = 0;
+    virtual boost::asio::awaitable<bool> data(std::string_view data) = 0;
+};
+
+enum class RunStatus : u8 {
+    Complete,
+    Refused, ///< nothing was delivered; the refusal says why
+    Broken, ///< a part was delivered, and the rest can't be had
+    CallerGone,
+};
+
+struct RunResult
+{
+    RunStatus status = RunStatus::Refused;
+    Refusal refusal;
+    schema::RunEnd end; ///< if Complete
+};
+
+/** @brief Carries requests through: chooses endpoints, retries, resumes. Thread-safe. */
+class RunDriver
+{
+public:
+    RunDriver(Process &process, Fleet &fleet, RunTable &runs, Duration acceptTimeout);
+
+    [[nodiscard]] boost::asio::awaitable<RunResult> run(const RunSpec &spec, RunSink &sink, const runtime::SpanContext &parent);
+
+private:
+    struct Progress;
+    struct AttemptResult;
+
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> attempt(const RunSpec &spec, RunSink &sink, Progress &progress,
+                                                                const Proposal &proposal, const runtime::SpanContext &parent);
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> follow(const RunSpec &spec, RunSink &sink, Progress &progress,
+                                                               const std::shared_ptr<runtime::link::Client> &link,
+                                                               const std::shared_ptr<RunMailbox> &mailbox, const schema::RunRef &ref);
+    [[nodiscard]] schema::LinkMessage makeRequest(const RunSpec &spec, const Progress &progress, const Proposal &proposal,
+                                                  const schema::RunRef &ref, const runtime::SpanContext &span) const;
+    [[nodiscard]] placement::PlacementRequest placementFor(const RunSpec &spec);
+    [[nodiscard]] bool spendRetry(const RunSpec &spec);
+    void noteRequest(const RunSpec &spec);
+
+    Process &m_process;
+    Fleet &m_fleet;
+    RunTable &m_runs;
+    Duration m_acceptTimeout;
+    runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex; // guards the budgets
+    std::map<std::string, retry::RetryBudget> m_budgets; // by pool
+};
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/problem.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <burdock/runtime/http/message.hpp>
+#include <burdock/verdict.hpp>
+
+#include <string_view>
+
+namespace burdock::serving {
+
+/** @brief A problem document (RFC 9457) for a refusal, with verdict, reason and Retry-After. */
+[[nodiscard]] runtime::http::Response problemFor(const Refusal &refusal);
+
+/** @brief A problem document for a request that was not understood or not allowed; verdict not_run. */
+[[nodiscard]] runtime::http::Response problem(u16 status, std::string_view reason, std::string_view detail);
+
+/** @brief The JSON body of problemFor(). */
+[[nodiscard]] std::string problemBody(const Refusal &refusal);
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/config/platform_watch.cpp
@@ -0,0 +1,84 @@
+#include <burdock/serving/config/platform_watch.hpp>
+
+#include <burdock/hash/digest.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+namespace burdock::serving {
+
+namespace {
+
+// Bounds how long a watch whose connection went silent can hide a change.
+constexpr Duration WatchWait = std::chrono::seconds(4);
+constexpr Duration RetryPause = std::chrono::milliseconds(500);
+
+} // namespace
+
+platform::ObjectId currentConfigId()
+{
+    return {"config", "current"};
+}
+
+platform::ObjectId bundleId(const std::string &digest)
+{
+    return {"bundles", digest};
+}
+
+Duration jittered(Duration base, runtime::RandomSource &random)
+{
+    const auto half = base.count() / 2;
+    return Duration(half + static_cast<i64>(random.word() % static_cast<u64>(base.count() + 1)));
+}
+
+PlatformWatch::PlatformWatch(Process &process, platform::ObjectStore &store, ConfigHolder &holder)
+    : m_process(process),
+      m_store(store),
+      m_holder(holder)
+{
+}
+
+boost::asio::awaitable<void> PlatformWatch::run()
+{
+    u64 seen = 0;
+    while (true) {
+        const auto result = co_await m_store.watch(currentConfigId(), seen, WatchWait);
+        m_process.metrics.set("burdock_platform_reachable", result.answer == StoreAnswer::Unreachable ? 0 : 1);
+        if (result.answer == StoreAnswer::Found) {
+            seen = co_await take(result.value) ? result.version : 0;
+        }
+        if (result.answer == StoreAnswer::Unreachable || seen == 0) {
+            // An object store that was restored from an old copy counts from a lower version; watching from 0 finds that too.
+            seen = 0;
+            co_await runtime::sleepFor(jittered(RetryPause, m_process.random));
+        }
+    }
+}
+
+boost::asio::awaitable<void> PlatformWatch::readOnce()
+{
+    while (m_holder.version() == 0) {
+        const auto result = co_await m_store.read(currentConfigId());
+        if (result.answer == StoreAnswer::Found) {
+            static_cast<void>(co_await take(result.value));
+        }
+        if (m_holder.version() == 0) {
+            co_await runtime::sleepFor(jittered(RetryPause, m_process.random));
+        }
+    }
+}
+
+boost::asio::awaitable<bool> PlatformWatch::take(const std::string &currentConfig)
+{
+    schema::CurrentConfig current;
+    if (!current.ParseFromString(currentConfig) || current.version() <= m_holder.version()) {
+        co_return true;
+    }
+    const auto bundle = co_await m_store.read(bundleId(current.digest()));
+    if (bundle.answer != StoreAnswer::Found) {
+        m_process.logger.event(runtime::LogLevel::Warning, "bundle_unreadable", {{"version", current.version()}});
+        co_return false;
+    }
+    m_holder.offer(bundle.value);
+    co_return true;
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/endpoint/admission_gate.cpp
@@ -0,0 +1,95 @@
+#include <burdock/serving/endpoint/admission_gate.hpp>
+
+namespace burdock::serving {
+
+namespace {
+
+constexpr Duration RetryAfterEviction = std::chrono::milliseconds(500);
+
+} // namespace
+
+AdmissionGate::AdmissionGate(Process &process, const admission::AdmissionPolicy &policy)
+    : m_process(process),
+      m_controller(policy)
+{
+}
+
+void AdmissionGate::setPolicy(const admission::AdmissionPolicy &policy)
+{
+    const std::lock_guard lock(m_mutex);
+    m_controller.setPolicy(policy);
+}
+
+boost::asio::awaitable<Refusal> AdmissionGate::enter(admission::AdmissionRequest request, std::shared_ptr<RunSignals> signals,
+                                                     const RunOutlet &outlet)
+{
+    const TimePoint deadline = request.deadline;
+    {
+        const std::lock_guard lock(m_mutex);
+        request.ticket = ++m_lastTicket;
+        const auto decision = m_controller.request(request, m_process.clock.now());
+        if (decision.status == admission::AdmissionStatus::Admitted) {
+            co_return Refusal{};
+        }
+        if (decision.status == admission::AdmissionStatus::Refused) {
+            co_return decision.refusal;
+        }
+        m_waiting.emplace(request.ticket, Waiting{signals, Place::Queued});
+        if (decision.evicted) {
+            settle(*decision.evicted, Place::Evicted);
+        }
+    }
+    while (true) {
+        const auto signal = co_await signals->receive(deadline);
+        const std::lock_guard lock(m_mutex);
+        const Place place = m_waiting.at(request.ticket).place;
+        const bool givesUp = !signal || outlet.isCancelled();
+        if (place == Place::Queued && !givesUp) {
+            continue;
+        }
+        m_waiting.erase(request.ticket);
+        if (place == Place::Admitted) {
+            co_return Refusal{};
+        }
+        if (place == Place::Evicted) {
+            co_return Refusal{RefusalReason::Overloaded, RetryAfterEviction};
+        }
+        m_controller.abandon(request.ticket);
+        co_return Refusal{RefusalReason::DeadlineTooShort, m_controller.expectedWait()};
+    }
+}
+
+void AdmissionGate::leave(const admission::FinishedRun &run)
+{
+    const std::lock_guard lock(m_mutex);
+    // Expired requests find out by themselves: each waits no longer than until its deadline.
+    for (const auto ticket : m_controller.finished(run, m_process.clock.now()).admitted) {
+        settle(ticket, Place::Admitted);
+    }
+}
+
+void AdmissionGate::settle(admission::Ticket ticket, Place place)
+{
+    auto &waiting = m_waiting.at(ticket);
+    waiting.place = place;
+    waiting.signals->push(place == Place::Admitted ? RunSignal::Admitted : RunSignal::Evicted);
+}
+
+void AdmissionGate::noteRestart()
+{
+    const std::lock_guard lock(m_mutex);
+    m_controller.noteRestart();
+}
+
+schema::EndpointLoad AdmissionGate::load() const
+{
+    schema::EndpointLoad load;
+    const std::lock_guard lock(m_mutex);
+    load.set_running(m_controller.running());
+    load.set_queued(m_controller.queued());
+    load.set_limit(m_controller.limit());
+    load.set_cold(m_controller.isCold());
+    return load;
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -0,0 +1,214 @@
+#include "endpoint_role.hpp"
+
+#include "../role_support.hpp"
+
+#include <burdock/platform/http_block_store.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace burdock::serving::detail {
+
+namespace {
+
+namespace http = runtime::http;
+
+constexpr u32 DefaultTailBytes = 256 * 1024;
+// The engine pings each second while it has nothing to say.
+constexpr Duration EngineSilence = std::chrono::seconds(3);
+constexpr Duration ServiceSilence = std::chrono::seconds(30);
+constexpr Duration BlockTimeout = std::chrono::seconds(1);
+constexpr Duration DrainPause = std::chrono::milliseconds(20);
+// Entries learn from the next heartbeat that this process leaves; until then their proposals get a refusal.
+constexpr Duration QuietUntilGone = std::chrono::milliseconds(1500);
+
+std::vector<NamedStore> makeStores(Process &process, const schema::EndpointSettings &settings)
+{
+    std::vector<NamedStore> stores;
+    for (const auto &address : settings.stores()) {
+        stores.push_back({address, std::make_unique<platform::HttpBlockStore>(http::parseAddress(address), BlockTimeout, process.random)});
+    }
+    return stores;
+}
+
+} // namespace
+
+EngineSide::EngineSide(Process &process, ConfigHolder &config, platform::ObjectStore &store, AdmissionGate &gate,
+                       const schema::DaemonSettings &settings)
+    : engine(http::parseAddress(settings.endpoint().backend()), EngineSilence),
+      watch(process, engine, gate),
+      cache(process, config, engine, makeStores(process, settings.endpoint())),
+      orders(process, config, store, engine, watch, settings.endpoint().pool()),
+      runner(process, engine, watch, cache)
+{
+}
+
+EndpointRole::EndpointRole(Process &process, const schema::DaemonSettings &settings)
+    : m_process(process),
+      m_settings(settings),
+      m_store(http::parseAddress(settings.platform()), PlatformTimeout),
+      m_config(process, signersOf(settings)),
+      m_watch(process, m_store, m_config),
+      m_gate(process, {}),
+      m_once(process, m_store),
+      m_engineSide(settings.endpoint().is_engine() ? std::make_unique<EngineSide>(process, m_config, m_store, m_gate, settings) : nullptr),
+      m_serviceRunner(std::make_unique<ServiceRunner>(process, m_once, http::parseAddress(settings.endpoint().backend()), ServiceSilence)),
+      m_registry(process, m_config, m_gate, runner(),
+                 settings.endpoint().max_tail_bytes() == 0 ? DefaultTailBytes : settings.endpoint().max_tail_bytes()),
+      m_links(process.workers, linkKeysOf(settings)),
+      m_server(m_links, http::parseAddress(settings.endpoint().listen()), *this),
+      m_admin(
+          process, [this] { return !m_registry.isLeaving() && m_config.version() > 0; }, [this] { return status(); }),
+      m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
+{
+    m_registry.setServer(m_server);
+    m_config.addListener([this](const Snapshot &config) { applyPool(config); });
+}
+
+BackEndRunner &EndpointRole::runner()
+{
+    return m_engineSide ? static_cast<BackEndRunner &>(m_engineSide->runner) : *m_serviceRunner;
+}
+
+void EndpointRole::start()
+{
+    const auto spawn = [this](boost::asio::awaitable<void> loop) {
+        boost::asio::co_spawn(m_process.workers, std::move(loop), boost::asio::detached);
+    };
+    spawn(m_watch.readOnce());
+    spawn(m_registry.sweepLoop());
+    if (m_engineSide) {
+        spawn(m_engineSide->watch.run());
+        spawn(m_engineSide->orders.run());
+        spawn(m_engineSide->cache.exportLoop());
+        spawn(m_engineSide->cache.eventLoop());
+    }
+}
+
+boost::asio::awaitable<void> EndpointRole::drain()
+{
+    m_registry.setLeaving();
+    TimePoint quietSince = m_process.clock.now();
+    while (m_process.clock.now() - quietSince < QuietUntilGone) {
+        if (!m_registry.isIdle()) {
+            quietSince = m_process.clock.now();
+        }
+        co_await runtime::sleepFor(DrainPause);
+    }
+}
+
+void EndpointRole::onMessage(const runtime::link::PeerId &peer, const schema::LinkMessage &message)
+{
+    m_registry.notePeer(peer);
+    switch (message.body_case()) {
+    case schema::LinkMessage::kHeartbeat:
+        answerHeartbeat(peer, message.heartbeat());
+        break;
+    case schema::LinkMessage::kRunRequest:
+        if (message.run_request().config_version() > m_config.version()) {
+            askForConfig(peer);
+        } else if (message.run_request().config_version() < m_config.version()) {
+            pushConfig(peer);
+        }
+        m_registry.begin(peer, message.run_request());
+        break;
+    case schema::LinkMessage::kRunResume:
+        m_registry.resume(peer, message.run_resume());
+        break;
+    case schema::LinkMessage::kRunAck:
+        m_registry.acknowledge(message.run_ack());
+        break;
+    case schema::LinkMessage::kRunCancel:
+        m_registry.cancel(message.run_cancel());
+        break;
+    case schema::LinkMessage::kConfigRequest:
+        pushConfig(peer);
+        break;
+    case schema::LinkMessage::kConfigPush:
+        m_config.offer(message.config_push().signed_bundle());
+        break;
+    default:
+        break;
+    }
+}
+
+void EndpointRole::answerHeartbeat(const runtime::link::PeerId &peer, const schema::Heartbeat &heartbeat)
+{
+    for (const auto &suspect : heartbeat.suspects()) {
+        m_registry.mergeSuspect({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())});
+    }
+    schema::LinkMessage message;
+    auto *answer = message.mutable_heartbeat();
+    answer->set_sender(m_process.vmName);
+    answer->set_boot_id(m_process.bootId);
+    answer->set_config_version(m_config.version());
+    *answer->mutable_load() = m_registry.load();
+    for (const auto &record : m_registry.suspects()) {
+        auto *suspect = answer->add_suspects();
+        suspect->set_fingerprint(record.fingerprint);
+        suspect->set_crashes(record.crashes);
+        suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
+    }
+    m_server.send(peer, message);
+    if (heartbeat.config_version() > m_config.version()) {
+        askForConfig(peer);
+    }
+}
+
+void EndpointRole::askForConfig(const runtime::link::PeerId &peer)
+{
+    schema::LinkMessage message;
+    message.mutable_config_request()->set_known_version(m_config.version());
+    m_server.send(peer, message);
+}
+
+void EndpointRole::pushConfig(const runtime::link::PeerId &peer)
+{
+    if (const auto config = m_config.current()) {
+        schema::LinkMessage message;
+        message.mutable_config_push()->set_signed_bundle(config->signedBytes());
+        m_server.send(peer, message);
+    }
+}
+
+void EndpointRole::applyPool(const Snapshot &config)
+{
+    const auto *pool = config.pool(m_settings.endpoint().pool());
+    if (pool == nullptr) {
+        m_process.logger.event(runtime::LogLevel::Error, "pool_unknown", {{"pool", std::string_view(m_settings.endpoint().pool())}});
+        return;
+    }
+    admission::AdmissionPolicy policy;
+    policy.warmUp.coldLimit = pool->cold_limit();
+    policy.warmUp.warmLimit = pool->warm_limit();
+    policy.queueLimit = pool->queue_limit();
+    m_gate.setPolicy(policy);
+}
+
+std::string EndpointRole::status() const
+{
+    const auto load = m_registry.load();
+    boost::json::array loaded;
+    for (const auto &name : load.loaded()) {
+        loaded.push_back(boost::json::value(name));
+    }
+    const boost::json::object status{
+        {"role", "endpoint"},
+        {"name", m_process.vmName},
+        {"zone", m_process.zone},
+        {"pool", m_settings.endpoint().pool()},
+        {"config_version", m_config.version()},
+        {"running", load.running()},
+        {"queued", load.queued()},
+        {"limit", load.limit()},
+        {"cold", load.cold()},
+        {"leaving", load.leaving()},
+        {"loaded", std::move(loaded)},
+        {"incarnation", m_engineSide ? m_engineSide->orders.incarnation() : 0},
+    };
+    return boost::json::serialize(status);
+}
+
+} // namespace burdock::serving::detail
--- /dev/null
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <burdock/platform/http_engine.hpp>
+#include <burdock/platform/http_object_store.hpp>
+#include <burdock/serving/admin_handler.hpp>
+#include <burdock/serving/config/platform_watch.hpp>
+#include <burdock/serving/endpoint/prompt_runner.hpp>
+#include <burdock/serving/endpoint/run_registry.hpp>
+#include <burdock/serving/endpoint/service_runner.hpp>
+#include <burdock/serving/endpoint/weight_orders.hpp>
+#include <burdock/serving/role.hpp>
+
+#include <optional>
+
+namespace burdock::serving::detail {
+
+/** @brief What an endpoint process has only beside a model engine. */
+struct EngineSide
+{
+    EngineSide(Process &process, ConfigHolder &config, platform::ObjectStore &store, AdmissionGate &gate,
+               const schema::DaemonSettings &settings);
+
+    platform::HttpEngine engine;
+    EngineWatch watch;
+    KeptCache cache;
+    WeightOrders orders;
+    PromptRunner runner;
+};
+
+/** @brief The endpoint process: the only way in to the endpoint beside it. */
+class EndpointRole : public Role, private runtime::link::ServerHandler
+{
+public:
+    EndpointRole(Process &process, const schema::DaemonSettings &settings);
+
+    void start() override;
+    [[nodiscard]] boost::asio::awaitable<void> drain() override;
+
+private:
+    void onMessage(const runtime::link::PeerId &peer, const schema::LinkMessage &message) override;
+    void answerHeartbeat(const runtime::link::PeerId &peer, const schema::Heartbeat &heartbeat);
+    void askForConfig(const runtime::link::PeerId &peer);
+    void pushConfig(const runtime::link::PeerId &peer);
+    void applyPool(const Snapshot &config);
+    [[nodiscard]] BackEndRunner &runner();
+    [[nodiscard]] std::string status() const;
+
+    Process &m_process;
+    schema::DaemonSettings m_settings;
+    platform::HttpObjectStore m_store;
+    ConfigHolder m_config;
+    PlatformWatch m_watch;
+    AdmissionGate m_gate;
+    OnceStore m_once;
+    std::unique_ptr<EngineSide> m_engineSide;
+    std::unique_ptr<ServiceRunner> m_serviceRunner;
+    RunRegistry m_registry;
+    runtime::link::Context m_links;
+    runtime::link::Server m_server;
+    AdminHandler m_admin;
+    runtime::http::Server m_adminServer;
+};
+
+} // namespace burdock::serving::detail
--- /dev/null
+++ b/lib/libburdock-serving/source/endpoint/run_outlet.cpp
@@ -0,0 +1,183 @@
+#include <burdock/serving/endpoint/run_outlet.hpp>
+
+namespace burdock::serving {
+
+RunOutlet::RunOutlet(runtime::link::Server &server, const schema::RunRef &ref, const runtime::link::PeerId &peer, std::size_t tailBytes,
+                     std::shared_ptr<RunSignals> signals)
+    : m_server(server),
+      m_ref(ref),
+      m_signals(std::move(signals)),
+      m_peer(peer),
+      m_tail(tailBytes)
+{
+}
+
+void RunOutlet::accept(const schema::EndpointLoad &load)
+{
+    const std::lock_guard lock(m_mutex);
+    m_load = load;
+    schema::LinkMessage message;
+    *message.mutable_run_accepted()->mutable_ref() = m_ref;
+    *message.mutable_run_accepted()->mutable_load() = load;
+    send(message);
+}
+
+void RunOutlet::head(schema::RunHead head)
+{
+    const std::lock_guard lock(m_mutex);
+    *head.mutable_ref() = m_ref;
+    m_head = std::move(head);
+    schema::LinkMessage message;
+    *message.mutable_run_head() = *m_head;
+    send(message);
+}
+
+void RunOutlet::data(std::string_view data)
+{
+    const std::lock_guard lock(m_mutex);
+    const u64 offset = m_tail.length();
+    m_tail.append(data);
+    sendFrom(offset);
+}
+
+void RunOutlet::end(schema::RunEnd end)
+{
+    const std::lock_guard lock(m_mutex);
+    *end.mutable_ref() = m_ref;
+    end.set_length(m_tail.length());
+    m_end = std::move(end);
+    sendEnd();
+}
+
+void RunOutlet::refuse(const Refusal &refusal, u64 configVersion, const schema::EndpointLoad &load)
+{
+    const std::lock_guard lock(m_mutex);
+    m_refused.emplace();
+    *m_refused->mutable_ref() = m_ref;
+    m_refused->set_reason(static_cast<u32>(refusal.reason));
+    m_refused->set_retry_after_ms(static_cast<u32>(toMilliseconds(refusal.retryAfter)));
+    m_refused->set_config_version(configVersion);
+    *m_refused->mutable_load() = load;
+    sendEnd();
+}
+
+boost::asio::awaitable<bool> RunOutlet::awaitRoom(TimePoint deadline)
+{
+    while (true) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_isCancelled) {
+                co_return false;
+            }
+            if (m_tail.hasRoom()) {
+                co_return true;
+            }
+        }
+        if (!co_await m_signals->receive(deadline)) {
+            co_return false;
+        }
+    }
+}
+
+void RunOutlet::resume(const runtime::link::PeerId &peer, u64 offset)
+{
+    const std::lock_guard lock(m_mutex);
+    m_peer = peer;
+    schema::LinkMessage accepted;
+    *accepted.mutable_run_accepted()->mutable_ref() = m_ref;
+    *accepted.mutable_run_accepted()->mutable_load() = m_load;
+    send(accepted);
+    if (!m_tail.holds(offset)) {
+        schema::LinkMessage broken;
+        *broken.mutable_run_end()->mutable_ref() = m_ref;
+        broken.mutable_run_end()->set_outcome(schema::RunEnd::BROKEN);
+        broken.mutable_run_end()->set_may_have_run(true);
+        send(broken);
+        return;
+    }
+    if (m_head) {
+        schema::LinkMessage head;
+        *head.mutable_run_head() = *m_head;
+        send(head);
+    }
+    sendFrom(offset);
+    sendEnd();
+}
+
+void RunOutlet::acknowledge(u64 offset)
+{
+    const std::lock_guard lock(m_mutex);
+    m_tail.acknowledge(offset);
+    m_isDelivered = m_end && offset >= m_tail.length();
+    m_signals->push(RunSignal::Acknowledged);
+}
+
+void RunOutlet::cancel()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isCancelled = true;
+    m_signals->push(RunSignal::Cancelled);
+}
+
+bool RunOutlet::isCancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isCancelled;
+}
+
+runtime::link::PeerId RunOutlet::peer() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peer;
+}
+
+bool RunOutlet::isDelivered() const
+{
+    const std::lock_guard lock(m_mutex);
+    // A lost refusal needs no memory: "unknown" tells the entry the same.
+    return m_isDelivered || m_refused || (m_isCancelled && hasEndedLocked());
+}
+
+bool RunOutlet::hasEnded() const
+{
+    const std::lock_guard lock(m_mutex);
+    return hasEndedLocked();
+}
+
+bool RunOutlet::hasEndedLocked() const
+{
+    return m_end || m_refused;
+}
+
+void RunOutlet::send(const schema::LinkMessage &message) const
+{
+    m_server.send(m_peer, message);
+}
+
+void RunOutlet::sendFrom(u64 offset) const
+{
+    const auto data = m_tail.from(offset);
+    if (data.empty()) {
+        return;
+    }
+    schema::LinkMessage message;
+    *message.mutable_run_chunk()->mutable_ref() = m_ref;
+    message.mutable_run_chunk()->set_offset(offset);
+    message.mutable_run_chunk()->set_data(std::string(data));
+    send(message);
+}
+
+void RunOutlet::sendEnd() const
+{
+    schema::LinkMessage message;
+    if (m_end) {
+        *message.mutable_run_end() = *m_end;
+    } else if (m_refused) {
+        *message.mutable_run_refused() = *m_refused;
+    } else {
+        return;
+    }
+    send(message);
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -0,0 +1,286 @@
+#include <burdock/serving/endpoint/run_registry.hpp>
+
+#include <burdock/runtime/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace burdock::serving {
+
+namespace {
+
+constexpr Duration SweepPause = std::chrono::milliseconds(500);
+constexpr Duration KeepEnded = std::chrono::seconds(30);
+constexpr Duration KeepTombstone = std::chrono::seconds(60);
+constexpr Duration OrphanAfter = std::chrono::seconds(10);
+constexpr Duration ForgetPeerAfter = std::chrono::minutes(1);
+constexpr Duration ForgetSuspects = std::chrono::minutes(30);
+constexpr std::size_t MaxSuspects = 4096;
+constexpr Duration RetryAfterMove = std::chrono::milliseconds(100);
+constexpr double BytesPerToken = 4.0;
+
+double costOf(const schema::RunRequest &request)
+{
+    return 1.0 + static_cast<double>(request.prompt().prompt().size()) / BytesPerToken;
+}
+
+} // namespace
+
+RunRegistry::RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, std::size_t tailBytes)
+    : m_process(process),
+      m_config(config),
+      m_gate(gate),
+      m_runner(runner),
+      m_tailBytes(tailBytes),
+      m_quarantine(ForgetSuspects, MaxSuspects)
+{
+}
+
+void RunRegistry::setServer(runtime::link::Server &server)
+{
+    m_server = &server;
+}
+
+std::string RunRegistry::keyOf(const schema::RunRef &ref)
+{
+    return ref.run_id() + std::to_string(ref.attempt());
+}
+
+void RunRegistry::begin(const runtime::link::PeerId &peer, const schema::RunRequest &request)
+{
+    const auto strand = boost::asio::make_strand(m_process.workers);
+    const auto signals = std::make_shared<RunSignals>(strand);
+    const auto outlet = std::make_shared<RunOutlet>(*m_server, request.ref(), peer, m_tailBytes, signals);
+    const TimePoint now = m_process.clock.now();
+    {
+        const std::lock_guard lock(m_mutex);
+        // A request that comes twice, or after its entry was told that it will never run here, must not run.
+        if (!m_runs.try_emplace(keyOf(request.ref()), Entry{outlet, request.has_prompt(), now}).second) {
+            return;
+        }
+    }
+    ++m_coroutines;
+    const TimePoint deadline = now + std::chrono::milliseconds(request.deadline_ms());
+    outlet->accept(load());
+    boost::asio::co_spawn(strand, execute(request, outlet, signals, deadline), [this](const std::exception_ptr &) { --m_coroutines; });
+}
+
+boost::asio::awaitable<void> RunRegistry::execute(schema::RunRequest request, std::shared_ptr<RunOutlet> outlet,
+                                                  std::shared_ptr<RunSignals> signals, TimePoint deadline)
+{
+    runtime::Span span(m_process.tracer, "endpoint.run", {request.trace().trace_id(), request.trace().span_id()});
+    auto refusal = eligibility(request);
+    const auto suspicion = suspectState(request);
+    if (suspicion == retry::SuspectState::Quarantined) {
+        refusal = {RefusalReason::Quarantined, Duration::zero()};
+    }
+    if (refusal.reason == RefusalReason::None) {
+        refusal = m_runner.check(request);
+    }
+    const bool isSuspect = suspicion == retry::SuspectState::Suspect;
+    if (refusal.reason == RefusalReason::None) {
+        admission::AdmissionRequest admission;
+        admission.customer = request.customer();
+        admission.priority = request.priority();
+        admission.cost = costOf(request);
+        admission.deadline = deadline;
+        admission.isSuspect = isSuspect;
+        refusal = co_await m_gate.enter(admission, signals, *outlet);
+    }
+    if (refusal.reason != RefusalReason::None) {
+        span.setAttribute("refused", std::string(refusalRule(refusal.reason).name));
+        refuse(*outlet, refusal);
+        co_return;
+    }
+    co_await runAdmitted(request, *outlet, deadline, isSuspect, span.context());
+    co_await m_runner.afterEnd(request);
+}
+
+boost::asio::awaitable<void> RunRegistry::runAdmitted(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
+                                                      bool isSuspect, const runtime::SpanContext &span)
+{
+    const TimePoint begin = m_process.clock.now();
+    auto conclusion = co_await m_runner.run(request, outlet, deadline, span);
+    const Duration serviceTime = m_process.clock.now() - begin;
+    noteOutcome(request, conclusion);
+    m_gate.leave({conclusion.outcome, serviceTime, isSuspect});
+    m_process.metrics.observe("burdock_run_seconds", serviceTime);
+    if (conclusion.refusal) {
+        refuse(outlet, *conclusion.refusal);
+        co_return;
+    }
+    *conclusion.end.mutable_load() = load();
+    outlet.end(std::move(conclusion.end));
+}
+
+Refusal RunRegistry::eligibility(const schema::RunRequest &request) const
+{
+    const auto config = m_config.current();
+    if (m_isLeaving) {
+        return {RefusalReason::Leaving, RetryAfterMove};
+    }
+    if (!config) {
+        return {RefusalReason::NotConfigured, RetryAfterMove};
+    }
+    if (request.config_version() < config->version()) {
+        return {RefusalReason::StaleConfig, RetryAfterMove};
+    }
+    if (config->isZoneOut(m_process.zone)) {
+        return {RefusalReason::ZoneOut, RetryAfterMove};
+    }
+    if (config->isDrained(m_process.vmName)) {
+        return {RefusalReason::Drained, RetryAfterMove};
+    }
+    return {};
+}
+
+retry::SuspectState RunRegistry::suspectState(const schema::RunRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_process.clock.now();
+    if (request.suspect_crashes() > 0) {
+        m_quarantine.merge({request.fingerprint(), request.suspect_crashes(), Duration::zero()}, now);
+    }
+    return m_quarantine.state(request.fingerprint(), now);
+}
+
+void RunRegistry::noteOutcome(const schema::RunRequest &request, const Conclusion &conclusion)
+{
+    const std::lock_guard lock(m_mutex);
+    if (conclusion.outcome == admission::RunOutcome::Success) {
+        m_quarantine.noteSuccess(request.fingerprint());
+    }
+    if (conclusion.end.endpoint_crashed()) {
+        m_quarantine.noteCrash(request.fingerprint(), m_process.clock.now());
+    }
+}
+
+void RunRegistry::refuse(RunOutlet &outlet, const Refusal &refusal)
+{
+    m_process.metrics.count("burdock_refusals_total", {{"reason", std::string(refusalRule(refusal.reason).name)}});
+    outlet.refuse(refusal, m_config.version(), load());
+}
+
+void RunRegistry::resume(const runtime::link::PeerId &peer, const schema::RunResume &resume)
+{
+    if (const auto outlet = find(resume.ref())) {
+        outlet->resume(peer, resume.offset());
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_runs.try_emplace(keyOf(resume.ref()), Entry{nullptr, false, m_process.clock.now()});
+    }
+    schema::LinkMessage message;
+    *message.mutable_run_end()->mutable_ref() = resume.ref();
+    message.mutable_run_end()->set_outcome(schema::RunEnd::UNKNOWN);
+    m_server->send(peer, message);
+}
+
+std::shared_ptr<RunOutlet> RunRegistry::find(const schema::RunRef &ref)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runs.find(keyOf(ref));
+    return found == m_runs.end() ? nullptr : found->second.outlet;
+}
+
+void RunRegistry::acknowledge(const schema::RunAck &ack)
+{
+    if (const auto outlet = find(ack.ref())) {
+        outlet->acknowledge(ack.offset());
+    }
+}
+
+void RunRegistry::cancel(const schema::RunCancel &cancel)
+{
+    if (const auto outlet = find(cancel.ref())) {
+        outlet->cancel();
+    }
+}
+
+void RunRegistry::notePeer(const runtime::link::PeerId &peer)
+{
+    const std::lock_guard lock(m_mutex);
+    m_peers[peer] = m_process.clock.now();
+}
+
+boost::asio::awaitable<void> RunRegistry::sweepLoop()
+{
+    while (true) {
+        sweep();
+        co_await runtime::sleepFor(SweepPause);
+    }
+}
+
+void RunRegistry::sweep()
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_process.clock.now();
+    for (auto &[key, entry] : m_runs) {
+        if (!entry.outlet) {
+            continue;
+        }
+        const auto peer = m_peers.find(entry.outlet->peer());
+        if (entry.isPrompt && peer != m_peers.end() && peer->second + OrphanAfter < now) {
+            entry.outlet->cancel();
+        }
+        if (!entry.outlet->hasEnded()) {
+            entry.touched = now;
+        }
+    }
+    std::erase_if(m_runs, [now](const auto &item) {
+        const auto &entry = item.second;
+        const bool isDelivered = entry.outlet && entry.outlet->isDelivered();
+        return isDelivered || entry.touched + (entry.outlet ? KeepEnded : KeepTombstone) < now;
+    });
+    std::erase_if(m_peers, [&](const auto &peer) { return peer.second + ForgetPeerAfter < now; });
+}
+
+void RunRegistry::setLeaving()
+{
+    m_isLeaving = true;
+}
+
+bool RunRegistry::isLeaving() const
+{
+    return m_isLeaving;
+}
+
+bool RunRegistry::isIdle() const
+{
+    if (m_coroutines > 0) {
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[key, entry] : m_runs) {
+        if (entry.outlet && !entry.outlet->isDelivered()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+schema::EndpointLoad RunRegistry::load() const
+{
+    auto load = m_gate.load();
+    load.set_leaving(m_isLeaving);
+    for (auto &name : m_runner.loaded()) {
+        load.add_loaded(std::move(name));
+    }
+    return load;
+}
+
+void RunRegistry::mergeSuspect(const retry::SuspectRecord &record)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.merge(record, m_process.clock.now());
+}
+
+std::vector<retry::SuspectRecord> RunRegistry::suspects() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.records(m_process.clock.now());
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/endpoint/weight_orders.cpp
@@ -0,0 +1,187 @@
+#include <burdock/serving/endpoint/weight_orders.hpp>
+
+#include <burdock/runtime/sleep.hpp>
+#include <burdock/serving/config/platform_watch.hpp>
+#include <burdock/serving/link_messages.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+
+namespace burdock::serving {
+
+namespace {
+
+constexpr Duration Pause = std::chrono::milliseconds(200);
+constexpr Duration SlotLease = std::chrono::seconds(15);
+// Without the platform nobody can count loads; waiting a random while spreads them.
+constexpr Duration SpreadWithoutPlatform = std::chrono::seconds(2);
+
+u64 parseNumber(std::string_view text)
+{
+    u64 number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+std::vector<weights::SlotHolder> parseHolders(const std::string &value)
+{
+    schema::LoadSlotsRecord record;
+    std::vector<weights::SlotHolder> holders;
+    if (record.ParseFromString(value)) {
+        for (const auto &holder : record.holders()) {
+            holders.push_back({holder.endpoint(), holder.beat()});
+        }
+    }
+    return holders;
+}
+
+std::string serialize(const std::vector<weights::SlotHolder> &holders)
+{
+    schema::LoadSlotsRecord record;
+    for (const auto &holder : holders) {
+        auto *added = record.add_holders();
+        added->set_endpoint(holder.endpoint);
+        added->set_beat(holder.beat);
+    }
+    return record.SerializeAsString();
+}
+
+} // namespace
+
+WeightOrders::WeightOrders(Process &process, ConfigHolder &config, platform::ObjectStore &store, platform::Engine &engine,
+                           EngineWatch &watch, std::string pool)
+    : m_process(process),
+      m_config(config),
+      m_store(store),
+      m_engine(engine),
+      m_watch(watch),
+      m_pool(std::move(pool))
+{
+}
+
+u64 WeightOrders::incarnation() const
+{
+    return m_incarnation;
+}
+
+boost::asio::awaitable<void> WeightOrders::run()
+{
+    boost::asio::co_spawn(m_process.workers, takeIncarnation(), boost::asio::detached);
+    while (true) {
+        if (const auto wanted = nextWanted()) {
+            co_await load(*wanted);
+        }
+        co_await runtime::sleepFor(Pause);
+    }
+}
+
+boost::asio::awaitable<void> WeightOrders::takeIncarnation()
+{
+    const platform::ObjectId id{"incarnations", m_process.vmName};
+    while (true) {
+        const auto read = co_await m_store.read(id);
+        if (read.answer == StoreAnswer::Found || read.answer == StoreAnswer::Absent) {
+            const u64 next = parseNumber(read.value) + 1;
+            const bool isFirst = read.answer == StoreAnswer::Absent;
+            const auto written = isFirst ? co_await m_store.create(id, std::to_string(next))
+                                         : co_await m_store.replace(id, std::to_string(next), read.version);
+            // A write whose answer was lost leaves a gap in the numbers, which does no harm.
+            if (written.answer == StoreAnswer::Written) {
+                m_incarnation = next;
+                m_process.logger.event(runtime::LogLevel::Info, "incarnation_taken", {{"incarnation", next}});
+                co_return;
+            }
+        }
+        co_await runtime::sleepFor(jittered(Pause, m_process.random));
+    }
+}
+
+std::optional<WeightOrders::Wanted> WeightOrders::nextWanted() const
+{
+    const auto config = m_config.current();
+    if (!config || !m_watch.isReachable()) {
+        return std::nullopt;
+    }
+    for (const auto &model : config->bundle().models()) {
+        if (model.pool() == m_pool && !m_watch.hasLoaded(weightName(model.name(), model.weight_version()))) {
+            return Wanted{model.name(), model.weight_version()};
+        }
+    }
+    return std::nullopt;
+}
+
+boost::asio::awaitable<void> WeightOrders::load(const Wanted &wanted)
+{
+    const u32 slotCount = m_config.current()->bundle().policy().concurrent_weight_loads();
+    weights::LoadSlots slots(slotCount, SlotLease);
+    SlotResult slot = co_await takeSlot(slots);
+    while (slot == SlotResult::Busy) {
+        co_await runtime::sleepFor(jittered(Pause, m_process.random));
+        slot = co_await takeSlot(slots);
+    }
+    if (slot == SlotResult::PlatformDown) {
+        co_await runtime::sleepFor(jittered(SpreadWithoutPlatform, m_process.random));
+    }
+    // The configuration may have moved on while this replica waited for its turn.
+    const auto still = nextWanted();
+    if (still && still->model == wanted.model && still->version == wanted.version) {
+        const auto result = co_await m_engine.load(wanted.model, wanted.version, m_incarnation);
+        m_process.logger.event(runtime::LogLevel::Info, "weights_ordered",
+                               {{"model", std::string_view(wanted.model)},
+                                {"version", std::string_view(wanted.version)},
+                                {"done", result == platform::OrderResult::Done},
+                                {"refused", result == platform::OrderResult::Refused}});
+        const auto state = co_await m_engine.state();
+        if (state.isReachable) {
+            m_watch.setLoaded(state.loadedVersions);
+        }
+    }
+    if (slot == SlotResult::Taken) {
+        co_await releaseSlot(slots);
+    }
+}
+
+platform::ObjectId WeightOrders::slotsId() const
+{
+    return {"load-slots", m_pool};
+}
+
+boost::asio::awaitable<WeightOrders::SlotResult> WeightOrders::takeSlot(weights::LoadSlots &slots)
+{
+    const auto read = co_await m_store.read(slotsId());
+    if (read.answer != StoreAnswer::Found && read.answer != StoreAnswer::Absent) {
+        co_return SlotResult::PlatformDown;
+    }
+    const TimePoint now = m_process.clock.now();
+    slots.observe(parseHolders(read.value), now);
+    const auto next = slots.claim(m_process.vmName, now);
+    if (!next) {
+        co_return SlotResult::Busy;
+    }
+    const bool isFirst = read.answer == StoreAnswer::Absent;
+    const auto written = isFirst ? co_await m_store.create(slotsId(), serialize(*next))
+                                 : co_await m_store.replace(slotsId(), serialize(*next), read.version);
+    co_return written.answer == StoreAnswer::Written ? SlotResult::Taken : SlotResult::Busy;
+}
+
+boost::asio::awaitable<void> WeightOrders::releaseSlot(weights::LoadSlots &slots)
+{
+    while (true) {
+        const auto read = co_await m_store.read(slotsId());
+        if (read.answer == StoreAnswer::Found) {
+            slots.observe(parseHolders(read.value), m_process.clock.now());
+            const auto written = co_await m_store.replace(slotsId(), serialize(slots.release(m_process.vmName)), read.version);
+            if (written.answer == StoreAnswer::Written) {
+                co_return;
+            }
+        }
+        if (read.answer == StoreAnswer::Unreachable) {
+            // The lease lapses by itself.
+            co_return;
+        }
+        co_await runtime::sleepFor(jittered(Pause, m_process.random));
+    }
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -0,0 +1,117 @@
+#include "entry_role.hpp"
+
+#include "../role_support.hpp"
+
+#include <burdock/runtime/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace burdock::serving::detail {
+
+namespace {
+
+namespace http = runtime::http;
+
+constexpr u32 DefaultMaxBodyBytes = 8 * 1024 * 1024;
+constexpr u32 DefaultReadTimeoutMs = 30'000;
+constexpr u32 SilentBeatsUntilElsewhere = 3;
+constexpr Duration DrainPause = std::chrono::milliseconds(20);
+// A request whose first bytes had arrived when listening ended shows up as busy only once it is read whole.
+constexpr Duration QuietUntilGone = std::chrono::milliseconds(200);
+
+http::ServerLimits callerLimits(const schema::EntrySettings &settings)
+{
+    http::ServerLimits limits;
+    limits.bodyBytes = settings.max_body_bytes() == 0 ? DefaultMaxBodyBytes : settings.max_body_bytes();
+    limits.ioTimeout = std::chrono::milliseconds(settings.read_timeout_ms() == 0 ? DefaultReadTimeoutMs : settings.read_timeout_ms());
+    return limits;
+}
+
+runtime::link::ClientOptions linkOptions(Duration beat)
+{
+    runtime::link::ClientOptions options;
+    options.beat = beat;
+    return options;
+}
+
+std::string_view healthName(membership::LinkHealth health)
+{
+    constexpr std::array<std::string_view, 4> Names{"unknown", "alive", "suspect", "dead"};
+    return Names.at(static_cast<std::size_t>(health));
+}
+
+} // namespace
+
+EntryRole::EntryRole(Process &process, const schema::DaemonSettings &settings)
+    : m_process(process),
+      m_settings(settings),
+      m_store(http::parseAddress(settings.platform()), PlatformTimeout),
+      m_config(process, signersOf(settings)),
+      m_watch(process, m_store, m_config),
+      m_links(process.workers, linkKeysOf(settings)),
+      m_fleet(process, m_config, m_runs, m_links, linkOptions(beatOf(settings))),
+      m_driver(process, m_fleet, m_runs, beatOf(settings) * SilentBeatsUntilElsewhere),
+      m_callers(process, m_config, m_fleet, m_driver),
+      m_admin(
+          process, [this] { return m_callers.isReady(); }, [this] { return status(); }),
+      m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin),
+      m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callers)
+{
+}
+
+void EntryRole::start()
+{
+    boost::asio::co_spawn(m_process.workers, m_watch.run(), boost::asio::detached);
+    boost::asio::co_spawn(m_process.workers, m_fleet.followVms(m_store), boost::asio::detached);
+    for (const auto &seed : m_settings.entry().seed_links()) {
+        m_fleet.addSeed(seed);
+    }
+}
+
+boost::asio::awaitable<void> EntryRole::drain()
+{
+    m_callers.setStopping();
+    co_await runtime::sleepFor(std::chrono::milliseconds(m_settings.entry().lame_duck_ms()));
+    m_callerServer.stopListening();
+    TimePoint quietSince = m_process.clock.now();
+    while (m_process.clock.now() - quietSince < QuietUntilGone) {
+        if (m_callerServer.busyConnections() > 0) {
+            quietSince = m_process.clock.now();
+        }
+        co_await runtime::sleepFor(DrainPause);
+    }
+}
+
+std::string EntryRole::status() const
+{
+    boost::json::array endpoints;
+    for (const auto &member : m_fleet.members()) {
+        boost::json::array loaded;
+        for (const auto &name : member.load.loaded) {
+            loaded.push_back(boost::json::value(name));
+        }
+        endpoints.push_back({{"name", member.vm.name},
+                             {"zone", member.vm.zone},
+                             {"pool", member.vm.pool},
+                             {"health", healthName(member.health)},
+                             {"running", member.load.running},
+                             {"queued", member.load.queued},
+                             {"limit", member.load.limit},
+                             {"leaving", member.vm.isLeaving || member.load.isLeaving},
+                             {"loaded", std::move(loaded)}});
+    }
+    const boost::json::object status{
+        {"role", "entry"},
+        {"name", m_process.vmName},
+        {"zone", m_process.zone},
+        {"config_version", m_config.version()},
+        {"ready", m_callers.isReady()},
+        {"runs", m_runs.size()},
+        {"endpoints", std::move(endpoints)},
+    };
+    return boost::json::serialize(status);
+}
+
+} // namespace burdock::serving::detail
--- /dev/null
+++ b/lib/libburdock-serving/source/entry/entry_role.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <burdock/platform/http_object_store.hpp>
+#include <burdock/serving/admin_handler.hpp>
+#include <burdock/serving/config/platform_watch.hpp>
+#include <burdock/serving/entry/caller_handler.hpp>
+#include <burdock/serving/role.hpp>
+
+namespace burdock::serving::detail {
+
+/** @brief The entry: speaks to callers and proposes their requests to endpoint processes. */
+class EntryRole : public Role
+{
+public:
+    EntryRole(Process &process, const schema::DaemonSettings &settings);
+
+    void start() override;
+    [[nodiscard]] boost::asio::awaitable<void> drain() override;
+
+private:
+    [[nodiscard]] std::string status() const;
+
+    Process &m_process;
+    schema::DaemonSettings m_settings;
+    platform::HttpObjectStore m_store;
+    ConfigHolder m_config;
+    PlatformWatch m_watch;
+    RunTable m_runs;
+    runtime::link::Context m_links;
+    Fleet m_fleet;
+    RunDriver m_driver;
+    CallerHandler m_callers;
+    AdminHandler m_admin;
+    runtime::http::Server m_adminServer;
+    runtime::http::Server m_callerServer;
+};
+
+} // namespace burdock::serving::detail
--- /dev/null
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -0,0 +1,280 @@
+#include <burdock/serving/entry/fleet.hpp>
+
+#include <burdock/hash/digest.hpp>
+#include <burdock/runtime/sleep.hpp>
+#include <burdock/serving/config/platform_watch.hpp>
+#include <burdock/serving/link_messages.hpp>
+
+#include <algorithm>
+
+namespace burdock::serving {
+
+namespace {
+
+constexpr Duration ListWait = std::chrono::seconds(4);
+constexpr Duration ListRetryPause = std::chrono::milliseconds(500);
+constexpr Duration ForgetSuspects = std::chrono::minutes(30);
+constexpr std::size_t MaxSuspects = 4096;
+constexpr std::size_t MaxRecentPlacements = 65536;
+constexpr u32 ProposalsAtMost = 8;
+// Entries that keep a link to each endpoint; three, so that two may be lost at once.
+constexpr u32 Attendants = 3;
+
+} // namespace
+
+Fleet::Fleet(Process &process, ConfigHolder &config, RunTable &runs, runtime::link::Context &links,
+             const runtime::link::ClientOptions &options)
+    : m_process(process),
+      m_config(config),
+      m_runs(runs),
+      m_links(links),
+      m_options(options),
+      m_recent(MaxRecentPlacements),
+      m_quarantine(ForgetSuspects, MaxSuspects)
+{
+}
+
+Fleet::~Fleet() = default;
+
+boost::asio::awaitable<void> Fleet::followVms(platform::ObjectStore &store)
+{
+    u64 seen = 0;
+    while (true) {
+        const auto list = co_await store.watchVms(seen, ListWait);
+        if (list.answer == StoreAnswer::Found) {
+            seen = list.version;
+            takeList(list.vms);
+        }
+        if (list.answer == StoreAnswer::Unreachable) {
+            seen = 0;
+            co_await runtime::sleepFor(jittered(ListRetryPause, m_process.random));
+        }
+    }
+}
+
+void Fleet::takeList(const std::vector<membership::ListedVm> &vms)
+{
+    std::vector<membership::ListedVm> endpoints;
+    std::vector<u64> entryIds;
+    for (const auto &vm : vms) {
+        if (vm.pool == platform::EntryPool) {
+            if (!vm.isLeaving) {
+                entryIds.push_back(hash::fast(vm.name));
+            }
+        } else {
+            endpoints.push_back(vm);
+        }
+    }
+    std::vector<std::shared_ptr<runtime::link::Client>> closed;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_members.setListed(endpoints);
+        m_entryIds = std::move(entryIds);
+        for (auto it = m_clients.begin(); it != m_clients.end();) {
+            auto client = it++;
+            if (m_members.find(client->first) == nullptr) {
+                closed.push_back(std::move(client->second));
+                m_clients.erase(client);
+            }
+        }
+        openAttendedLinks();
+    }
+}
+
+void Fleet::openAttendedLinks()
+{
+    const u64 own = hash::fast(m_process.vmName);
+    for (const auto &[name, member] : m_members.members()) {
+        if (membership::attends(own, member.id, m_entryIds, Attendants)) {
+            static_cast<void>(openLink(member));
+        }
+    }
+}
+
+void Fleet::addSeed(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    membership::Member seed;
+    seed.vm.name = "seed " + address;
+    seed.vm.linkAddress = address;
+    static_cast<void>(openLink(seed));
+}
+
+std::shared_ptr<runtime::link::Client> Fleet::openLink(const membership::Member &member)
+{
+    auto &client = m_clients[member.vm.name];
+    if (!client) {
+        const auto address = runtime::http::parseAddress(member.vm.linkAddress);
+        client = std::make_shared<runtime::link::Client>(m_links, member.vm.name, address, m_options, *this);
+    }
+    return client;
+}
+
+std::vector<Proposal> Fleet::propose(const Snapshot &config, std::string_view pool, const placement::PlacementRequest &request,
+                                     const std::vector<std::string> &tried)
+{
+    const u32 boundPercent = config.bundle().policy().bounded_load_percent();
+    const placement::HomePolicy policy({placement::LoadBound::Bounded, placement::HintUse::Follow, boundPercent});
+    const std::lock_guard lock(m_mutex);
+    const auto candidates = membership::eligible(m_members, pool, config.eligibility(), m_process.clock.now());
+    std::vector<Proposal> proposals;
+    for (const u32 index : policy.order(request, candidates.views, ProposalsAtMost + static_cast<u32>(tried.size()))) {
+        const auto &name = candidates.names[index];
+        if (std::find(tried.begin(), tried.end(), name) == tried.end()) {
+            proposals.push_back({name, candidates.views[index].id, m_members.find(name)->load.loaded});
+        }
+    }
+    return proposals;
+}
+
+std::shared_ptr<runtime::link::Client> Fleet::link(const std::string &endpoint)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto *member = m_members.find(endpoint);
+    if (member == nullptr) {
+        return nullptr;
+    }
+    m_members.noteProposed(endpoint);
+    return openLink(*member);
+}
+
+void Fleet::avoid(const std::string &endpoint, Duration time)
+{
+    const std::lock_guard lock(m_mutex);
+    m_members.avoid(endpoint, m_process.clock.now() + time);
+}
+
+void Fleet::notePlacement(const cache::BlockKey &key, u64 endpoint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_recent.note(key, endpoint);
+}
+
+u64 Fleet::hintFor(const std::vector<cache::BlockKey> &keys) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_recent.find(keys);
+}
+
+u32 Fleet::crashesOf(u64 fingerprint) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.crashes(fingerprint, m_process.clock.now());
+}
+
+retry::SuspectState Fleet::suspectState(u64 fingerprint) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.state(fingerprint, m_process.clock.now());
+}
+
+void Fleet::noteCrash(u64 fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.noteCrash(fingerprint, m_process.clock.now());
+}
+
+void Fleet::noteSuccess(u64 fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.noteSuccess(fingerprint);
+}
+
+u32 Fleet::entryCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::max<u32>(1, static_cast<u32>(m_entryIds.size()));
+}
+
+std::vector<membership::Member> Fleet::members() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<membership::Member> out;
+    for (const auto &[name, member] : m_members.members()) {
+        out.push_back(member);
+    }
+    return out;
+}
+
+schema::Heartbeat Fleet::heartbeat()
+{
+    schema::Heartbeat beat;
+    beat.set_sender(m_process.vmName);
+    beat.set_boot_id(m_process.bootId);
+    beat.set_config_version(m_config.version());
+    const std::lock_guard lock(m_mutex);
+    for (const auto &record : m_quarantine.records(m_process.clock.now())) {
+        auto *suspect = beat.add_suspects();
+        suspect->set_fingerprint(record.fingerprint);
+        suspect->set_crashes(record.crashes);
+        suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
+    }
+    return beat;
+}
+
+void Fleet::onMessage(const std::string &peer, const schema::LinkMessage &message)
+{
+    if (const auto *load = loadOf(message)) {
+        const std::lock_guard lock(m_mutex);
+        m_members.noteLoad(peer, toReportedLoad(*load));
+    }
+    switch (message.body_case()) {
+    case schema::LinkMessage::kHeartbeat:
+        takeHeartbeat(peer, message.heartbeat());
+        break;
+    case schema::LinkMessage::kConfigPush:
+        m_config.offer(message.config_push().signed_bundle());
+        break;
+    case schema::LinkMessage::kConfigRequest:
+        if (const auto config = m_config.current(); config && config->version() > message.config_request().known_version()) {
+            schema::LinkMessage push;
+            push.mutable_config_push()->set_signed_bundle(config->signedBytes());
+            if (const auto client = link(peer)) {
+                client->send(push);
+            }
+        }
+        break;
+    default:
+        m_runs.dispatch(peer, message);
+    }
+}
+
+void Fleet::takeHeartbeat(const std::string &peer, const schema::Heartbeat &heartbeat)
+{
+    std::shared_ptr<runtime::link::Client> client;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = m_process.clock.now();
+        for (const auto &suspect : heartbeat.suspects()) {
+            m_quarantine.merge({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())}, now);
+        }
+        const auto found = m_clients.find(peer);
+        client = found == m_clients.end() ? nullptr : found->second;
+    }
+    if (client && heartbeat.config_version() > m_config.version()) {
+        schema::LinkMessage request;
+        request.mutable_config_request()->set_known_version(m_config.version());
+        client->send(request);
+    }
+}
+
+void Fleet::onReplaced(const std::string &peer)
+{
+    m_process.metrics.count("burdock_links_replaced_total");
+    m_process.logger.event(runtime::LogLevel::Warning, "link_replaced", {{"peer", std::string_view(peer)}});
+    m_runs.notify(peer, RunEventKind::LinkReplaced);
+}
+
+void Fleet::onHealth(const std::string &peer, membership::LinkHealth health)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_members.noteHealth(peer, health);
+    }
+    if (health == membership::LinkHealth::Dead) {
+        m_process.logger.event(runtime::LogLevel::Warning, "endpoint_dead", {{"peer", std::string_view(peer)}});
+        m_runs.notify(peer, RunEventKind::PeerDead);
+    }
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/link_messages.cpp
@@ -0,0 +1,64 @@
+#include <burdock/serving/link_messages.hpp>
+
+namespace burdock::serving {
+
+const schema::RunRef *refOf(const schema::LinkMessage &message)
+{
+    switch (message.body_case()) {
+    case schema::LinkMessage::kRunRequest:
+        return &message.run_request().ref();
+    case schema::LinkMessage::kRunAccepted:
+        return &message.run_accepted().ref();
+    case schema::LinkMessage::kRunHead:
+        return &message.run_head().ref();
+    case schema::LinkMessage::kRunChunk:
+        return &message.run_chunk().ref();
+    case schema::LinkMessage::kRunEnd:
+        return &message.run_end().ref();
+    case schema::LinkMessage::kRunRefused:
+        return &message.run_refused().ref();
+    case schema::LinkMessage::kRunAck:
+        return &message.run_ack().ref();
+    case schema::LinkMessage::kRunResume:
+        return &message.run_resume().ref();
+    case schema::LinkMessage::kRunCancel:
+        return &message.run_cancel().ref();
+    default:
+        return nullptr;
+    }
+}
+
+const schema::EndpointLoad *loadOf(const schema::LinkMessage &message)
+{
+    if (message.has_heartbeat() && message.heartbeat().has_load()) {
+        return &message.heartbeat().load();
+    }
+    if (message.has_run_accepted() && message.run_accepted().has_load()) {
+        return &message.run_accepted().load();
+    }
+    if (message.has_run_end() && message.run_end().has_load()) {
+        return &message.run_end().load();
+    }
+    if (message.has_run_refused() && message.run_refused().has_load()) {
+        return &message.run_refused().load();
+    }
+    return nullptr;
+}
+
+membership::ReportedLoad toReportedLoad(const schema::EndpointLoad &load)
+{
+    membership::ReportedLoad reported;
+    reported.running = load.running();
+    reported.queued = load.queued();
+    reported.limit = load.limit();
+    reported.isLeaving = load.leaving();
+    reported.loaded.assign(load.loaded().begin(), load.loaded().end());
+    return reported;
+}
+
+std::string weightName(std::string_view model, std::string_view version)
+{
+    return std::string(model) + "@" + std::string(version);
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock-serving/source/role.cpp
@@ -0,0 +1,43 @@
+#include <burdock/serving/role.hpp>
+
+#include "endpoint/endpoint_role.hpp"
+#include "entry/entry_role.hpp"
+#include "role_support.hpp"
+
+namespace burdock::serving {
+
+namespace detail {
+
+namespace {
+
+constexpr u32 DefaultHeartbeatMs = 250;
+
+} // namespace
+
+std::vector<std::string> signersOf(const schema::DaemonSettings &settings)
+{
+    return {settings.trusted_signers().begin(), settings.trusted_signers().end()};
+}
+
+runtime::link::Keys linkKeysOf(const schema::DaemonSettings &settings)
+{
+    return {settings.links().public_key(), settings.links().secret_key()};
+}
+
+Duration beatOf(const schema::DaemonSettings &settings)
+{
+    const u32 beatMs = settings.links().heartbeat_ms();
+    return std::chrono::milliseconds(beatMs == 0 ? DefaultHeartbeatMs : beatMs);
+}
+
+} // namespace detail
+
+std::unique_ptr<Role> makeRole(Process &process, const schema::DaemonSettings &settings)
+{
+    if (settings.role() == schema::DaemonSettings::ENTRY) {
+        return std::make_unique<detail::EntryRole>(process, settings);
+    }
+    return std::make_unique<detail::EndpointRole>(process, settings);
+}
+
+} // namespace burdock::serving
--- /dev/null
+++ b/lib/libburdock/include/burdock/cache/cost_model.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+namespace burdock::cache {
+
+/** @brief Costs of one deployment, from its bundle. */
+struct CostWeights
+{
+    double firstTokenMs = 1.0; ///< cost of one millisecond until the first token
+    double recomputedKiloToken = 1.0; ///< cost of a thousand prompt tokens computed again
+    double linkMebibyte = 1.0; ///< cost of a mebibyte over the cache link
+};
+
+/** @brief What is known when a prompt with kept blocks arrives. */
+struct ImportCase
+{
+    u32 tokens = 0; ///< prompt tokens that the kept blocks cover
+    u64 bytes = 0; ///< size of the kept blocks
+    u64 linkBytesPerSecond = 1; ///< measured speed of the link to the store VM
+    u64 linkQueuedBytes = 0; ///< bytes that wait for the link
+    u32 prefillTokensPerSecond = 1; ///< speed of recomputation
+};
+
+/** @brief Weighted cost of importing kept blocks. */
+[[nodiscard]] double importCost(const CostWeights &weights, const ImportCase &facts);
+
+/** @brief Weighted cost of computing the same tokens again. */
+[[nodiscard]] double recomputeCost(const CostWeights &weights, const ImportCase &facts);
+
+/** @brief What to do with kept blocks of a prompt. */
+class ImportPolicy
+{
+public:
+    virtual ~ImportPolicy() = default;
+    [[nodiscard]] virtual bool shouldImport(const ImportCase &facts) const = 0;
+};
+
+/** @brief Imports when that costs less than recomputation. */
+class ImportByCost : public ImportPolicy
+{
+public:
+    explicit ImportByCost(const CostWeights &weights);
+    [[nodiscard]] bool shouldImport(const ImportCase &facts) const override;
+
+private:
+    CostWeights m_weights;
+};
+
+/** @brief Baseline: imports whatever is kept. */
+class AlwaysImport : public ImportPolicy
+{
+public:
+    [[nodiscard]] bool shouldImport(const ImportCase &facts) const override;
+};
+
+/** @brief Baseline: recomputes always. */
+class NeverImport : public ImportPolicy
+{
+public:
+    [[nodiscard]] bool shouldImport(const ImportCase &facts) const override;
+};
+
+} // namespace burdock::cache
--- /dev/null
+++ b/lib/libburdock/include/burdock/config/acceptance.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+namespace burdock::config {
+
+/** @brief What a process does with a bundle that it is offered. */
+enum class Offer : u8 {
+    TakeOver,
+    AlreadyHeld,
+    Older, ///< the source is behind and gets our bundle
+    Untrusted,
+};
+
+/** @brief Whether a bundle carries a valid signature of a trusted signer. */
+enum class Trust : u8 {
+    Trusted,
+    Untrusted,
+};
+
+/**
+ * @brief Decides about one offered bundle.
+ *
+ * Guards against configuration that reverts: it shows when the platform, a peer or an operator hands out an older version after
+ * an outage. Comparing versions alone holds because a version is accepted by one conditional update of one object, so no two
+ * different bundles are ever accepted under one version.
+ */
+[[nodiscard]] constexpr Offer judgeOffer(u64 heldVersion, u64 offeredVersion, Trust trust)
+{
+    if (trust == Trust::Untrusted) {
+        return Offer::Untrusted;
+    }
+    if (offeredVersion == heldVersion) {
+        return Offer::AlreadyHeld;
+    }
+    return offeredVersion > heldVersion ? Offer::TakeOver : Offer::Older;
+}
+
+} // namespace burdock::config
--- /dev/null
+++ b/lib/libburdock/include/burdock/membership/member_table.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <burdock/placement/policy.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/** @brief What one process knows of the others. */
+namespace burdock::membership {
+
+/** @brief One row of the platform's lagging list. */
+struct ListedVm
+{
+    std::string name;
+    std::string zone;
+    std::string pool;
+    std::string linkAddress;
+    std::string adminAddress;
+    bool isLeaving = false;
+};
+
+/** @brief What this process's own link to an endpoint process says about it. */
+enum class LinkHealth : u8 {
+    Unknown, ///< no link yet
+    Alive,
+    Suspect, ///< silent for some beats; the link is being replaced
+    Dead, ///< silent through several replacements
+};
+
+/** @brief Load that an endpoint process reported last. */
+struct ReportedLoad
+{
+    u32 running = 0;
+    u32 queued = 0;
+    u32 limit = 1;
+    bool isLeaving = false;
+    /** `model@version` of the weights that new requests find there. */
+    std::vector<std::string> loaded;
+};
+
+/** @brief An availability zone as the configuration has it. */
+struct ZoneRule
+{
+    bool isOut = false;
+    u32 weightPercent = 100;
+};
+
+struct Member
+{
+    ListedVm vm;
+    LinkHealth health = LinkHealth::Unknown;
+    ReportedLoad load;
+    /** Requests proposed since the last report, which the report can't know of yet. */
+    u32 proposed = 0;
+    u64 id = 0;
+    /** Refused connections in a row, each a reason to look elsewhere first. */
+    TimePoint avoidUntil{};
+};
+
+/**
+ * @brief Endpoints by name, from the platform's list and from own links. Not thread-safe.
+ *
+ * The list lags, so it only says who exists; whether someone takes work is learnt from links. A VM that vanishes from the list
+ * while its link is alive stays: the list may be the one that errs.
+ */
+class MemberTable
+{
+public:
+    /** @brief Takes over the platform's list of endpoint VMs. */
+    void setListed(const std::vector<ListedVm> &vms);
+
+    void noteHealth(std::string_view name, LinkHealth health);
+    void noteLoad(std::string_view name, const ReportedLoad &load);
+    void noteProposed(std::string_view name);
+    void avoid(std::string_view name, TimePoint until);
+
+    [[nodiscard]] const Member *find(std::string_view name) const;
+    [[nodiscard]] const std::map<std::string, Member, std::less<>> &members() const;
+
+private:
+    std::map<std::string, Member, std::less<>> m_members;
+};
+
+/** @brief Endpoints of one pool that may be proposed work, in the form that placement takes. */
+struct Candidates
+{
+    std::vector<placement::EndpointView> views;
+    std::vector<std::string> names; ///< same order as views
+};
+
+/** @brief Rules that take endpoints out of work, from the configuration. */
+struct EligibilityRules
+{
+    std::map<std::string, ZoneRule, std::less<>> zones;
+    std::vector<std::string> drained;
+};
+
+/**
+ * @brief True if an entry keeps a link to an endpoint even while it has no work for it.
+ *
+ * Each endpoint is attended by the few entries that rank first for it, so that configuration reaches every endpoint while the
+ * links of an entry stay few. Needs no election: entries whose lists differ attend too many or, until the lists meet, too few.
+ */
+[[nodiscard]] bool attends(u64 entryId, u64 endpointId, const std::vector<u64> &entryIds, u32 attendants);
+
+/** @brief Collects the endpoints of a pool that may get new work now. */
+[[nodiscard]] Candidates eligible(const MemberTable &table, std::string_view pool, const EligibilityRules &rules, TimePoint now);
+
+} // namespace burdock::membership
--- /dev/null
+++ b/lib/libburdock/include/burdock/retry/quarantine.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+#include <unordered_map>
+#include <vector>
+
+namespace burdock::retry {
+
+/** @brief How a request with a given fingerprint may run. */
+enum class SuspectState : u8 {
+    Clear, ///< as any other
+    Suspect, ///< never beside another suspect
+    Quarantined, ///< not at all
+};
+
+/** @brief Crashes that happened while requests with one fingerprint were under way. */
+struct SuspectRecord
+{
+    u64 fingerprint = 0;
+    u32 crashes = 0;
+    /** Time since the last crash; keeps a record from living for ever by being passed round. */
+    Duration age{};
+};
+
+/**
+ * @brief Finds requests that crash the endpoints that run them.
+ *
+ * Guards against a poisonous request that its caller sends again and again: it shows as an endpoint that restarts while the
+ * request is under way. All requests under way become suspects, and no two suspects run beside each other; a suspect that ends
+ * well is cleared, and one that is under way at a second crash is quarantined. Records are exchanged among processes as maxima, so a lost
+ * or repeated message does no harm. Not thread-safe.
+ */
+class Quarantine
+{
+public:
+    /**
+     * @param forgetAfter a record not touched for this long is dropped
+     * @param capacity    records held at most; the oldest goes first
+     */
+    Quarantine(Duration forgetAfter, std::size_t capacity);
+
+    [[nodiscard]] SuspectState state(u64 fingerprint, TimePoint now) const;
+
+    /** @brief Crashes counted for a fingerprint. */
+    [[nodiscard]] u32 crashes(u64 fingerprint, TimePoint now) const;
+
+    void noteCrash(u64 fingerprint, TimePoint now);
+    void noteSuccess(u64 fingerprint);
+
+    /** @brief Takes over a record of another process. */
+    void merge(const SuspectRecord &record, TimePoint now);
+
+    /** @brief The records to tell other processes of. */
+    [[nodiscard]] std::vector<SuspectRecord> records(TimePoint now) const;
+
+private:
+    struct Entry
+    {
+        u32 crashes = 0;
+        TimePoint touched{};
+    };
+
+    void dropOldest();
+
+    Duration m_forgetAfter;
+    std::size_t m_capacity;
+    std::unordered_map<u64, Entry> m_entries;
+};
+
+} // namespace burdock::retry
--- /dev/null
+++ b/lib/libburdock/include/burdock/types.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+/** @brief Vocabulary types of all packages. */
+namespace burdock {
+
+using u8 = std::uint8_t;
+using u16 = std::uint16_t;
+using u32 = std::uint32_t;
+using u64 = std::uint64_t;
+using i32 = std::int32_t;
+using i64 = std::int64_t;
+
+using Duration = std::chrono::microseconds;
+
+/** @brief A point on the caller's monotonic clock; this library never reads a clock itself. */
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/** @brief A duration in fractional milliseconds, for cost arithmetic. */
+[[nodiscard]] constexpr double toMilliseconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1000.0;
+}
+
+/** @brief The duration of a fractional number of milliseconds. */
+[[nodiscard]] constexpr Duration fromMilliseconds(double milliseconds)
+{
+    return Duration(static_cast<i64>(milliseconds * 1000.0));
+}
+
+} // namespace burdock
--- /dev/null
+++ b/lib/libburdock/source/admission/admission_controller.cpp
@@ -0,0 +1,167 @@
+#include <burdock/admission/admission_controller.hpp>
+
+#include <algorithm>
+
+namespace burdock::admission {
+
+namespace {
+
+// Weight of the newest service time in the moving mean.
+constexpr double NewestWeight = 0.1;
+// A caller that is told to come back at once would only be refused again.
+constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(100);
+
+} // namespace
+
+AdmissionController::AdmissionController(const AdmissionPolicy &policy)
+    : m_policy(policy),
+      m_limit(policy.warmUp)
+{
+}
+
+AdmissionDecision AdmissionController::request(const AdmissionRequest &request, TimePoint now)
+{
+    const bool mustWait = request.isSuspect ? m_suspectRuns || !m_suspects.empty() : m_queue.size() > 0;
+    if (mustWait || !hasRoom()) {
+        return enqueue(request, now);
+    }
+    ++m_running;
+    m_suspectRuns = m_suspectRuns || request.isSuspect;
+    AdmissionDecision decision;
+    decision.status = AdmissionStatus::Admitted;
+    return decision;
+}
+
+AdmissionDecision AdmissionController::enqueue(const AdmissionRequest &request, TimePoint now)
+{
+    AdmissionDecision decision;
+    const Duration wait = expectedWait();
+    const Duration retryAfter = std::max(wait, ShortestRetryAfter);
+    if (now + wait >= request.deadline) {
+        decision.refusal = {RefusalReason::DeadlineTooShort, retryAfter};
+        return decision;
+    }
+    if (queued() >= m_policy.queueLimit) {
+        const auto victim = m_queue.evictFor(request.customer);
+        if (!victim) {
+            decision.refusal = {RefusalReason::Overloaded, retryAfter};
+            return decision;
+        }
+        decision.evicted = victim->ticket;
+    }
+    if (request.isSuspect) {
+        m_suspects.push_back(request);
+    } else {
+        m_queue.push(request);
+    }
+    decision.status = AdmissionStatus::Queued;
+    return decision;
+}
+
+AdmissionChanges AdmissionController::finished(const FinishedRun &run, TimePoint now)
+{
+    m_running -= std::min<u32>(m_running, 1);
+    if (run.wasSuspect) {
+        m_suspectRuns = false;
+    }
+    if (run.outcome == RunOutcome::Success) {
+        const double serviceMs = toMilliseconds(run.serviceTime);
+        m_meanServiceMs = m_meanServiceMs == 0 ? serviceMs : (1 - NewestWeight) * m_meanServiceMs + NewestWeight * serviceMs;
+        m_limit.noteSuccess();
+    }
+    if (run.outcome == RunOutcome::EndpointRestarted) {
+        m_limit.noteRestart();
+    }
+    return expire(now);
+}
+
+AdmissionChanges AdmissionController::expire(TimePoint now)
+{
+    AdmissionChanges changes;
+    const auto isExpired = [now](const AdmissionRequest &request) {
+        return request.deadline <= now;
+    };
+    for (const auto &request : m_queue.takeExpired(now)) {
+        changes.expired.push_back(request.ticket);
+    }
+    for (const auto &request : m_suspects) {
+        if (isExpired(request)) {
+            changes.expired.push_back(request.ticket);
+        }
+    }
+    std::erase_if(m_suspects, isExpired);
+    startWaiting(changes);
+    return changes;
+}
+
+void AdmissionController::startWaiting(AdmissionChanges &changes)
+{
+    // Guards against one request that crashes endpoint after endpoint: it shows as a fingerprint that was under way at a crash.
+    // Running suspects one at a time holds because the culprit and a suspect that is innocent never share a second crash.
+    if (!m_suspects.empty() && !m_suspectRuns && hasRoom()) {
+        changes.admitted.push_back(m_suspects.front().ticket);
+        m_suspects.pop_front();
+        m_suspectRuns = true;
+        ++m_running;
+    }
+    while (hasRoom()) {
+        const auto next = m_queue.pop();
+        if (!next) {
+            return;
+        }
+        changes.admitted.push_back(next->ticket);
+        ++m_running;
+    }
+}
+
+bool AdmissionController::abandon(Ticket ticket)
+{
+    return m_queue.remove(ticket) || std::erase_if(m_suspects, [ticket](const auto &request) { return request.ticket == ticket; }) > 0;
+}
+
+void AdmissionController::noteRestart()
+{
+    m_limit.noteRestart();
+}
+
+void AdmissionController::setPolicy(const AdmissionPolicy &policy)
+{
+    m_policy = policy;
+    m_limit.setPolicy(policy.warmUp);
+}
+
+u32 AdmissionController::running() const
+{
+    return m_running;
+}
+
+u32 AdmissionController::queued() const
+{
+    return static_cast<u32>(m_queue.size() + m_suspects.size());
+}
+
+u32 AdmissionController::limit() const
+{
+    return m_limit.limit();
+}
+
+bool AdmissionController::isCold() const
+{
+    return m_limit.isCold();
+}
+
+Duration AdmissionController::expectedWait() const
+{
+    if (hasRoom() && queued() == 0) {
+        return Duration::zero();
+    }
+    const double rounds = static_cast<double>(queued() + 1) / m_limit.limit();
+    return fromMilliseconds(rounds * m_meanServiceMs);
+}
+
+bool AdmissionController::hasRoom() const
+{
+    return m_running < m_limit.limit();
+}
+
+} // namespace burdock::admission
--- /dev/null
+++ b/lib/libburdock/source/cache/block_keys.cpp
@@ -0,0 +1,36 @@
+#include <burdock/cache/block_keys.hpp>
+
+#include <algorithm>
+
+namespace burdock::cache {
+
+namespace {
+
+// A draft keeps its beginning while it grows. The second block tells drafts apart that share a customer's instructions in the
+// first one, and it exists before a draft is long enough for recomputation to hurt.
+constexpr std::size_t HomeBlock = 1;
+
+} // namespace
+
+std::vector<BlockKey> blockKeys(const BlockScope &scope, std::string_view prompt, u32 blockBytes)
+{
+    std::vector<BlockKey> keys;
+    keys.reserve(prompt.size() / blockBytes);
+    auto previous = hash::digest128({scope.customer, scope.model, scope.adapter, scope.weightVersion});
+    for (std::size_t begin = 0; begin + blockBytes <= prompt.size(); begin += blockBytes) {
+        previous = hash::digest128({hash::asBytes(previous), prompt.substr(begin, blockBytes)});
+        keys.push_back(previous);
+    }
+    return keys;
+}
+
+u64 homeHash(const BlockScope &scope, std::string_view prompt, const std::vector<BlockKey> &keys)
+{
+    if (!keys.empty()) {
+        return hash::fast(hash::asBytes(keys[std::min(HomeBlock, keys.size() - 1)]));
+    }
+    const auto root = hash::digest128({scope.customer, scope.model, scope.adapter, scope.weightVersion, prompt});
+    return hash::fast(hash::asBytes(root));
+}
+
+} // namespace burdock::cache
--- /dev/null
+++ b/lib/libburdock/source/cache/cost_model.cpp
@@ -0,0 +1,46 @@
+#include <burdock/cache/cost_model.hpp>
+
+namespace burdock::cache {
+
+namespace {
+
+constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
+constexpr double MillisecondsPerSecond = 1000.0;
+constexpr double TokensPerKiloToken = 1000.0;
+
+} // namespace
+
+double importCost(const CostWeights &weights, const ImportCase &facts)
+{
+    const auto bytesAhead = static_cast<double>(facts.bytes + facts.linkQueuedBytes);
+    const double waitMs = MillisecondsPerSecond * bytesAhead / static_cast<double>(facts.linkBytesPerSecond);
+    return weights.firstTokenMs * waitMs + weights.linkMebibyte * static_cast<double>(facts.bytes) / BytesPerMebibyte;
+}
+
+double recomputeCost(const CostWeights &weights, const ImportCase &facts)
+{
+    const double waitMs = MillisecondsPerSecond * facts.tokens / facts.prefillTokensPerSecond;
+    return weights.firstTokenMs * waitMs + weights.recomputedKiloToken * facts.tokens / TokensPerKiloToken;
+}
+
+ImportByCost::ImportByCost(const CostWeights &weights)
+    : m_weights(weights)
+{
+}
+
+bool ImportByCost::shouldImport(const ImportCase &facts) const
+{
+    return facts.tokens > 0 && importCost(m_weights, facts) < recomputeCost(m_weights, facts);
+}
+
+bool AlwaysImport::shouldImport(const ImportCase &facts) const
+{
+    return facts.tokens > 0;
+}
+
+bool NeverImport::shouldImport(const ImportCase & /*facts*/) const
+{
+    return false;
+}
+
+} // namespace burdock::cache
--- /dev/null
+++ b/lib/libburdock/source/membership/member_table.cpp
@@ -0,0 +1,101 @@
+#include <burdock/membership/member_table.hpp>
+
+#include <burdock/hash/digest.hpp>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace burdock::membership {
+
+void MemberTable::setListed(const std::vector<ListedVm> &vms)
+{
+    std::set<std::string_view> listed;
+    for (const auto &vm : vms) {
+        listed.insert(vm.name);
+        auto &member = m_members[vm.name];
+        member.vm = vm;
+        member.id = hash::fast(vm.name);
+    }
+    std::erase_if(m_members, [&](const auto &entry) { return listed.count(entry.first) == 0 && entry.second.health != LinkHealth::Alive; });
+}
+
+void MemberTable::noteHealth(std::string_view name, LinkHealth health)
+{
+    if (const auto it = m_members.find(name); it != m_members.end()) {
+        it->second.health = health;
+    }
+}
+
+void MemberTable::noteLoad(std::string_view name, const ReportedLoad &load)
+{
+    if (const auto it = m_members.find(name); it != m_members.end()) {
+        it->second.load = load;
+        it->second.proposed = 0;
+    }
+}
+
+void MemberTable::noteProposed(std::string_view name)
+{
+    if (const auto it = m_members.find(name); it != m_members.end()) {
+        ++it->second.proposed;
+    }
+}
+
+void MemberTable::avoid(std::string_view name, TimePoint until)
+{
+    if (const auto it = m_members.find(name); it != m_members.end()) {
+        it->second.avoidUntil = until;
+    }
+}
+
+const Member *MemberTable::find(std::string_view name) const
+{
+    const auto it = m_members.find(name);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+const std::map<std::string, Member, std::less<>> &MemberTable::members() const
+{
+    return m_members;
+}
+
+bool attends(u64 entryId, u64 endpointId, const std::vector<u64> &entryIds, u32 attendants)
+{
+    const auto rankOf = [endpointId](u64 id) {
+        const std::array<u64, 2> pair{endpointId, id};
+        return hash::fast({reinterpret_cast<const char *>(pair.data()), sizeof(pair)});
+    };
+    const u64 own = rankOf(entryId);
+    const auto ahead = std::count_if(entryIds.begin(), entryIds.end(), [&](u64 id) { return id != entryId && rankOf(id) > own; });
+    return ahead < static_cast<std::ptrdiff_t>(attendants);
+}
+
+Candidates eligible(const MemberTable &table, std::string_view pool, const EligibilityRules &rules, TimePoint now)
+{
+    Candidates out;
+    for (const auto &[name, member] : table.members()) {
+        const auto zone = rules.zones.find(member.vm.zone);
+        const bool zoneServes = zone != rules.zones.end() && !zone->second.isOut;
+        const bool isDrained = std::find(rules.drained.begin(), rules.drained.end(), name) != rules.drained.end();
+        const bool isLeaving = member.vm.isLeaving || member.load.isLeaving;
+        const bool isAnswering = member.health != LinkHealth::Dead && member.avoidUntil <= now;
+        if (member.vm.pool != pool || !zoneServes || isDrained || isLeaving || !isAnswering) {
+            continue;
+        }
+        placement::EndpointView view;
+        view.id = member.id;
+        view.weight = zone->second.weightPercent / 100.0;
+        view.load = member.load.running + member.load.queued + member.proposed;
+        view.limit = std::max<u32>(1, member.load.limit);
+        // A silent link is asked last: it keeps its place in the order of homes only when nobody else is left.
+        if (member.health == LinkHealth::Suspect) {
+            view.weight *= 1e-6;
+        }
+        out.views.push_back(view);
+        out.names.push_back(name);
+    }
+    return out;
+}
+
+} // namespace burdock::membership
--- /dev/null
+++ b/lib/libburdock/source/placement/policy.cpp
@@ -0,0 +1,157 @@
+#include <burdock/placement/policy.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace burdock::placement {
+
+namespace {
+
+// Mixes two words into one with good avalanche (the finalizer of SplitMix64).
+u64 mix(u64 left, u64 right)
+{
+    u64 word = left ^ (right * 0x9e3779b97f4a7c15ULL);
+    word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    word = (word ^ (word >> 27)) * 0x94d049bb133111ebULL;
+    return word ^ (word >> 31);
+}
+
+// Uniform in (0, 1].
+double unitFrom(u64 word)
+{
+    constexpr double Scale = 1.0 / 9007199254740992.0; // 2^-53
+    return static_cast<double>((word >> 11) + 1) * Scale;
+}
+
+double relativeLoad(const EndpointView &view)
+{
+    return static_cast<double>(view.load) / std::max<u32>(1, view.limit);
+}
+
+struct Scored
+{
+    double score;
+    u32 index;
+};
+
+// Indices of the `count` best scores, best first; endpoints without weight are left out.
+template <typename Score>
+Order bestBy(std::span<const EndpointView> endpoints, u32 count, Score score)
+{
+    std::vector<Scored> scored;
+    scored.reserve(endpoints.size());
+    for (u32 index = 0; index < endpoints.size(); ++index) {
+        if (endpoints[index].weight > 0) {
+            scored.push_back({score(endpoints[index]), index});
+        }
+    }
+    const auto kept = std::min<std::size_t>(count, scored.size());
+    const auto middle = scored.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(scored.begin(), middle, scored.end(),
+                      [](const Scored &left, const Scored &right) { return left.score > right.score; });
+    Order order;
+    order.reserve(kept);
+    std::transform(scored.begin(), middle, std::back_inserter(order), [](const Scored &entry) { return entry.index; });
+    return order;
+}
+
+double meanRelativeLoad(std::span<const EndpointView> endpoints)
+{
+    double load = 0;
+    double limit = 0;
+    for (const auto &view : endpoints) {
+        if (view.weight > 0) {
+            load += view.load;
+            limit += view.limit;
+        }
+    }
+    return limit > 0 ? load / limit : 0;
+}
+
+// Homes that carry more than the bound go behind those that don't; the order among each stays.
+void moveOverloadedBack(Order &order, std::span<const EndpointView> endpoints, u32 boundPercent)
+{
+    const double mean = meanRelativeLoad(endpoints);
+    const auto isWithinBound = [&](u32 index) {
+        const auto &view = endpoints[index];
+        // One request more than the bound is always allowed, as in consistent hashing with bounded loads; otherwise an
+        // idle fleet with a mean of zero would bounce every request off its home.
+        const double allowed = std::ceil(mean * view.limit * boundPercent / 100.0) + 1;
+        return view.load < allowed || view.load < view.limit;
+    };
+    std::stable_partition(order.begin(), order.end(), isWithinBound);
+}
+
+void moveHintToFront(Order &order, std::span<const EndpointView> endpoints, u64 hint)
+{
+    const auto found = std::find_if(order.begin(), order.end(), [&](u32 index) { return endpoints[index].id == hint; });
+    if (found != order.end() && relativeLoad(endpoints[*found]) < 1.0) {
+        std::rotate(order.begin(), found, found + 1);
+    }
+}
+
+constexpr std::array<std::string_view, 5> Names{"random", "least-loaded", "home", "home-bound", "home-bound-hints"};
+
+} // namespace
+
+Order RandomPolicy::order(const PlacementRequest &request, std::span<const EndpointView> endpoints, u32 count) const
+{
+    return bestBy(endpoints, count, [&](const EndpointView &view) { return unitFrom(mix(request.random, view.id)); });
+}
+
+Order LeastLoadedPolicy::order(const PlacementRequest &request, std::span<const EndpointView> endpoints, u32 count) const
+{
+    return bestBy(endpoints, count, [&](const EndpointView &view) {
+        // The random part only breaks ties.
+        constexpr double TieBreak = 1e-6;
+        return TieBreak * unitFrom(mix(request.random, view.id)) - relativeLoad(view);
+    });
+}
+
+HomePolicy::HomePolicy(const HomePolicyOptions &options)
+    : m_options(options)
+{
+}
+
+Order HomePolicy::order(const PlacementRequest &request, std::span<const EndpointView> endpoints, u32 count) const
+{
+    auto order = bestBy(endpoints, count, [&](const EndpointView &view) {
+        // Weighted rendezvous hashing: -weight / ln(u) gives each endpoint a share of homes in proportion to its weight.
+        return -view.weight / std::log(unitFrom(mix(request.home, view.id)) * (1.0 - 1e-12));
+    });
+    if (m_options.hints == HintUse::Follow && request.hint != 0) {
+        moveHintToFront(order, endpoints, request.hint);
+    }
+    if (m_options.bound == LoadBound::Bounded) {
+        moveOverloadedBack(order, endpoints, m_options.boundPercent);
+    }
+    return order;
+}
+
+std::unique_ptr<PlacementPolicy> policyNamed(std::string_view name, u32 boundPercent)
+{
+    if (name == "random") {
+        return std::make_unique<RandomPolicy>();
+    }
+    if (name == "least-loaded") {
+        return std::make_unique<LeastLoadedPolicy>();
+    }
+    if (name == "home") {
+        return std::make_unique<HomePolicy>(HomePolicyOptions{LoadBound::None, HintUse::Ignore, boundPercent});
+    }
+    if (name == "home-bound") {
+        return std::make_unique<HomePolicy>(HomePolicyOptions{LoadBound::Bounded, HintUse::Ignore, boundPercent});
+    }
+    if (name == "home-bound-hints") {
+        return std::make_unique<HomePolicy>(HomePolicyOptions{LoadBound::Bounded, HintUse::Follow, boundPercent});
+    }
+    return nullptr;
+}
+
+std::span<const std::string_view> policyNames()
+{
+    return Names;
+}
+
+} // namespace burdock::placement
--- /dev/null
+++ b/lib/libburdock/source/retry/quarantine.cpp
@@ -0,0 +1,87 @@
+#include <burdock/retry/quarantine.hpp>
+
+#include <algorithm>
+
+namespace burdock::retry {
+
+namespace {
+
+constexpr u32 CrashesToQuarantine = 2;
+
+} // namespace
+
+Quarantine::Quarantine(Duration forgetAfter, std::size_t capacity)
+    : m_forgetAfter(forgetAfter),
+      m_capacity(capacity)
+{
+}
+
+SuspectState Quarantine::state(u64 fingerprint, TimePoint now) const
+{
+    const u32 count = crashes(fingerprint, now);
+    if (count == 0) {
+        return SuspectState::Clear;
+    }
+    return count >= CrashesToQuarantine ? SuspectState::Quarantined : SuspectState::Suspect;
+}
+
+u32 Quarantine::crashes(u64 fingerprint, TimePoint now) const
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.touched + m_forgetAfter < now) {
+        return 0;
+    }
+    return found->second.crashes;
+}
+
+void Quarantine::noteCrash(u64 fingerprint, TimePoint now)
+{
+    auto &entry = m_entries[fingerprint];
+    if (entry.touched + m_forgetAfter < now) {
+        entry.crashes = 0;
+    }
+    ++entry.crashes;
+    entry.touched = now;
+    dropOldest();
+}
+
+void Quarantine::noteSuccess(u64 fingerprint)
+{
+    m_entries.erase(fingerprint);
+}
+
+void Quarantine::merge(const SuspectRecord &record, TimePoint now)
+{
+    if (record.age >= m_forgetAfter) {
+        return;
+    }
+    auto &entry = m_entries[record.fingerprint];
+    if (record.crashes <= entry.crashes) {
+        return;
+    }
+    entry.crashes = record.crashes;
+    entry.touched = now - record.age;
+    dropOldest();
+}
+
+std::vector<SuspectRecord> Quarantine::records(TimePoint now) const
+{
+    std::vector<SuspectRecord> out;
+    for (const auto &[fingerprint, entry] : m_entries) {
+        if (entry.touched + m_forgetAfter >= now) {
+            out.push_back({fingerprint, entry.crashes, now - entry.touched});
+        }
+    }
+    return out;
+}
+
+void Quarantine::dropOldest()
+{
+    if (m_entries.size() <= m_capacity) {
+        return;
+    }
+    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(),
+                                     [](const auto &left, const auto &right) { return left.second.touched < right.second.touched; }));
+}
+
+} // namespace burdock::retry
--- /dev/null
+++ b/lib/libburdock/source/retry/retry_budget.cpp
@@ -0,0 +1,39 @@
+#include <burdock/retry/retry_budget.hpp>
+
+#include <algorithm>
+
+namespace burdock::retry {
+
+namespace {
+
+constexpr u64 OneRetry = 100; // percent
+
+} // namespace
+
+RetryBudget::RetryBudget(u32 earnedPercent, u32 reserve)
+    : m_earnedPercent(earnedPercent),
+      m_reservePercent(reserve * OneRetry),
+      m_balancePercent(reserve * OneRetry)
+{
+}
+
+void RetryBudget::noteRequest()
+{
+    m_balancePercent = std::min(m_reservePercent, m_balancePercent + m_earnedPercent);
+}
+
+bool RetryBudget::trySpend()
+{
+    if (m_balancePercent < OneRetry) {
+        return false;
+    }
+    m_balancePercent -= OneRetry;
+    return true;
+}
+
+void RetryBudget::setEarnedPercent(u32 earnedPercent)
+{
+    m_earnedPercent = earnedPercent;
+}
+
+} // namespace burdock::retry
--- /dev/null
+++ b/lib/libburdock/source/weights/load_slots.cpp
@@ -0,0 +1,52 @@
+#include <burdock/weights/load_slots.hpp>
+
+#include <algorithm>
+
+namespace burdock::weights {
+
+LoadSlots::LoadSlots(u32 slots, Duration leaseTime)
+    : m_slots(slots),
+      m_leaseTime(leaseTime)
+{
+}
+
+void LoadSlots::observe(const std::vector<SlotHolder> &holders, TimePoint now)
+{
+    std::map<std::string, Seen, std::less<>> seen;
+    for (const auto &holder : holders) {
+        const auto known = m_seen.find(holder.endpoint);
+        const bool stoodStill = known != m_seen.end() && known->second.beat == holder.beat;
+        seen[holder.endpoint] = {holder.beat, stoodStill ? known->second.since : now};
+    }
+    m_seen = std::move(seen);
+    m_holders = holders;
+}
+
+std::optional<std::vector<SlotHolder>> LoadSlots::claim(std::string_view self, TimePoint now) const
+{
+    std::vector<SlotHolder> next;
+    u64 ownBeat = 0;
+    for (const auto &holder : m_holders) {
+        if (holder.endpoint == self) {
+            ownBeat = holder.beat;
+            continue;
+        }
+        if (now - m_seen.at(holder.endpoint).since < m_leaseTime) {
+            next.push_back(holder);
+        }
+    }
+    if (next.size() >= m_slots) {
+        return std::nullopt;
+    }
+    next.push_back({std::string(self), ownBeat + 1});
+    return next;
+}
+
+std::vector<SlotHolder> LoadSlots::release(std::string_view self) const
+{
+    auto next = m_holders;
+    std::erase_if(next, [self](const SlotHolder &holder) { return holder.endpoint == self; });
+    return next;
+}
+
+} // namespace burdock::weights
--- /dev/null
+++ b/main/daemon/source/main.cpp
@@ -0,0 +1,86 @@
+#include <burdock/runtime/link/keys.hpp>
+#include <burdock/runtime/worker_pool.hpp>
+#include <burdock/schema/document.hpp>
+#include <burdock/serving/role.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(settings, "", "JSON file with the settings of this process");
+
+namespace {
+
+using namespace burdock;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+constexpr std::size_t SpansKept = 4096;
+
+std::optional<schema::DaemonSettings> readSettings(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto checked = schema::parseSettings(path, text.str());
+    if (checked.document && !runtime::link::areValid({checked.document->links().public_key(), checked.document->links().secret_key()})) {
+        checked.faults.push_back({path, "$.links", "public_key and secret_key are not a CURVE key pair"});
+        checked.document.reset();
+    }
+    for (const auto &fault : checked.faults) {
+        std::cerr << schema::toString(fault) << "\n";
+    }
+    return std::move(checked.document);
+}
+
+int serve(const schema::DaemonSettings &settings)
+{
+    runtime::SteadyClock clock;
+    runtime::SystemRandom random;
+    runtime::Logger logger(runtime::logLevelFrom(settings.log_level()), settings.name());
+    runtime::Metrics metrics;
+    runtime::Tracer tracer(settings.name(), random, SpansKept);
+    runtime::WorkerPool pool(settings.workers());
+    std::unique_ptr<serving::Role> role;
+    serving::Process process{pool.context(), clock, random, logger, metrics, tracer, settings.name(), settings.zone(), random.word()};
+    try {
+        role = serving::makeRole(process, settings);
+    } catch (const std::system_error &error) {
+        logger.event(runtime::LogLevel::Error, "start_failed", {{"reason", std::string_view(error.what())}});
+        return ExitFailed;
+    }
+    boost::asio::signal_set signals(pool.context(), SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &error, int /*signal*/) {
+        if (error) {
+            return;
+        }
+        logger.event(runtime::LogLevel::Info, "stopping");
+        boost::asio::co_spawn(pool.context(), role->drain(), [&pool](const std::exception_ptr &) { pool.stop(); });
+    });
+    role->start();
+    logger.event(runtime::LogLevel::Info, "started", {{"boot_id", process.bootId}});
+    pool.wait();
+    logger.event(runtime::LogLevel::Info, "stopped");
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("serves prompts and calls as an entry or beside an endpoint\n\n  burdockpaddled --settings=entry.json");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto settings = readSettings(FLAGS_settings);
+    return settings ? serve(*settings) : ExitBadSettings;
+}
--- /dev/null
+++ b/main/operator/source/main.cpp
@@ -0,0 +1,27 @@
+#include <burdock/ops/command.hpp>
+
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sodium.h>
+
+DEFINE_string(platform, "127.0.0.1:9000", "IP:port of the platform's object API");
+DEFINE_string(key, "", "file with the signing key");
+DEFINE_string(out, "", "file to write");
+DEFINE_string(output, "table", "table or json");
+DEFINE_uint32(patience_ms, 30'000, "how long a rollout waits for the fleet, in milliseconds");
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("operates a deployment\n\n"
+                            "  burdockpaddle COMMAND [WORDS] [--platform=IP:PORT] [--output=table|json]\n\n"
+                            "Without a command it lists them all; `burdockpaddle COMMAND help` shows one with an example.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (sodium_init() < 0 || (FLAGS_output != "table" && FLAGS_output != "json")) {
+        std::cerr << "burdockpaddle: --output must be table or json\n";
+        return static_cast<int>(burdock::ops::ExitCode::BadInput);
+    }
+    const burdock::ops::Options options{FLAGS_platform, FLAGS_key, FLAGS_out, FLAGS_output == "json", FLAGS_patience_ms};
+    return static_cast<int>(burdock::ops::runCommand({argv + 1, argv + argc}, options));
+}
--- /dev/null
+++ b/tests/standins/include/standins/platform.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <burdock/runtime/http/server.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+
+/** @brief Small stand-ins for the systems around burdockpaddle, for tests and the demo. */
+namespace standins {
+
+using namespace burdock;
+
+/** @brief How the platform behaves. */
+enum class PlatformMode : u8 {
+    Up,
+    Down, ///< closes each connection without an answer, and does nothing
+    LoseWriteAnswers, ///< writes take effect, their answers are lost
+    RefuseWrites, ///< answers writes with 503, and does nothing
+};
+
+/** @brief The object API and the list of VMs, in memory. */
+class Platform : private runtime::http::Handler
+{
+public:
+    Platform(boost::asio::io_context &workers, const std::string &address);
+
+    [[nodiscard]] std::string address() const;
+    void setMode(PlatformMode mode);
+
+    /** @brief Sets the list of VMs, a JSON array of {name, zone, pool, link, admin, state}. */
+    void setVms(const std::string &json);
+
+    /** @brief Puts an object there whatever it was, with a version of the caller's choice. */
+    void force(const std::string &path, const std::string &value, u64 version);
+    [[nodiscard]] std::string value(const std::string &path) const;
+
+    /** @brief Calls received by kind: `read`, `write`, `watch`. */
+    [[nodiscard]] u64 calls(const std::string &kind) const;
+
+private:
+    struct Object
+    {
+        std::string value;
+        u64 version = 0;
+    };
+
+    boost::asio::awaitable<void> handle(const runtime::http::Request &request, runtime::http::Reply &reply) override;
+    [[nodiscard]] runtime::http::Response put(const runtime::http::Request &request);
+    [[nodiscard]] runtime::http::Response get(const std::string &path) const;
+    [[nodiscard]] bool isNewerThan(const std::string &path, u64 version) const;
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, Object> m_objects;
+    u64 m_lastVersion = 0;
+    std::map<std::string, u64> m_calls;
+    std::atomic<PlatformMode> m_mode{PlatformMode::Up};
+    runtime::http::Server m_server;
+};
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/source/fault_proxy.cpp
@@ -0,0 +1,211 @@
+#include <standins/fault_proxy.hpp>
+
+#include <burdock/runtime/http/message.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <list>
+#include <mutex>
+
+namespace standins {
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t BufferBytes = 16 * 1024;
+
+struct Connection
+{
+    explicit Connection(Tcp::socket &&accepted)
+        : caller(std::move(accepted)),
+          server(caller.get_executor())
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        caller.close(ignored);
+        server.close(ignored);
+    }
+
+    Tcp::socket caller;
+    Tcp::socket server;
+    std::atomic<bool> isFrozen{false};
+    u64 answered = 0;
+};
+
+} // namespace
+
+class FaultProxy::Impl : public std::enable_shared_from_this<FaultProxy::Impl>
+{
+public:
+    Impl(asio::io_context &workers, const std::string &target)
+        : m_workers(workers),
+          m_acceptor(asio::make_strand(workers), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        const auto address = runtime::http::parseAddress(target);
+        m_target = Tcp::endpoint(asio::ip::make_address(address.ip), address.port);
+    }
+
+    void start()
+    {
+        asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
+    }
+
+    void stop()
+    {
+        asio::dispatch(m_acceptor.get_executor(), [self = shared_from_this()] { self->m_acceptor.close(); });
+        forEach([](const std::shared_ptr<Connection> &connection) { connection->close(); });
+    }
+
+    template <typename Function>
+    void forEach(Function function)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &weak : m_connections) {
+            if (const auto connection = weak.lock()) {
+                asio::post(connection->caller.get_executor(), [connection, function] { function(connection); });
+            }
+        }
+    }
+
+    u16 port()
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    std::atomic<bool> isRefusing{false};
+    std::atomic<bool> isLosing{false};
+    std::atomic<i64> delayUs{0};
+    std::atomic<u64> cutAfter{0};
+    std::atomic<u64> connections{0};
+
+private:
+    static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
+    {
+        while (true) {
+            Tcp::socket socket(asio::make_strand(self->m_workers));
+            const auto [error] = co_await self->m_acceptor.async_accept(socket, Awaitable);
+            if (error) {
+                co_return;
+            }
+            if (self->isRefusing) {
+                continue;
+            }
+            ++self->connections;
+            const auto connection = std::make_shared<Connection>(std::move(socket));
+            {
+                const std::lock_guard lock(self->m_mutex);
+                self->m_connections.push_back(connection);
+                self->m_connections.remove_if([](const auto &weak) { return weak.expired(); });
+            }
+            asio::co_spawn(connection->caller.get_executor(), carry(self, connection), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> carry(std::shared_ptr<Impl> self, std::shared_ptr<Connection> connection)
+    {
+        const auto [error] = co_await connection->server.async_connect(self->m_target, Awaitable);
+        if (error) {
+            connection->close();
+            co_return;
+        }
+        const auto executor = connection->caller.get_executor();
+        asio::co_spawn(executor, pump(self, connection, connection->caller, connection->server, false), asio::detached);
+        co_await pump(self, connection, connection->server, connection->caller, true);
+    }
+
+    static asio::awaitable<void> pump(std::shared_ptr<Impl> self, std::shared_ptr<Connection> connection, Tcp::socket &from,
+                                      Tcp::socket &to, bool isAnswer)
+    {
+        std::string buffer(BufferBytes, '\0');
+        while (true) {
+            const auto [error, size] = co_await from.async_read_some(asio::buffer(buffer), Awaitable);
+            while (connection->isFrozen) {
+                // Holds both ends open without a word.
+                co_await runtime::sleepFor(std::chrono::milliseconds(50));
+            }
+            if (error || (isAnswer && self->isLosing)) {
+                connection->close();
+                co_return;
+            }
+            if (self->delayUs > 0) {
+                co_await runtime::sleepFor(Duration(self->delayUs.load()));
+            }
+            std::size_t passed = size;
+            const u64 cutAfter = self->cutAfter;
+            if (isAnswer && cutAfter > 0) {
+                passed = std::min<u64>(passed, cutAfter - std::min(cutAfter, connection->answered));
+            }
+            const auto [writeError, written] = co_await asio::async_write(to, asio::buffer(buffer.data(), passed), Awaitable);
+            connection->answered += isAnswer ? passed : 0;
+            if (writeError || passed < size) {
+                connection->close();
+                co_return;
+            }
+        }
+    }
+
+    asio::io_context &m_workers;
+    Tcp::acceptor m_acceptor;
+    Tcp::endpoint m_target;
+    std::mutex m_mutex;
+    std::list<std::weak_ptr<Connection>> m_connections;
+};
+
+FaultProxy::FaultProxy(asio::io_context &workers, const std::string &target)
+    : m_impl(std::make_shared<Impl>(workers, target))
+{
+    m_impl->start();
+}
+
+FaultProxy::~FaultProxy()
+{
+    m_impl->stop();
+}
+
+std::string FaultProxy::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_impl->port());
+}
+
+void FaultProxy::cutAll()
+{
+    m_impl->forEach([](const std::shared_ptr<Connection> &connection) { connection->close(); });
+}
+
+void FaultProxy::freezeOpen()
+{
+    m_impl->forEach([](const std::shared_ptr<Connection> &connection) { connection->isFrozen = true; });
+}
+
+void FaultProxy::setRefusing(bool isRefusing)
+{
+    m_impl->isRefusing = isRefusing;
+}
+
+void FaultProxy::setLosingAnswers(bool isLosing)
+{
+    m_impl->isLosing = isLosing;
+}
+
+void FaultProxy::setDelay(Duration delay)
+{
+    m_impl->delayUs = delay.count();
+}
+
+void FaultProxy::setCutAfter(u64 bytes)
+{
+    m_impl->cutAfter = bytes;
+}
+
+u64 FaultProxy::connections() const
+{
+    return m_impl->connections;
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/source/platform.cpp
@@ -0,0 +1,152 @@
+#include <standins/platform.hpp>
+
+#include <burdock/runtime/sleep.hpp>
+
+#include <charconv>
+
+namespace standins {
+
+namespace {
+
+using runtime::http::Request;
+using runtime::http::Response;
+
+constexpr std::string_view VmsPath = "/v1/vms";
+constexpr Duration WatchPoll = std::chrono::milliseconds(10);
+
+u64 numberOf(std::string_view text)
+{
+    u64 number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+Response status(u16 code)
+{
+    Response response;
+    response.status = code;
+    return response;
+}
+
+} // namespace
+
+Platform::Platform(boost::asio::io_context &workers, const std::string &address)
+    : m_server(workers, runtime::http::parseAddress(address), {}, *this)
+{
+}
+
+std::string Platform::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_server.port());
+}
+
+void Platform::setMode(PlatformMode mode)
+{
+    m_mode = mode;
+}
+
+void Platform::setVms(const std::string &json)
+{
+    const std::lock_guard lock(m_mutex);
+    m_objects[std::string(VmsPath)] = {json, ++m_lastVersion};
+}
+
+void Platform::force(const std::string &path, const std::string &value, u64 version)
+{
+    const std::lock_guard lock(m_mutex);
+    m_objects["/v1/objects/" + path] = {value, version};
+}
+
+std::string Platform::value(const std::string &path) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find("/v1/objects/" + path);
+    return found == m_objects.end() ? std::string() : found->second.value;
+}
+
+u64 Platform::calls(const std::string &kind) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_calls.find(kind);
+    return found == m_calls.end() ? 0 : found->second;
+}
+
+boost::asio::awaitable<void> Platform::handle(const Request &request, runtime::http::Reply &reply)
+{
+    const bool isWrite = request.method == "PUT";
+    const auto waitMs = numberOf(request.query("wait_ms"));
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_calls[isWrite ? "write" : waitMs > 0 ? "watch" : "read"];
+    }
+    if (m_mode == PlatformMode::Down) {
+        co_return;
+    }
+    if (isWrite) {
+        const auto response = m_mode == PlatformMode::RefuseWrites ? status(503) : put(request);
+        if (m_mode != PlatformMode::LoseWriteAnswers) {
+            co_await reply.send(response);
+        }
+        co_return;
+    }
+    const auto path = std::string(request.path());
+    const u64 after = numberOf(request.query("after"));
+    if (waitMs == 0) {
+        const auto response = get(path);
+        co_await reply.send(response);
+        co_return;
+    }
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
+    while (std::chrono::steady_clock::now() < until && m_mode != PlatformMode::Down) {
+        if (isNewerThan(path, after)) {
+            const auto response = get(path);
+            co_await reply.send(response);
+            co_return;
+        }
+        co_await runtime::sleepFor(WatchPoll);
+    }
+    if (m_mode != PlatformMode::Down) {
+        const auto response = status(304);
+        co_await reply.send(response);
+    }
+}
+
+Response Platform::put(const Request &request)
+{
+    const auto path = std::string(request.path());
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find(path);
+    const bool exists = found != m_objects.end();
+    const bool mustBeNew = request.header("If-None-Match") == "*";
+    const auto wanted = request.header("If-Match");
+    const bool isAsWanted = wanted.empty() || (exists && found->second.version == numberOf(wanted));
+    if ((mustBeNew && exists) || !isAsWanted) {
+        return status(412);
+    }
+    m_objects[path] = {request.body, ++m_lastVersion};
+    auto response = status(200);
+    response.headers.emplace_back("Object-Version", std::to_string(m_lastVersion));
+    return response;
+}
+
+Response Platform::get(const std::string &path) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find(path);
+    if (found == m_objects.end()) {
+        return status(404);
+    }
+    auto response = status(200);
+    response.headers.emplace_back("Object-Version", std::to_string(found->second.version));
+    response.body = found->second.value;
+    return response;
+}
+
+bool Platform::isNewerThan(const std::string &path, u64 version) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find(path);
+    return found != m_objects.end() && found->second.version != version;
+}
+
+} // namespace standins
