--- a/lib/libburdock-operator/source/bundle_commands.cpp
+++ b/lib/libburdock-operator/source/bundle_commands.cpp
@@ -113,10 +113,10 @@
 } // namespace
 
 SimpleCommand::SimpleCommand(std::string_view name, std::string_view help, std::size_t argumentCount, Body body)
-    : m_name(name),
-      m_help(help),
-      m_argumentCount(argumentCount),
-      m_body(body)
+    : m_name(name)
+    , m_help(help)
+    , m_argumentCount(argumentCount)
+    , m_body(body)
 {
 }
 
--- a/lib/libburdock-operator/source/console.cpp
+++ b/lib/libburdock-operator/source/console.cpp
@@ -72,8 +72,8 @@
 }
 
 PlatformConsole::PlatformConsole(const Options &options)
-    : m_store(runtime::http::parseAddress(options.platform), PlatformTimeout),
-      m_pool(1)
+    : m_store(runtime::http::parseAddress(options.platform), PlatformTimeout)
+    , m_pool(1)
 {
 }
 
--- a/lib/libburdock-operator/source/rollout.cpp
+++ b/lib/libburdock-operator/source/rollout.cpp
@@ -90,14 +90,18 @@
         if (written.answer == StoreAnswer::Written || written.answer == StoreAnswer::Conflict) {
             co_return true;
         }
+        const auto read = co_await m_store.read(serving::bundleId(digest));
+        if (read.answer == StoreAnswer::Found && read.value == bytes) {
+            co_return true;
+        }
         co_await runtime::sleepFor(TryPause);
     }
     co_return false;
 }
 
 // Guards against an accepting write whose answer was lost: it shows as a timeout, after which the version may or may not be in
-// force. Repeating the same conditional update holds because it takes effect at most once, and its conflict is then settled by
-// reading which digest stands there.
+// force. Repeating the same conditional update holds because it takes effect at most once, and reading which digest stands there
+// settles whose it was.
 boost::asio::awaitable<RolloutResult> Rollout::moveCurrent(const schema::CurrentConfig &next, const AcceptedBundle &before)
 {
     RolloutResult result;
@@ -113,11 +117,11 @@
             result.detail.clear();
             co_return result;
         }
-        if (written.answer == StoreAnswer::Conflict) {
-            const auto read = co_await m_store.read(serving::currentConfigId());
-            schema::CurrentConfig stands;
-            if (read.answer == StoreAnswer::Found && stands.ParseFromString(read.value)) {
-                const bool isOurs = stands.digest() == next.digest();
+        const auto read = co_await m_store.read(serving::currentConfigId());
+        schema::CurrentConfig stands;
+        if (read.answer == StoreAnswer::Found && stands.ParseFromString(read.value)) {
+            const bool isOurs = stands.digest() == next.digest();
+            if (isOurs || written.answer == StoreAnswer::Conflict) {
                 result.code = isOurs ? ExitCode::Ok : ExitCode::Conflict;
                 result.version = next.version();
                 result.winner = stands.version();
--- a/lib/libburdock-platform/source/http_block_store.cpp
+++ b/lib/libburdock-platform/source/http_block_store.cpp
@@ -50,9 +50,9 @@
 }
 
 HttpBlockStore::HttpBlockStore(const http::Address &address, Duration timeout, runtime::RandomSource &random)
-    : m_address(address),
-      m_timeout(timeout),
-      m_random(random)
+    : m_address(address)
+    , m_timeout(timeout)
+    , m_random(random)
 {
 }
 
--- a/lib/libburdock-platform/source/http_engine.cpp
+++ b/lib/libburdock-platform/source/http_engine.cpp
@@ -58,8 +58,8 @@
 {
 public:
     HttpGeneration(const http::Address &address, Duration silence, std::string body)
-        : m_call(address, silence),
-          m_body(std::move(body))
+        : m_call(address, silence)
+        , m_body(std::move(body))
     {
     }
 
@@ -160,8 +160,8 @@
 } // namespace
 
 HttpEngine::HttpEngine(const http::Address &address, Duration silence)
-    : m_address(address),
-      m_silence(silence)
+    : m_address(address)
+    , m_silence(silence)
 {
 }
 
--- a/lib/libburdock-platform/source/http_object_store.cpp
+++ b/lib/libburdock-platform/source/http_object_store.cpp
@@ -98,8 +98,8 @@
 } // namespace
 
 HttpObjectStore::HttpObjectStore(const http::Address &address, Duration timeout)
-    : m_address(address),
-      m_timeout(timeout)
+    : m_address(address)
+    , m_timeout(timeout)
 {
 }
 
--- a/lib/libburdock-runtime/include/burdock/runtime/mailbox.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/mailbox.hpp
@@ -26,8 +26,8 @@
 public:
     /** @param strand the executor of the receiving coroutine, which must not run on two threads at once */
     explicit Mailbox(const boost::asio::any_io_executor &strand)
-        : m_strand(strand),
-          m_timer(strand)
+        : m_strand(strand)
+        , m_timer(strand)
     {
     }
 
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -23,8 +23,8 @@
 {
 public:
     Impl(const Address &address, Duration ioTimeout)
-        : m_address(address),
-          m_timeout(ioTimeout)
+        : m_address(address)
+        , m_timeout(ioTimeout)
     {
     }
 
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -31,9 +31,9 @@
 {
 public:
     BeastReply(beast::tcp_stream &stream, Duration timeout, bool keepAlive)
-        : m_stream(stream),
-          m_timeout(timeout),
-          m_keepAlive(keepAlive)
+        : m_stream(stream)
+        , m_timeout(timeout)
+        , m_keepAlive(keepAlive)
     {
     }
 
@@ -151,10 +151,10 @@
 {
 public:
     Impl(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler)
-        : m_context(context),
-          m_acceptor(asio::make_strand(context)),
-          m_limits(limits),
-          m_handler(handler)
+        : m_context(context)
+        , m_acceptor(asio::make_strand(context))
+        , m_limits(limits)
+        , m_handler(handler)
     {
         const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
         m_acceptor.open(endpoint.protocol());
--- a/lib/libburdock-runtime/source/link/client.cpp
+++ b/lib/libburdock-runtime/source/link/client.cpp
@@ -31,13 +31,13 @@
 {
 public:
     Impl(Context &context, const std::string &peer, const http::Address &address, const ClientOptions &options, ClientHandler &handler)
-        : m_context(context.impl()),
-          m_peer(peer),
-          m_url("tcp://" + address.ip + ":" + std::to_string(address.port)),
-          m_options(options),
-          m_handler(handler),
-          m_strand(m_context.makeStrand()),
-          m_timer(m_strand)
+        : m_context(context.impl())
+        , m_peer(peer)
+        , m_url("tcp://" + address.ip + ":" + std::to_string(address.port))
+        , m_options(options)
+        , m_handler(handler)
+        , m_strand(m_context.makeStrand())
+        , m_timer(m_strand)
     {
     }
 
--- a/lib/libburdock-runtime/source/link/context.cpp
+++ b/lib/libburdock-runtime/source/link/context.cpp
@@ -53,10 +53,10 @@
 namespace detail {
 
 ContextImpl::ContextImpl(boost::asio::io_context &workers, const Keys &keys)
-    : m_workers(workers),
-      m_keys(keys),
-      m_rawPublicKey(decodeKey(keys.publicKey)),
-      m_context(std::make_shared<zmq::context_t>())
+    : m_workers(workers)
+    , m_keys(keys)
+    , m_rawPublicKey(decodeKey(keys.publicKey))
+    , m_context(std::make_shared<zmq::context_t>())
 {
     startAuthenticator();
 }
--- a/lib/libburdock-runtime/source/link/socket.cpp
+++ b/lib/libburdock-runtime/source/link/socket.cpp
@@ -13,11 +13,11 @@
 } // namespace
 
 Socket::Socket(const Strand &strand, std::shared_ptr<zmq::context_t> context, zmq::socket_type type, Receiver receiver)
-    : m_strand(strand),
-      m_context(std::move(context)),
-      m_socket(*m_context, type),
-      m_descriptor(strand),
-      m_receiver(std::move(receiver))
+    : m_strand(strand)
+    , m_context(std::move(context))
+    , m_socket(*m_context, type)
+    , m_descriptor(strand)
+    , m_receiver(std::move(receiver))
 {
     m_socket.set(zmq::sockopt::linger, NoLinger);
     m_socket.set(zmq::sockopt::sndhwm, HighWaterMark);
--- a/lib/libburdock-runtime/source/logger.cpp
+++ b/lib/libburdock-runtime/source/logger.cpp
@@ -32,8 +32,8 @@
 }
 
 Logger::Logger(LogLevel level, std::string_view process)
-    : m_process(process),
-      m_sink(std::make_unique<spdlog::logger>("burdock", std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+    : m_process(process)
+    , m_sink(std::make_unique<spdlog::logger>("burdock", std::make_shared<spdlog::sinks::stderr_sink_mt>()))
 {
     m_sink->set_pattern("%v");
     m_sink->set_level(SinkLevels.at(indexOf(level)));
--- a/lib/libburdock-runtime/source/tracer.cpp
+++ b/lib/libburdock-runtime/source/tracer.cpp
@@ -46,11 +46,11 @@
 }
 
 Span::Span(Tracer &tracer, std::string_view name, const SpanContext &parent)
-    : m_tracer(tracer),
-      m_name(name),
-      m_context(parent),
-      m_parentId(parent.spanId),
-      m_startNs(wallClockNs())
+    : m_tracer(tracer)
+    , m_name(name)
+    , m_context(parent)
+    , m_parentId(parent.spanId)
+    , m_startNs(wallClockNs())
 {
     if (m_context.traceId.empty()) {
         m_context.traceId = hash::toHex(tracer.m_random.bytes(TraceIdDigits / 2));
@@ -74,9 +74,9 @@
 }
 
 Tracer::Tracer(std::string_view process, RandomSource &random, std::size_t capacity)
-    : m_process(process),
-      m_random(random),
-      m_capacity(capacity)
+    : m_process(process)
+    , m_random(random)
+    , m_capacity(capacity)
 {
 }
 
--- a/lib/libburdock-runtime/source/worker_pool.cpp
+++ b/lib/libburdock-runtime/source/worker_pool.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 WorkerPool::WorkerPool(u32 threads)
-    : m_context(static_cast<int>(threadCount(threads))),
-      m_work(boost::asio::make_work_guard(m_context))
+    : m_context(static_cast<int>(threadCount(threads)))
+    , m_work(boost::asio::make_work_guard(m_context))
 {
     for (u32 i = 0; i < threadCount(threads); ++i) {
         m_threads.emplace_back([this] { m_context.run(); });
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
@@ -3,6 +3,7 @@
 #include <burdock/platform/engine.hpp>
 #include <burdock/runtime/ordered_mutex.hpp>
 #include <burdock/serving/endpoint/admission_gate.hpp>
+#include <burdock/serving/endpoint/kept_cache.hpp>
 
 #include <string>
 #include <vector>
@@ -13,7 +14,7 @@
 class EngineWatch
 {
 public:
-    EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate);
+    EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate, KeptCache &cache);
 
     /** @brief Polls until the process stops. */
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -34,6 +35,7 @@
     Process &m_process;
     platform::Engine &m_engine;
     AdmissionGate &m_gate;
+    KeptCache &m_cache;
     mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex;
     std::string m_bootId;
     std::vector<std::string> m_loaded;
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
@@ -59,7 +59,7 @@
                                                            bool isSuspect, const runtime::SpanContext &span);
     [[nodiscard]] Refusal eligibility(const schema::RunRequest &request) const;
     [[nodiscard]] retry::SuspectState suspectState(const schema::RunRequest &request);
-    void noteOutcome(const schema::RunRequest &request, const Conclusion &conclusion);
+    void noteOutcome(const schema::RunRequest &request, Conclusion &conclusion);
     void refuse(RunOutlet &outlet, const Refusal &refusal);
     void sweep();
 
--- a/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
@@ -60,7 +60,8 @@
 
     [[nodiscard]] u32 crashesOf(u64 fingerprint) const;
     [[nodiscard]] retry::SuspectState suspectState(u64 fingerprint) const;
-    void noteCrash(u64 fingerprint);
+    /** @brief Takes over how many crashes an endpoint process has counted. */
+    void noteCrashes(u64 fingerprint, u32 crashes);
     void noteSuccess(u64 fingerprint);
 
     [[nodiscard]] u32 entryCount() const;
@@ -74,8 +75,9 @@
 private:
     void takeList(const std::vector<membership::ListedVm> &vms);
     void openAttendedLinks();
+    void learnFromSeed(const std::string &peer, const schema::Heartbeat &heartbeat);
     void takeHeartbeat(const std::string &peer, const schema::Heartbeat &heartbeat);
-    [[nodiscard]] std::shared_ptr<runtime::link::Client> openLink(const membership::Member &member);
+    [[nodiscard]] std::shared_ptr<runtime::link::Client> openLink(const std::string &peer, const membership::Member &member);
 
     Process &m_process;
     ConfigHolder &m_config;
@@ -86,6 +88,8 @@
     mutable runtime::OrderedMutex<runtime::LockLevel::Membership> m_mutex;
     membership::MemberTable m_members;
     std::vector<u64> m_entryIds;
+    std::map<std::string, std::string> m_seeds; // link addresses by peer name
+    bool m_hasList = false;
     std::map<std::string, std::shared_ptr<runtime::link::Client>> m_clients;
     placement::RecentPlacements m_recent;
     retry::Quarantine m_quarantine;
--- a/lib/libburdock-serving/source/admin_handler.cpp
+++ b/lib/libburdock-serving/source/admin_handler.cpp
@@ -3,9 +3,9 @@
 namespace burdock::serving {
 
 AdminHandler::AdminHandler(Process &process, std::function<bool()> isReady, std::function<std::string()> status)
-    : m_process(process),
-      m_isReady(std::move(isReady)),
-      m_status(std::move(status))
+    : m_process(process)
+    , m_isReady(std::move(isReady))
+    , m_status(std::move(status))
 {
 }
 
--- a/lib/libburdock-serving/source/config/config_holder.cpp
+++ b/lib/libburdock-serving/source/config/config_holder.cpp
@@ -6,8 +6,8 @@
 namespace burdock::serving {
 
 ConfigHolder::ConfigHolder(Process &process, std::vector<std::string> trustedSigners)
-    : m_process(process),
-      m_trustedSigners(std::move(trustedSigners))
+    : m_process(process)
+    , m_trustedSigners(std::move(trustedSigners))
 {
 }
 
--- a/lib/libburdock-serving/source/config/platform_watch.cpp
+++ b/lib/libburdock-serving/source/config/platform_watch.cpp
@@ -30,9 +30,9 @@
 }
 
 PlatformWatch::PlatformWatch(Process &process, platform::ObjectStore &store, ConfigHolder &holder)
-    : m_process(process),
-      m_store(store),
-      m_holder(holder)
+    : m_process(process)
+    , m_store(store)
+    , m_holder(holder)
 {
 }
 
--- a/lib/libburdock-serving/source/config/snapshot.cpp
+++ b/lib/libburdock-serving/source/config/snapshot.cpp
@@ -18,8 +18,8 @@
 } // namespace
 
 Snapshot::Snapshot(schema::Bundle bundle, std::string signedBytes)
-    : m_bundle(std::move(bundle)),
-      m_signedBytes(std::move(signedBytes))
+    : m_bundle(std::move(bundle))
+    , m_signedBytes(std::move(signedBytes))
 {
     for (int i = 0; i < m_bundle.customers_size(); ++i) {
         m_customers.emplace(m_bundle.customers(i).api_key_hash(), i);
--- a/lib/libburdock-serving/source/endpoint/admission_gate.cpp
+++ b/lib/libburdock-serving/source/endpoint/admission_gate.cpp
@@ -9,8 +9,8 @@
 } // namespace
 
 AdmissionGate::AdmissionGate(Process &process, const admission::AdmissionPolicy &policy)
-    : m_process(process),
-      m_controller(policy)
+    : m_process(process)
+    , m_controller(policy)
 {
 }
 
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -37,31 +37,31 @@
 
 EngineSide::EngineSide(Process &process, ConfigHolder &config, platform::ObjectStore &store, AdmissionGate &gate,
                        const schema::DaemonSettings &settings)
-    : engine(http::parseAddress(settings.endpoint().backend()), EngineSilence),
-      watch(process, engine, gate),
-      cache(process, config, engine, makeStores(process, settings.endpoint())),
-      orders(process, config, store, engine, watch, settings.endpoint().pool()),
-      runner(process, engine, watch, cache)
+    : engine(http::parseAddress(settings.endpoint().backend()), EngineSilence)
+    , cache(process, config, engine, makeStores(process, settings.endpoint()))
+    , watch(process, engine, gate, cache)
+    , orders(process, config, store, engine, watch, settings.endpoint().pool())
+    , runner(process, engine, watch, cache)
 {
 }
 
 EndpointRole::EndpointRole(Process &process, const schema::DaemonSettings &settings)
-    : m_process(process),
-      m_settings(settings),
-      m_store(http::parseAddress(settings.platform()), PlatformTimeout),
-      m_config(process, signersOf(settings)),
-      m_watch(process, m_store, m_config),
-      m_gate(process, {}),
-      m_once(process, m_store),
-      m_engineSide(settings.endpoint().is_engine() ? std::make_unique<EngineSide>(process, m_config, m_store, m_gate, settings) : nullptr),
-      m_serviceRunner(std::make_unique<ServiceRunner>(process, m_once, http::parseAddress(settings.endpoint().backend()), ServiceSilence)),
-      m_registry(process, m_config, m_gate, runner(),
-                 settings.endpoint().max_tail_bytes() == 0 ? DefaultTailBytes : settings.endpoint().max_tail_bytes()),
-      m_links(process.workers, linkKeysOf(settings)),
-      m_server(m_links, http::parseAddress(settings.endpoint().listen()), *this),
-      m_admin(
-          process, [this] { return !m_registry.isLeaving() && m_config.version() > 0; }, [this] { return status(); }),
-      m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
+    : m_process(process)
+    , m_settings(settings)
+    , m_store(http::parseAddress(settings.platform()), PlatformTimeout)
+    , m_config(process, signersOf(settings))
+    , m_watch(process, m_store, m_config)
+    , m_gate(process, {})
+    , m_once(process, m_store)
+    , m_engineSide(settings.endpoint().is_engine() ? std::make_unique<EngineSide>(process, m_config, m_store, m_gate, settings) : nullptr)
+    , m_serviceRunner(std::make_unique<ServiceRunner>(process, m_once, http::parseAddress(settings.endpoint().backend()), ServiceSilence))
+    , m_registry(process, m_config, m_gate, runner(),
+                 settings.endpoint().max_tail_bytes() == 0 ? DefaultTailBytes : settings.endpoint().max_tail_bytes())
+    , m_links(process.workers, linkKeysOf(settings))
+    , m_server(m_links, http::parseAddress(settings.endpoint().listen()), *this)
+    , m_admin(
+          process, [this] { return !m_registry.isLeaving() && m_config.version() > 0; }, [this] { return status(); })
+    , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
 {
     m_registry.setServer(m_server);
     m_config.addListener([this](const Snapshot &config) { applyPool(config); });
@@ -144,6 +144,8 @@
     answer->set_sender(m_process.vmName);
     answer->set_boot_id(m_process.bootId);
     answer->set_link_id(hash::fast(peer));
+    answer->set_zone(m_process.zone);
+    answer->set_pool(m_settings.endpoint().pool());
     answer->set_config_version(m_config.version());
     *answer->mutable_load() = m_registry.load();
     for (const auto &record : m_registry.suspects()) {
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
@@ -21,8 +21,8 @@
                const schema::DaemonSettings &settings);
 
     platform::HttpEngine engine;
-    EngineWatch watch;
     KeptCache cache;
+    EngineWatch watch;
     WeightOrders orders;
     PromptRunner runner;
 };
--- a/lib/libburdock-serving/source/endpoint/engine_watch.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watch.cpp
@@ -12,10 +12,11 @@
 
 } // namespace
 
-EngineWatch::EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate)
-    : m_process(process),
-      m_engine(engine),
-      m_gate(gate)
+EngineWatch::EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate, KeptCache &cache)
+    : m_process(process)
+    , m_engine(engine)
+    , m_gate(gate)
+    , m_cache(cache)
 {
 }
 
@@ -46,6 +47,7 @@
         m_process.metrics.count("burdock_endpoint_restarts_total");
         m_process.logger.event(runtime::LogLevel::Warning, "endpoint_restarted", {{"boot_id", std::string_view(bootId)}});
         m_gate.noteRestart();
+        m_cache.forgetEngine();
     }
     return isRestart;
 }
@@ -61,6 +63,7 @@
     }
     m_process.logger.event(runtime::LogLevel::Warning, "endpoint_unreachable");
     m_gate.noteRestart();
+    m_cache.forgetEngine();
 }
 
 void EngineWatch::setLoaded(std::vector<std::string> loaded)
--- a/lib/libburdock-serving/source/endpoint/kept_cache.cpp
+++ b/lib/libburdock-serving/source/endpoint/kept_cache.cpp
@@ -39,13 +39,13 @@
 } // namespace
 
 KeptCache::KeptCache(Process &process, ConfigHolder &config, platform::Engine &engine, std::vector<NamedStore> stores)
-    : m_process(process),
-      m_config(config),
-      m_engine(engine),
-      m_stores(std::move(stores)),
-      m_exports(MaxExports, limits::TokenBucket(DefaultExportBytesPerSecond, DefaultExportBytesPerSecond)),
-      m_blockBytes(FirstGuessBlockBytes),
-      m_linkBytesPerSecond(FirstGuessLinkBytesPerSecond)
+    : m_process(process)
+    , m_config(config)
+    , m_engine(engine)
+    , m_stores(std::move(stores))
+    , m_exports(MaxExports, limits::TokenBucket(DefaultExportBytesPerSecond, DefaultExportBytesPerSecond))
+    , m_blockBytes(FirstGuessBlockBytes)
+    , m_linkBytesPerSecond(FirstGuessLinkBytesPerSecond)
 {
 }
 
--- a/lib/libburdock-serving/source/endpoint/once_store.cpp
+++ b/lib/libburdock-serving/source/endpoint/once_store.cpp
@@ -39,8 +39,8 @@
 } // namespace
 
 OnceStore::OnceStore(Process &process, platform::ObjectStore &store)
-    : m_process(process),
-      m_store(store)
+    : m_process(process)
+    , m_store(store)
 {
 }
 
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -55,10 +55,10 @@
 } // namespace
 
 PromptRunner::PromptRunner(Process &process, platform::Engine &engine, EngineWatch &watch, KeptCache &cache)
-    : m_process(process),
-      m_engine(engine),
-      m_watch(watch),
-      m_cache(cache)
+    : m_process(process)
+    , m_engine(engine)
+    , m_watch(watch)
+    , m_cache(cache)
 {
 }
 
@@ -150,15 +150,10 @@
     const auto state = co_await m_engine.state();
     if (!state.isReachable) {
         m_watch.noteUnreachable();
-        m_cache.forgetEngine();
         co_return true;
     }
     m_watch.noteBootId(state.bootId);
-    const bool crashed = state.bootId != before;
-    if (crashed) {
-        m_cache.forgetEngine();
-    }
-    co_return crashed;
+    co_return state.bootId != before;
 }
 
 Conclusion PromptRunner::broken(bool mayHaveRun, bool crashed, std::string detail) const
--- a/lib/libburdock-serving/source/endpoint/run_outlet.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_outlet.cpp
@@ -4,11 +4,11 @@
 
 RunOutlet::RunOutlet(runtime::link::Server &server, const schema::RunRef &ref, const runtime::link::PeerId &peer, std::size_t tailBytes,
                      std::shared_ptr<RunSignals> signals)
-    : m_server(server),
-      m_ref(ref),
-      m_signals(std::move(signals)),
-      m_peer(peer),
-      m_tail(tailBytes)
+    : m_server(server)
+    , m_ref(ref)
+    , m_signals(std::move(signals))
+    , m_peer(peer)
+    , m_tail(tailBytes)
 {
 }
 
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -28,12 +28,12 @@
 } // namespace
 
 RunRegistry::RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, std::size_t tailBytes)
-    : m_process(process),
-      m_config(config),
-      m_gate(gate),
-      m_runner(runner),
-      m_tailBytes(tailBytes),
-      m_quarantine(ForgetSuspects, MaxSuspects)
+    : m_process(process)
+    , m_config(config)
+    , m_gate(gate)
+    , m_runner(runner)
+    , m_tailBytes(tailBytes)
+    , m_quarantine(ForgetSuspects, MaxSuspects)
 {
 }
 
@@ -145,14 +145,16 @@
     return m_quarantine.state(request.fingerprint(), now);
 }
 
-void RunRegistry::noteOutcome(const schema::RunRequest &request, const Conclusion &conclusion)
+void RunRegistry::noteOutcome(const schema::RunRequest &request, Conclusion &conclusion)
 {
     const std::lock_guard lock(m_mutex);
     if (conclusion.outcome == admission::RunOutcome::Success) {
         m_quarantine.noteSuccess(request.fingerprint());
     }
     if (conclusion.end.endpoint_crashed()) {
-        m_quarantine.noteCrash(request.fingerprint(), m_process.clock.now());
+        const TimePoint now = m_process.clock.now();
+        m_quarantine.noteCrash(request.fingerprint(), now);
+        conclusion.end.set_suspect_crashes(m_quarantine.crashes(request.fingerprint(), now));
     }
 }
 
--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -60,10 +60,10 @@
 } // namespace
 
 ServiceRunner::ServiceRunner(Process &process, OnceStore &once, const runtime::http::Address &backEnd, Duration silence)
-    : m_process(process),
-      m_once(once),
-      m_backEnd(backEnd),
-      m_silence(silence)
+    : m_process(process)
+    , m_once(once)
+    , m_backEnd(backEnd)
+    , m_silence(silence)
 {
 }
 
--- a/lib/libburdock-serving/source/endpoint/weight_orders.cpp
+++ b/lib/libburdock-serving/source/endpoint/weight_orders.cpp
@@ -51,12 +51,12 @@
 
 WeightOrders::WeightOrders(Process &process, ConfigHolder &config, platform::ObjectStore &store, platform::Engine &engine,
                            EngineWatch &watch, std::string pool)
-    : m_process(process),
-      m_config(config),
-      m_store(store),
-      m_engine(engine),
-      m_watch(watch),
-      m_pool(std::move(pool))
+    : m_process(process)
+    , m_config(config)
+    , m_store(store)
+    , m_engine(engine)
+    , m_watch(watch)
+    , m_pool(std::move(pool))
 {
 }
 
--- a/lib/libburdock-serving/source/entry/caller_handler.cpp
+++ b/lib/libburdock-serving/source/entry/caller_handler.cpp
@@ -66,11 +66,11 @@
 {
 public:
     EventStream(http::Reply &reply, prompt_api::AnswerFacts &facts, runtime::Metrics &metrics, const runtime::Clock &clock)
-        : m_reply(reply),
-          m_facts(facts),
-          m_metrics(metrics),
-          m_clock(clock),
-          m_begin(clock.now())
+        : m_reply(reply)
+        , m_facts(facts)
+        , m_metrics(metrics)
+        , m_clock(clock)
+        , m_begin(clock.now())
     {
     }
 
@@ -136,11 +136,11 @@
 };
 
 CallerHandler::CallerHandler(Process &process, ConfigHolder &config, Fleet &fleet, RunDriver &driver)
-    : m_process(process),
-      m_config(config),
-      m_fleet(fleet),
-      m_driver(driver),
-      m_limits(ForgetIdleCustomers)
+    : m_process(process)
+    , m_config(config)
+    , m_fleet(fleet)
+    , m_driver(driver)
+    , m_limits(ForgetIdleCustomers)
 {
 }
 
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -45,19 +45,19 @@
 } // namespace
 
 EntryRole::EntryRole(Process &process, const schema::DaemonSettings &settings)
-    : m_process(process),
-      m_settings(settings),
-      m_store(http::parseAddress(settings.platform()), PlatformTimeout),
-      m_config(process, signersOf(settings)),
-      m_watch(process, m_store, m_config),
-      m_links(process.workers, linkKeysOf(settings)),
-      m_fleet(process, m_config, m_runs, m_links, linkOptions(beatOf(settings))),
-      m_driver(process, m_fleet, m_runs, beatOf(settings) * SilentBeatsUntilElsewhere),
-      m_callers(process, m_config, m_fleet, m_driver),
-      m_admin(
-          process, [this] { return m_callers.isReady(); }, [this] { return status(); }),
-      m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin),
-      m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callers)
+    : m_process(process)
+    , m_settings(settings)
+    , m_store(http::parseAddress(settings.platform()), PlatformTimeout)
+    , m_config(process, signersOf(settings))
+    , m_watch(process, m_store, m_config)
+    , m_links(process.workers, linkKeysOf(settings))
+    , m_fleet(process, m_config, m_runs, m_links, linkOptions(beatOf(settings)))
+    , m_driver(process, m_fleet, m_runs, beatOf(settings) * SilentBeatsUntilElsewhere)
+    , m_callers(process, m_config, m_fleet, m_driver)
+    , m_admin(
+          process, [this] { return m_callers.isReady(); }, [this] { return status(); })
+    , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
+    , m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callers)
 {
 }
 
--- a/lib/libburdock-serving/source/entry/fleet.cpp
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -24,13 +24,13 @@
 
 Fleet::Fleet(Process &process, ConfigHolder &config, RunTable &runs, runtime::link::Context &links,
              const runtime::link::ClientOptions &options)
-    : m_process(process),
-      m_config(config),
-      m_runs(runs),
-      m_links(links),
-      m_options(options),
-      m_recent(MaxRecentPlacements),
-      m_quarantine(ForgetSuspects, MaxSuspects)
+    : m_process(process)
+    , m_config(config)
+    , m_runs(runs)
+    , m_links(links)
+    , m_options(options)
+    , m_recent(MaxRecentPlacements)
+    , m_quarantine(ForgetSuspects, MaxSuspects)
 {
 }
 
@@ -69,10 +69,11 @@
     {
         const std::lock_guard lock(m_mutex);
         m_members.setListed(endpoints);
+        m_hasList = true;
         m_entryIds = std::move(entryIds);
         for (auto it = m_clients.begin(); it != m_clients.end();) {
             auto client = it++;
-            if (m_members.find(client->first) == nullptr) {
+            if (m_members.find(client->first) == nullptr && m_seeds.count(client->first) == 0) {
                 closed.push_back(std::move(client->second));
                 m_clients.erase(client);
             }
@@ -86,7 +87,7 @@
     const u64 own = hash::fast(m_process.vmName);
     for (const auto &[name, member] : m_members.members()) {
         if (membership::attends(own, member.id, m_entryIds, Attendants)) {
-            static_cast<void>(openLink(member));
+            static_cast<void>(openLink(name, member));
         }
     }
 }
@@ -97,15 +98,16 @@
     membership::Member seed;
     seed.vm.name = "seed " + address;
     seed.vm.linkAddress = address;
-    static_cast<void>(openLink(seed));
+    m_seeds[seed.vm.name] = address;
+    static_cast<void>(openLink(seed.vm.name, seed));
 }
 
-std::shared_ptr<runtime::link::Client> Fleet::openLink(const membership::Member &member)
+std::shared_ptr<runtime::link::Client> Fleet::openLink(const std::string &peer, const membership::Member &member)
 {
-    auto &client = m_clients[member.vm.name];
+    auto &client = m_clients[peer];
     if (!client) {
         const auto address = runtime::http::parseAddress(member.vm.linkAddress);
-        client = std::make_shared<runtime::link::Client>(m_links, member.vm.name, address, m_options, *this);
+        client = std::make_shared<runtime::link::Client>(m_links, peer, address, m_options, *this);
     }
     return client;
 }
@@ -135,7 +137,7 @@
         return nullptr;
     }
     m_members.noteProposed(endpoint);
-    return openLink(*member);
+    return openLink(endpoint, *member);
 }
 
 void Fleet::avoid(const std::string &endpoint, Duration time)
@@ -168,10 +170,11 @@
     return m_quarantine.state(fingerprint, m_process.clock.now());
 }
 
-void Fleet::noteCrash(u64 fingerprint)
+void Fleet::noteCrashes(u64 fingerprint, u32 crashes)
 {
     const std::lock_guard lock(m_mutex);
-    m_quarantine.noteCrash(fingerprint, m_process.clock.now());
+    // A maximum, not a sum: the same crash is told by the run's end and by heartbeats.
+    m_quarantine.merge({fingerprint, crashes, Duration::zero()}, m_process.clock.now());
 }
 
 void Fleet::noteSuccess(u64 fingerprint)
@@ -212,6 +215,19 @@
     return beat;
 }
 
+// Guards against an entry that starts while the platform is down: it shows as an entry that knows of no endpoint. Learning from
+// the seeds holds as long as one of them lives; the platform's list takes their place once it can be had.
+void Fleet::learnFromSeed(const std::string &peer, const schema::Heartbeat &heartbeat)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto seed = m_seeds.find(peer);
+    if (seed == m_seeds.end() || m_hasList) {
+        return;
+    }
+    m_members.learn(peer, {heartbeat.sender(), heartbeat.zone(), heartbeat.pool(), seed->second, "", false});
+    m_members.noteLoad(peer, toReportedLoad(heartbeat.load()));
+}
+
 void Fleet::onMessage(const std::string &peer, const schema::LinkMessage &message)
 {
     if (const auto *load = loadOf(message)) {
@@ -220,6 +236,7 @@
     }
     switch (message.body_case()) {
     case schema::LinkMessage::kHeartbeat:
+        learnFromSeed(peer, message.heartbeat());
         takeHeartbeat(peer, message.heartbeat());
         break;
     case schema::LinkMessage::kConfigPush:
--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -85,10 +85,10 @@
 };
 
 RunDriver::RunDriver(Process &process, Fleet &fleet, RunTable &runs, Duration acceptTimeout)
-    : m_process(process),
-      m_fleet(fleet),
-      m_runs(runs),
-      m_acceptTimeout(acceptTimeout)
+    : m_process(process)
+    , m_fleet(fleet)
+    , m_runs(runs)
+    , m_acceptTimeout(acceptTimeout)
 {
 }
 
@@ -287,7 +287,7 @@
             co_return lost(RefusalReason::BackEndLost);
         }
         if (end.endpoint_crashed()) {
-            m_fleet.noteCrash(spec.fingerprint);
+            m_fleet.noteCrashes(spec.fingerprint, end.suspect_crashes());
         }
         link->send(ackMessage(ref, end.length()));
         if (!end.may_have_run()) {
--- a/lib/libburdock/include/burdock/membership/member_table.hpp
+++ b/lib/libburdock/include/burdock/membership/member_table.hpp
@@ -55,6 +55,7 @@
     /** Requests proposed since the last report, which the report can't know of yet. */
     u32 proposed = 0;
     u64 id = 0;
+    bool isListed = false;
     /** Refused connections in a row, each a reason to look elsewhere first. */
     TimePoint avoidUntil{};
 };
@@ -63,7 +64,7 @@
  * @brief Endpoints by name, from the platform's list and from own links. Not thread-safe.
  *
  * The list lags, so it only says who exists; whether someone takes work is learnt from links. A VM that vanishes from the list
- * while its link is alive stays: the list may be the one that errs.
+ * while its link is alive stays: the list may be the one that errs. A VM that was only learnt from a link goes once there is a list.
  */
 class MemberTable
 {
@@ -71,6 +72,9 @@
     /** @brief Takes over the platform's list of endpoint VMs. */
     void setListed(const std::vector<ListedVm> &vms);
 
+    /** @brief Adds an endpoint that was met on a link rather than in the list. */
+    void learn(const std::string &name, const ListedVm &vm);
+
     void noteHealth(std::string_view name, LinkHealth health);
     void noteLoad(std::string_view name, const ReportedLoad &load);
     void noteProposed(std::string_view name);
--- a/lib/libburdock/source/admission/admission_controller.cpp
+++ b/lib/libburdock/source/admission/admission_controller.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 AdmissionController::AdmissionController(const AdmissionPolicy &policy)
-    : m_policy(policy),
-      m_limit(policy.warmUp)
+    : m_policy(policy)
+    , m_limit(policy.warmUp)
 {
 }
 
--- a/lib/libburdock/source/admission/warm_up_limit.cpp
+++ b/lib/libburdock/source/admission/warm_up_limit.cpp
@@ -5,8 +5,8 @@
 namespace burdock::admission {
 
 WarmUpLimit::WarmUpLimit(const WarmUpPolicy &policy)
-    : m_policy(policy),
-      m_limit(policy.ramps ? policy.coldLimit : policy.warmLimit)
+    : m_policy(policy)
+    , m_limit(policy.ramps ? policy.coldLimit : policy.warmLimit)
 {
 }
 
--- a/lib/libburdock/source/cache/export_queue.cpp
+++ b/lib/libburdock/source/cache/export_queue.cpp
@@ -3,8 +3,8 @@
 namespace burdock::cache {
 
 ExportQueue::ExportQueue(std::size_t capacity, limits::TokenBucket budget)
-    : m_capacity(capacity),
-      m_budget(budget)
+    : m_capacity(capacity)
+    , m_budget(budget)
 {
 }
 
--- a/lib/libburdock/source/limits/token_bucket.cpp
+++ b/lib/libburdock/source/limits/token_bucket.cpp
@@ -13,9 +13,9 @@
 } // namespace
 
 TokenBucket::TokenBucket(double tokensPerSecond, double burst)
-    : m_rate(tokensPerSecond),
-      m_burst(burst),
-      m_tokens(burst)
+    : m_rate(tokensPerSecond)
+    , m_burst(burst)
+    , m_tokens(burst)
 {
 }
 
--- a/lib/libburdock/source/membership/member_table.cpp
+++ b/lib/libburdock/source/membership/member_table.cpp
@@ -16,8 +16,20 @@
         auto &member = m_members[vm.name];
         member.vm = vm;
         member.id = hash::fast(vm.name);
+        member.isListed = true;
     }
-    std::erase_if(m_members, [&](const auto &entry) { return listed.count(entry.first) == 0 && entry.second.health != LinkHealth::Alive; });
+    std::erase_if(m_members, [&](const auto &entry) {
+        const bool isKept = entry.second.isListed && entry.second.health == LinkHealth::Alive;
+        return listed.count(entry.first) == 0 && !isKept;
+    });
+}
+
+void MemberTable::learn(const std::string &name, const ListedVm &vm)
+{
+    auto &member = m_members[name];
+    member.vm = vm;
+    member.id = hash::fast(vm.name);
+    member.health = LinkHealth::Alive;
 }
 
 void MemberTable::noteHealth(std::string_view name, LinkHealth health)
@@ -77,7 +89,7 @@
     for (const auto &[name, member] : table.members()) {
         const auto zone = rules.zones.find(member.vm.zone);
         const bool zoneServes = zone != rules.zones.end() && !zone->second.isOut;
-        const bool isDrained = std::find(rules.drained.begin(), rules.drained.end(), name) != rules.drained.end();
+        const bool isDrained = std::find(rules.drained.begin(), rules.drained.end(), member.vm.name) != rules.drained.end();
         const bool isLeaving = member.vm.isLeaving || member.load.isLeaving;
         const bool isAnswering = member.health != LinkHealth::Dead && member.avoidUntil <= now;
         if (member.vm.pool != pool || !zoneServes || isDrained || isLeaving || !isAnswering) {
--- a/lib/libburdock/source/once/once_machine.cpp
+++ b/lib/libburdock/source/once/once_machine.cpp
@@ -10,8 +10,8 @@
 } // namespace
 
 OnceMachine::OnceMachine(const Nonce &nonce, const hash::Digest256 &requestDigest)
-    : m_nonce(nonce),
-      m_requestDigest(requestDigest)
+    : m_nonce(nonce)
+    , m_requestDigest(requestDigest)
 {
 }
 
--- a/lib/libburdock/source/retry/quarantine.cpp
+++ b/lib/libburdock/source/retry/quarantine.cpp
@@ -11,8 +11,8 @@
 } // namespace
 
 Quarantine::Quarantine(Duration forgetAfter, std::size_t capacity)
-    : m_forgetAfter(forgetAfter),
-      m_capacity(capacity)
+    : m_forgetAfter(forgetAfter)
+    , m_capacity(capacity)
 {
 }
 
--- a/lib/libburdock/source/retry/retry_budget.cpp
+++ b/lib/libburdock/source/retry/retry_budget.cpp
@@ -11,9 +11,9 @@
 } // namespace
 
 RetryBudget::RetryBudget(u32 earnedPercent, u32 reserve)
-    : m_earnedPercent(earnedPercent),
-      m_reservePercent(reserve * OneRetry),
-      m_balancePercent(reserve * OneRetry)
+    : m_earnedPercent(earnedPercent)
+    , m_reservePercent(reserve * OneRetry)
+    , m_balancePercent(reserve * OneRetry)
 {
 }
 
--- a/lib/libburdock/source/weights/load_slots.cpp
+++ b/lib/libburdock/source/weights/load_slots.cpp
@@ -5,8 +5,8 @@
 namespace burdock::weights {
 
 LoadSlots::LoadSlots(u32 slots, Duration leaseTime)
-    : m_slots(slots),
-      m_leaseTime(leaseTime)
+    : m_slots(slots)
+    , m_leaseTime(leaseTime)
 {
 }
 
--- /dev/null
+++ b/tests/integration/config_test.cpp
@@ -0,0 +1,180 @@
+#include <support/caller.hpp>
+
+#include <burdock/hash/digest.hpp>
+#include <burdock/serving/config/platform_watch.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace support;
+using standins::PlatformMode;
+
+namespace {
+
+u64 versionAt(Deployment &deployment, const std::string &name)
+{
+    const auto status = deployment.status(name);
+    return status.contains("config_version") ? status.at("config_version").to_number<u64>() : 0;
+}
+
+const std::vector<std::string> &allProcesses()
+{
+    static const std::vector<std::string> s_names{"entry-0", "entry-1", "model-0", "model-1", "print-0"};
+    return s_names;
+}
+
+bool allHold(Deployment &deployment, u64 version)
+{
+    return std::all_of(allProcesses().begin(), allProcesses().end(),
+                       [&](const auto &name) { return versionAt(deployment, name) >= version; });
+}
+
+void drainNobody(schema::Bundle &bundle)
+{
+    bundle.add_drained_endpoints("nobody");
+}
+
+} // namespace
+
+TEST_CASE("an accepted change is in force everywhere within seconds")
+{
+    Deployment deployment;
+    deployment.start();
+    const auto result = deployment.edit(drainNobody);
+    REQUIRE(result.code == ops::ExitCode::Ok);
+    CHECK(waitUntil([&] { return allHold(deployment, result.version); }, std::chrono::seconds(3)));
+}
+
+// Two operators change the bundle at the same moment, and each is told that theirs is in force. Cause: last write wins.
+TEST_CASE("of two operators with one version, one wins and the other is told which version won")
+{
+    Deployment deployment;
+    deployment.start();
+    auto bundle = deployment.bundle();
+    bundle.set_version(2);
+    bundle.add_drained_endpoints("one");
+    const auto first = schema::sign(ops::toJson(bundle), deployment.signingKey());
+    bundle.add_drained_endpoints("two");
+    const auto second = schema::sign(ops::toJson(bundle), deployment.signingKey());
+    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    ops::Rollout rollout(store);
+    auto one = deployment.spawn(rollout.apply(*first));
+    auto two = deployment.spawn(rollout.apply(*second));
+    const auto oneResult = one.get();
+    const auto twoResult = two.get();
+    const u32 won = (oneResult.code == ops::ExitCode::Ok ? 1 : 0) + (twoResult.code == ops::ExitCode::Ok ? 1 : 0);
+    CHECK(won == 1);
+    const auto &loser = oneResult.code == ops::ExitCode::Ok ? twoResult : oneResult;
+    CHECK(loser.code == ops::ExitCode::Conflict);
+    CHECK(loser.winner == 2);
+    CHECK(waitUntil([&] { return allHold(deployment, 2); }));
+}
+
+// The operator is told that a rollout failed, and it is in force a second later. Cause: the answer to the accepting write was lost.
+TEST_CASE("a rollout whose accepting write lost its answer is reported as what it is")
+{
+    Deployment deployment;
+    deployment.start();
+    deployment.platform().setMode(PlatformMode::LoseWriteAnswers);
+    const auto result = deployment.edit(drainNobody);
+    deployment.platform().setMode(PlatformMode::Up);
+    CHECK(result.code == ops::ExitCode::Ok);
+    CHECK(result.version == 2);
+    CHECK(waitUntil([&] { return allHold(deployment, 2); }));
+}
+
+// After an outage the platform comes back from an older copy; zones that were taken out get work again.
+// Cause: processes that believe whatever the platform says last.
+TEST_CASE("a platform that serves an older version after an outage changes nothing")
+{
+    Deployment deployment;
+    deployment.start();
+    const auto old = deployment.platform().value("config/current");
+    REQUIRE(deployment.edit(drainNobody).code == ops::ExitCode::Ok);
+    REQUIRE(waitUntil([&] { return allHold(deployment, 2); }));
+    deployment.platform().setMode(PlatformMode::Down);
+    deployment.platform().force("config/current", old, 900);
+    deployment.platform().setMode(PlatformMode::Up);
+    const u64 reads = deployment.platform().calls("watch");
+    REQUIRE(waitUntil([&] { return deployment.platform().calls("watch") > reads + 6; }));
+    CHECK(allHold(deployment, 2));
+    // A process that starts now gets the old version from the platform, and the newer one from its peers.
+    deployment.process("entry-1").signal(SIGKILL);
+    static_cast<void>(deployment.process("entry-1").waitForEnd(std::chrono::seconds(5)));
+    deployment.startProcess("entry-1");
+    CHECK(waitUntil([&] { return versionAt(deployment, "entry-1") == 2; }));
+}
+
+// The platform is down for a long time, and VMs are replaced meanwhile. Callers find the new entry unable to serve.
+// Cause: a start that needs the platform.
+TEST_CASE("prompts are served while the platform is down, also by processes that start meanwhile")
+{
+    Deployment deployment;
+    deployment.start();
+    deployment.platform().setMode(PlatformMode::Down);
+    CHECK(ask(deployment, 0, PromptCall{}).isWhole);
+    for (const auto *name : {"entry-1", "model-0"}) {
+        deployment.process(name).signal(SIGKILL);
+        static_cast<void>(deployment.process(name).waitForEnd(std::chrono::seconds(5)));
+        deployment.startProcess(name);
+    }
+    CHECK(waitUntil([&] { return versionAt(deployment, "entry-1") == 1 && versionAt(deployment, "model-0") == 1; }));
+    CHECK(waitUntil([&] { return ask(deployment, 1, PromptCall{}).isWhole; }));
+}
+
+TEST_CASE("a bundle that is unsigned, signed by a stranger or altered is taken by nobody")
+{
+    Deployment deployment;
+    deployment.start();
+    auto bundle = deployment.bundle();
+    bundle.set_version(2);
+    const auto document = ops::toJson(bundle);
+    auto forged = *schema::sign(document, schema::makeSigningKey().secretKey);
+    SUBCASE("signed by a stranger")
+    {
+    }
+    SUBCASE("altered")
+    {
+        forged = *schema::sign(document, deployment.signingKey());
+        bundle.add_drained_endpoints("model-0");
+        forged.set_document(ops::toJson(bundle));
+    }
+    SUBCASE("unsigned")
+    {
+        forged.clear_signature();
+    }
+    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    ops::Rollout rollout(store);
+    REQUIRE(deployment.spawn(rollout.apply(forged)).get().code == ops::ExitCode::Ok);
+    REQUIRE(waitUntil([&] { return deployment.logOf("entry-0").find("config_rejected") != std::string::npos; }));
+    for (const auto &name : allProcesses()) {
+        CHECK(versionAt(deployment, name) == 1);
+    }
+    CHECK(ask(deployment, 0, PromptCall{}).isWhole);
+}
+
+// An entry stops for a while and wakes with the configuration of yesterday; it sends work to a zone that is out.
+// Cause: the entry is the last to know, and nobody checks what it proposes.
+TEST_CASE("an entry that was frozen during a rollout proposes nothing under the old version")
+{
+    Deployment deployment;
+    deployment.start();
+    deployment.process("entry-0").signal(SIGSTOP);
+    const auto result = deployment.edit([](schema::Bundle &bundle) { bundle.mutable_zones(0)->set_out(true); });
+    REQUIRE(waitUntil([&] { return versionAt(deployment, "entry-1") == 2 && versionAt(deployment, "model-0") == 2; }));
+    const u32 before = deployment.engine(0).started();
+    std::vector<std::future<Answer>> answers;
+    for (u32 i = 0; i < 10; ++i) {
+        PromptCall call;
+        call.prompt = "prompt " + std::to_string(i);
+        answers.push_back(deployment.spawn(sendPrompt(deployment.entryAddress(0), call)));
+    }
+    deployment.process("entry-0").signal(SIGCONT);
+    for (auto &answer : answers) {
+        const auto got = answer.get();
+        CHECK((got.isWhole || got.verdict == "not_run"));
+    }
+    CHECK(deployment.engine(0).started() == before);
+    CHECK(waitUntil([&] { return ask(deployment, 0, PromptCall{}).isWhole; }));
+}
--- /dev/null
+++ b/tests/integration/overload_test.cpp
@@ -0,0 +1,201 @@
+#include <support/caller.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace support;
+
+namespace {
+
+DeploymentOptions manyEngines(u32 engines)
+{
+    DeploymentOptions options;
+    options.engines = engines;
+    options.services = 0;
+    options.engine.coldBears = 64;
+    options.engine.warmBears = 200;
+    return options;
+}
+
+} // namespace
+
+// One draft crashes each engine that runs it, and its caller sends it again and again. Within a minute no engine is left, and
+// other callers' answers die with it. Cause: a retry hands the poison on.
+TEST_CASE("a poisonous request is given up after two crashes over all entries, and its neighbours are served")
+{
+    Deployment deployment(manyEngines(4));
+    deployment.start();
+    std::vector<std::future<Answer>> neighbours;
+    for (u32 i = 0; i < 16; ++i) {
+        PromptCall call;
+        call.prompt = "innocent " + std::to_string(i);
+        call.tokens = 200;
+        neighbours.push_back(deployment.spawn(sendPrompt(deployment.entryAddress(i % 2), call)));
+    }
+    PromptCall poison;
+    poison.prompt = "POISON";
+    const auto first = ask(deployment, 0, poison);
+    CHECK_FALSE(first.isWhole);
+    for (u32 i = 0; i < 10; ++i) {
+        const auto again = ask(deployment, i % 2, poison);
+        CHECK_FALSE(again.isWhole);
+        CHECK(again.total < std::chrono::seconds(2));
+    }
+    u32 crashes = 0;
+    for (u32 i = 0; i < 4; ++i) {
+        crashes += deployment.engine(i).crashes();
+    }
+    MESSAGE("crashes: " << crashes);
+    CHECK(crashes <= 3);
+    for (u32 i = 0; i < neighbours.size(); ++i) {
+        const auto answer = neighbours[i].get();
+        CHECK(answer.text == standins::expectedAnswer("innocent " + std::to_string(i), 200));
+    }
+}
+
+// Half of the endpoints are gone and every request is tried again elsewhere; the other half drowns in twice its load.
+// Cause: retries that know no measure.
+TEST_CASE("while half of the endpoints are down, attempts stay within 1.2 times the requests")
+{
+    Deployment deployment(manyEngines(4));
+    deployment.start();
+    deployment.backendProxy("model-0").setRefusing(true);
+    deployment.backendProxy("model-1").setRefusing(true);
+    deployment.backendProxy("model-0").cutAll();
+    deployment.backendProxy("model-1").cutAll();
+    constexpr u32 Requests = 300;
+    u32 whole = 0;
+    std::vector<std::future<Answer>> answers;
+    for (u32 i = 0; i < Requests; ++i) {
+        PromptCall call;
+        call.prompt = "request " + std::to_string(i);
+        call.tokens = 5;
+        answers.push_back(deployment.spawn(sendPrompt(deployment.entryAddress(i % 2), call)));
+        if (answers.size() == 20) {
+            for (auto &answer : answers) {
+                const auto got = answer.get();
+                whole += got.isWhole ? 1 : 0;
+                CHECK((got.isWhole || got.saysWhen));
+            }
+            answers.clear();
+        }
+    }
+    const u32 runs = deployment.engine(2).started() + deployment.engine(3).started();
+    MESSAGE("whole " << whole << " of " << Requests << ", runs " << runs);
+    CHECK(runs <= Requests * 12 / 10);
+    CHECK(whole >= Requests * 8 / 10);
+}
+
+// Refused requests that wait for their deadline before they hear of it hold their callers for nothing; and a large customer that
+// fills the queue starves the small ones.
+TEST_CASE("overload is refused at once with a time to come back, and a small customer gets its share")
+{
+    DeploymentOptions options = manyEngines(1);
+    options.entries = 1;
+    options.zones = 1;
+    options.coldLimit = 2;
+    options.warmLimit = 2;
+    options.queueLimit = 8;
+    Deployment deployment(options);
+    deployment.start();
+    std::vector<std::future<Answer>> large;
+    for (u32 i = 0; i < 60; ++i) {
+        PromptCall call;
+        call.prompt = "large " + std::to_string(i);
+        call.tokens = 50;
+        large.push_back(deployment.spawn(sendPrompt(deployment.entryAddress(0), call)));
+    }
+    REQUIRE(waitUntil([&] { return deployment.engine(0).started() >= 3; }));
+    PromptCall small;
+    small.customer = "clerk";
+    small.tokens = 5;
+    small.prompt = "small";
+    CHECK(ask(deployment, 0, small).isWhole);
+    u32 refused = 0;
+    for (auto &pending : large) {
+        const auto answer = pending.get();
+        if (!answer.isWhole) {
+            ++refused;
+            CHECK(answer.verdict == "not_run");
+            CHECK(answer.saysWhen);
+        }
+    }
+    CHECK(refused > 0);
+    CHECK(deployment.engine(0).maxRunning() <= 2);
+}
+
+// A caller that hears "not run" sends again. If the service had carried the order out after all, the badge is printed twice.
+// Faults of all kinds come in a random order; whatever was refused as not run must not be among what was carried out.
+TEST_CASE("behind no refusal that says not_run stands a call that was carried out")
+{
+    DeploymentOptions options;
+    options.engines = 0;
+    options.services = 2;
+    Deployment deployment(options);
+    deployment.start();
+    std::mt19937 random(20261203);
+    const auto stir = [&] {
+        const std::string endpoint = random() % 2 == 0 ? "print-0" : "print-1";
+        switch (random() % 8) {
+        case 0:
+            deployment.linkProxy(endpoint).cutAll();
+            break;
+        case 1:
+            deployment.linkProxy(endpoint).freezeOpen();
+            break;
+        case 2:
+            deployment.backendProxy(endpoint).cutAll();
+            break;
+        case 3:
+            deployment.backendProxy(endpoint).setLosingAnswers(random() % 2 == 0);
+            break;
+        case 4:
+            deployment.platform().setMode(random() % 2 == 0 ? standins::PlatformMode::LoseWriteAnswers : standins::PlatformMode::Up);
+            break;
+        case 5:
+            deployment.platform().setMode(random() % 2 == 0 ? standins::PlatformMode::Down : standins::PlatformMode::Up);
+            break;
+        case 6:
+            deployment.process(endpoint).signal(SIGSTOP);
+            break;
+        default:
+            deployment.process("print-0").signal(SIGCONT);
+            deployment.process("print-1").signal(SIGCONT);
+            break;
+        }
+    };
+    std::vector<std::pair<std::string, std::future<Answer>>> orders;
+    for (u32 i = 0; i < 400; ++i) {
+        if (i % 10 == 0) {
+            stir();
+        }
+        ServiceCall call;
+        call.body = "order " + std::to_string(i);
+        call.key = "key " + std::to_string(i);
+        call.deadlineMs = 3000;
+        orders.emplace_back(call.body, deployment.spawn(sendService(deployment.entryAddress(i % 2), call)));
+        if (i % 4 == 3) {
+            orders.back().second.wait_for(std::chrono::milliseconds(20));
+        }
+    }
+    deployment.process("print-0").signal(SIGCONT);
+    deployment.process("print-1").signal(SIGCONT);
+    u32 notRun = 0;
+    u32 whole = 0;
+    for (auto &[body, pending] : orders) {
+        const auto answer = pending.get();
+        const u32 carriedOut = deployment.service(0).carriedOut(body) + deployment.service(1).carriedOut(body);
+        CHECK(carriedOut <= 1);
+        whole += answer.isWhole ? 1 : 0;
+        if (answer.verdict == "not_run") {
+            ++notRun;
+            CHECK_MESSAGE(carriedOut == 0, body);
+        }
+        CHECK((!answer.isWhole || carriedOut == 1));
+    }
+    MESSAGE("whole " << whole << ", not run " << notRun << ", may have run " << orders.size() - whole - notRun);
+    CHECK(whole > 0);
+    CHECK(notRun > 0);
+}
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -64,10 +64,10 @@
 }
 
 Deployment::Deployment(const DeploymentOptions &options)
-    : m_options(options),
-      m_signingKey(schema::makeSigningKey()),
-      m_linkKeys(runtime::link::makeKeys()),
-      m_pool(4)
+    : m_options(options)
+    , m_signingKey(schema::makeSigningKey())
+    , m_linkKeys(runtime::link::makeKeys())
+    , m_pool(4)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "burdock-test-XXXXXX").string();
     m_directory = mkdtemp(pattern.data());
--- /dev/null
+++ b/tests/integration/zone_test.cpp
@@ -0,0 +1,219 @@
+#include <support/caller.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace support;
+
+namespace {
+
+/** @brief Callers that ask one prompt after another until told to stop. */
+class SteadyLoad
+{
+public:
+    SteadyLoad(Deployment &deployment, u32 callers, u32 tokens = 10)
+        : m_deployment(deployment)
+    {
+        for (u32 i = 0; i < callers; ++i) {
+            m_callers.push_back(deployment.spawn(call(i, tokens)));
+        }
+    }
+
+    ~SteadyLoad()
+    {
+        stop();
+    }
+
+    SteadyLoad(const SteadyLoad &) = delete;
+    SteadyLoad &operator=(const SteadyLoad &) = delete;
+
+    void stop()
+    {
+        m_isStopping = true;
+        for (auto &caller : m_callers) {
+            if (caller.valid()) {
+                static_cast<void>(caller.get());
+            }
+        }
+    }
+
+    std::atomic<u32> served{0};
+    std::atomic<u32> failed{0};
+
+private:
+    boost::asio::awaitable<u32> call(u32 number, u32 tokens)
+    {
+        PromptCall prompt;
+        prompt.tokens = tokens;
+        for (u32 round = 0; !m_isStopping; ++round) {
+            prompt.prompt = "caller " + std::to_string(number) + " round " + std::to_string(round);
+            auto answer = co_await sendPrompt(m_deployment.entryAddress((number + round) % 2), prompt);
+            // A connection that is refused never reached the system: the balancer sends it to another entry.
+            if (answer.progress == runtime::http::Progress::NotSent) {
+                answer = co_await sendPrompt(m_deployment.entryAddress((number + round + 1) % 2), prompt);
+            }
+            const bool isRight = answer.isWhole && answer.text == standins::expectedAnswer(prompt.prompt, tokens);
+            ++(isRight ? served : failed);
+            if (!isRight) {
+                MESSAGE(prompt.prompt << ": status " << answer.status << " " << answer.reason << " " << answer.verdict);
+            }
+        }
+        co_return number;
+    }
+
+    Deployment &m_deployment;
+    std::atomic<bool> m_isStopping{false};
+    std::vector<std::future<u32>> m_callers;
+};
+
+DeploymentOptions fourEngines()
+{
+    DeploymentOptions options;
+    options.engines = 4;
+    options.services = 0;
+    options.coldLimit = 16;
+    options.warmLimit = 64;
+    options.engine.coldBears = 64;
+    options.engine.warmBears = 200;
+    return options;
+}
+
+void setOut(schema::Bundle &bundle, bool isOut)
+{
+    bundle.mutable_zones(0)->set_out(isOut);
+}
+
+bool hasQuieted(Deployment &deployment, const std::vector<u32> &engines, Duration quiet)
+{
+    std::vector<u32> before;
+    for (const u32 number : engines) {
+        before.push_back(deployment.engine(number).started());
+    }
+    std::this_thread::sleep_for(quiet); // no new run during this time is what is tested
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        if (deployment.engine(engines[i]).started() != before[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+// Operators take a zone out at short notice; its machines lose power a minute later. Callers whose prompts still went there see
+// their answers die. Cause: an entry that missed the change goes on proposing the zone.
+TEST_CASE("a zone that is out gets no new work, under load, and serves again when it is back")
+{
+    Deployment deployment(fourEngines());
+    deployment.start();
+    SteadyLoad load(deployment, 12);
+    REQUIRE(waitUntil([&] { return deployment.engine(0).started() > 0 && deployment.engine(2).started() > 0; }));
+
+    SUBCASE("every process hears of it")
+    {
+    }
+    SUBCASE("no process reaches the platform but one entry")
+    {
+        // Entry 0 and the endpoint processes share the cut; entry 1 is started anew with a line of its own.
+        deployment.platformProxy().setRefusing(true);
+        deployment.platformProxy().cutAll();
+        deployment.platformProxy().setRefusing(false);
+    }
+    const auto accepted = std::chrono::steady_clock::now();
+    REQUIRE(deployment.edit([](schema::Bundle &bundle) { setOut(bundle, true); }).code == ops::ExitCode::Ok);
+    REQUIRE(waitUntil([&] { return hasQuieted(deployment, {0, 2}, std::chrono::milliseconds(300)); }, std::chrono::seconds(8)));
+    const auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - accepted).count() - 0.3;
+    MESSAGE("no new work " << seconds << " s after acceptance");
+    CHECK(seconds < 5.0);
+    CHECK(hasQuieted(deployment, {0, 2}, std::chrono::seconds(1)));
+    const u32 servedWhileOut = load.served;
+    REQUIRE(waitUntil([&] { return load.served > servedWhileOut + 20; }));
+    REQUIRE(deployment.edit([](schema::Bundle &bundle) { setOut(bundle, false); }).code == ops::ExitCode::Ok);
+    const u32 before = deployment.engine(0).started();
+    CHECK(waitUntil([&] { return deployment.engine(0).started() > before; }));
+    load.stop();
+    CHECK(load.failed == 0);
+}
+
+// A VM is about to go: the platform lists it as leaving, or an operator drains it, or it gets SIGTERM. Callers whose prompts are
+// still sent there are cut off when it goes. Cause: each sign reaches some processes late.
+TEST_CASE("a leaving endpoint gets no new work, whichever sign comes, and no request is cut off")
+{
+    Deployment deployment(fourEngines());
+    deployment.start();
+    SteadyLoad load(deployment, 12, 20);
+    REQUIRE(waitUntil([&] { return deployment.engine(0).started() > 0; }));
+    SUBCASE("listed as leaving")
+    {
+        deployment.setListedLeaving("model-0", true);
+    }
+    SUBCASE("drained by an operator")
+    {
+        REQUIRE(deployment.edit([](schema::Bundle &bundle) { bundle.add_drained_endpoints("model-0"); }).code == ops::ExitCode::Ok);
+    }
+    SUBCASE("SIGTERM while the list lags")
+    {
+        deployment.process("model-0").signal(SIGTERM);
+        CHECK(deployment.process("model-0").waitForEnd(std::chrono::seconds(20)) == 0);
+    }
+    SUBCASE("all at once")
+    {
+        deployment.process("model-0").signal(SIGTERM);
+        deployment.setListedLeaving("model-0", true);
+        REQUIRE(deployment.edit([](schema::Bundle &bundle) { bundle.add_drained_endpoints("model-0"); }).code == ops::ExitCode::Ok);
+    }
+    CHECK(waitUntil([&] { return hasQuieted(deployment, {0}, std::chrono::milliseconds(500)); }, std::chrono::seconds(5)));
+    load.stop();
+    CHECK(load.failed == 0);
+    CHECK(load.served > 0);
+}
+
+TEST_CASE("a rolling restart of all processes under load fails no request")
+{
+    Deployment deployment(fourEngines());
+    deployment.start();
+    SteadyLoad load(deployment, 8, 30);
+    for (const auto *name : {"entry-0", "model-0", "model-1", "entry-1", "model-2", "model-3"}) {
+        deployment.process(name).signal(SIGTERM);
+        CHECK(deployment.process(name).waitForEnd(std::chrono::seconds(20)) == 0);
+        deployment.startProcess(name);
+        CHECK(waitUntil([&] {
+            const auto status = deployment.status(name);
+            return status.contains("config_version") && status.at("config_version").to_number<u64>() > 0;
+        }));
+        const u32 before = load.served;
+        CHECK(waitUntil([&] { return load.served > before + 5; }));
+    }
+    load.stop();
+    CHECK(load.failed == 0);
+    MESSAGE("served " << load.served.load() << " requests during the restarts");
+}
+
+// An endpoint turns cold again without a word while several entries have it under full load, and falls over, and again, each time
+// it comes back. Seen as answers that break off in waves. Cause: load reports that lag behind a restart.
+TEST_CASE("an engine that restarts under load gets no more than it bears while cold")
+{
+    DeploymentOptions options = fourEngines();
+    options.engines = 2;
+    options.coldLimit = 3;
+    options.warmLimit = 24;
+    options.engine.coldBears = 3;
+    options.engine.warmBears = 24;
+    options.engine.warmAfterRuns = 3;
+    Deployment deployment(options);
+    deployment.start();
+    SteadyLoad load(deployment, 30, 15);
+    REQUIRE(waitUntil([&] { return deployment.engine(0).maxRunning() >= 10; }));
+    for (u32 round = 1; round <= 3; ++round) {
+        deployment.engine(0).crash();
+        const u32 served = load.served;
+        REQUIRE(waitUntil([&] { return load.served > served + 60; }));
+        CHECK(deployment.engine(0).crashes() == round);
+    }
+    load.stop();
+    CHECK(deployment.engine(1).crashes() == 0);
+    MESSAGE("served " << load.served.load() << ", failed " << load.failed.load());
+    CHECK(load.failed == 0);
+}
--- a/tests/standins/source/engine.cpp
+++ b/tests/standins/source/engine.cpp
@@ -78,8 +78,8 @@
 }
 
 Engine::Engine(boost::asio::io_context &workers, const std::string &address, const EngineOptions &options)
-    : m_options(options),
-      m_server(workers, runtime::http::parseAddress(address), {}, *this)
+    : m_options(options)
+    , m_server(workers, runtime::http::parseAddress(address), {}, *this)
 {
     if (!options.loaded.empty()) {
         m_loaded.push_back(options.loaded);
--- a/tests/standins/source/fault_proxy.cpp
+++ b/tests/standins/source/fault_proxy.cpp
@@ -20,8 +20,8 @@
 struct Connection
 {
     explicit Connection(Tcp::socket &&accepted)
-        : caller(std::move(accepted)),
-          server(caller.get_executor())
+        : caller(std::move(accepted))
+        , server(caller.get_executor())
     {
     }
 
@@ -44,8 +44,8 @@
 {
 public:
     Impl(asio::io_context &workers, const std::string &target)
-        : m_workers(workers),
-          m_acceptor(asio::make_strand(workers), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        : m_workers(workers)
+        , m_acceptor(asio::make_strand(workers), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     {
         const auto address = runtime::http::parseAddress(target);
         m_target = Tcp::endpoint(asio::ip::make_address(address.ip), address.port);
