Measure decisions, policies and processes

The first run showed 84 ms; cause: the test proxy left Nagle's algorithm on (two delayed acknowledgements); ruled out: ZeroMQ's edge-triggered descriptor and the mailbox.

--- /dev/null
+++ b/bench/decisions/decision_cost.cpp
@@ -0,0 +1,149 @@
+#include <burdock/admission/admission_controller.hpp>
+#include <burdock/cache/block_keys.hpp>
+#include <burdock/limits/customer_limits.hpp>
+#include <burdock/membership/member_table.hpp>
+#include <burdock/placement/policy.hpp>
+#include <burdock/serving/config/snapshot.hpp>
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+namespace {
+
+using namespace burdock;
+
+std::size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+std::vector<membership::ListedVm> listOf(i64 count)
+{
+    std::vector<membership::ListedVm> vms;
+    for (i64 i = 0; i < count; ++i) {
+        const auto number = std::to_string(i);
+        vms.push_back({"model-vm-" + number, "zone-" + std::to_string(i % 20), "pool-" + std::to_string(i % 15), "10.0.0.1:7001",
+                       "10.0.0.1:7002", false});
+    }
+    return vms;
+}
+
+membership::EligibilityRules rulesForTwentyZones()
+{
+    membership::EligibilityRules rules;
+    for (u32 i = 0; i < 20; ++i) {
+        rules.zones["zone-" + std::to_string(i)] = {};
+    }
+    return rules;
+}
+
+void place(benchmark::State &state)
+{
+    std::vector<placement::EndpointView> views(static_cast<std::size_t>(state.range(0)));
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        views[i] = {i + 1, 1.0, static_cast<u32>(i % 7), 16};
+    }
+    const placement::HomePolicy policy({});
+    placement::PlacementRequest request;
+    for (auto _ : state) {
+        request.home += 0x9e3779b97f4a7c15ULL;
+        benchmark::DoNotOptimize(policy.order(request, views, 8));
+    }
+}
+BENCHMARK(place)->RangeMultiplier(10)->Range(10, 10'000)->Unit(benchmark::kMicrosecond);
+
+// The list holds all endpoints; the request goes to one of fifteen pools.
+void collectEligible(benchmark::State &state)
+{
+    const std::size_t before = heapBytes();
+    membership::MemberTable table;
+    table.setListed(listOf(state.range(0)));
+    state.counters["bytes_per_endpoint"] = static_cast<double>(heapBytes() - before) / static_cast<double>(state.range(0));
+    const auto rules = rulesForTwentyZones();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(membership::eligible(table, "pool-3", rules, TimePoint{}));
+    }
+}
+BENCHMARK(collectEligible)->RangeMultiplier(10)->Range(10, 10'000)->Unit(benchmark::kMicrosecond);
+
+void takeVmList(benchmark::State &state)
+{
+    membership::MemberTable table;
+    const auto list = listOf(state.range(0));
+    for (auto _ : state) {
+        table.setListed(list);
+    }
+}
+BENCHMARK(takeVmList)->RangeMultiplier(10)->Range(10, 10'000)->Unit(benchmark::kMillisecond);
+
+void findCustomer(benchmark::State &state)
+{
+    schema::Bundle bundle;
+    for (i64 i = 0; i < state.range(0); ++i) {
+        auto *customer = bundle.add_customers();
+        customer->set_name("customer-" + std::to_string(i));
+        customer->set_api_key_hash(hash::toHex(hash::asBytes(hash::plainDigest256(customer->name()))));
+    }
+    const auto wanted = bundle.customers(bundle.customers_size() / 2).api_key_hash();
+    const std::size_t before = heapBytes();
+    const serving::Snapshot snapshot(bundle, bundle.SerializeAsString());
+    state.counters["bytes_per_customer"] = static_cast<double>(heapBytes() - before) / static_cast<double>(state.range(0));
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(snapshot.customerByKeyHash(wanted));
+    }
+}
+BENCHMARK(findCustomer)->Arg(10)->Arg(100)->Arg(1'000)->Arg(10'000)->Arg(44'000);
+
+void limitCustomers(benchmark::State &state)
+{
+    limits::CustomerLimits limits(std::chrono::minutes(5));
+    std::vector<std::string> names;
+    for (i64 i = 0; i < state.range(0); ++i) {
+        names.push_back("customer-" + std::to_string(i));
+    }
+    TimePoint now{};
+    std::size_t next = 0;
+    const std::size_t before = heapBytes();
+    for (auto _ : state) {
+        now += Duration(1);
+        benchmark::DoNotOptimize(limits.tryAdmit(names[next++ % names.size()], {100, 100}, now));
+    }
+    state.counters["bytes_per_customer"]
+        = static_cast<double>(heapBytes() - before) / static_cast<double>(std::max<std::size_t>(1, limits.size()));
+}
+BENCHMARK(limitCustomers)->Arg(10)->Arg(1'000)->Arg(44'000);
+
+void admit(benchmark::State &state)
+{
+    admission::AdmissionPolicy policy;
+    policy.warmUp = {16, 16, true};
+    policy.queueLimit = static_cast<u32>(state.range(0)) + 1;
+    admission::AdmissionController controller(policy);
+    TimePoint now{};
+    admission::AdmissionRequest request;
+    request.deadline = now + std::chrono::hours(1000);
+    for (i64 i = 0; i < state.range(0) + 16; ++i) {
+        request.ticket = static_cast<admission::Ticket>(i);
+        request.customer = "customer-" + std::to_string(i % 40);
+        benchmark::DoNotOptimize(controller.request(request, now));
+    }
+    for (auto _ : state) {
+        now += Duration(100);
+        benchmark::DoNotOptimize(controller.finished({admission::RunOutcome::Success, std::chrono::milliseconds(10), false}, now));
+        ++request.ticket;
+        benchmark::DoNotOptimize(controller.request(request, now));
+    }
+}
+BENCHMARK(admit)->Arg(1)->Arg(32)->Arg(256)->Unit(benchmark::kMicrosecond);
+
+void hashPrompt(benchmark::State &state)
+{
+    const std::string prompt(static_cast<std::size_t>(state.range(0)), 'x');
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(cache::blockKeys({"customer", "model", "", "v1"}, prompt, 8192));
+    }
+    state.SetBytesProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(hashPrompt)->Arg(8 << 10)->Arg(64 << 10)->Arg(512 << 10)->Unit(benchmark::kMicrosecond);
+
+} // namespace
--- /dev/null
+++ b/bench/processes/process_cost.cpp
@@ -0,0 +1,152 @@
+#include <support/caller.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+DEFINE_uint32(requests, 2000, "requests of each measurement");
+DEFINE_uint32(callers, 32, "callers at once in the throughput measurement");
+DEFINE_uint32(tokens, 1, "tokens of each answer");
+
+namespace {
+
+using namespace support;
+
+double quantile(std::vector<double> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    return values.empty() ? 0 : values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+// Processor seconds that a process has used.
+double processorSeconds(pid_t pid)
+{
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string word;
+    double ticks = 0;
+    constexpr int UserTicks = 14;
+    constexpr int SystemTicks = 15;
+    for (int field = 1; field <= SystemTicks && stat >> word; ++field) {
+        ticks += field == UserTicks || field == SystemTicks ? std::stod(word) : 0;
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+u64 residentKib(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stoull(line.substr(6));
+        }
+    }
+    return 0;
+}
+
+boost::asio::awaitable<double> askDirectly(std::string address, u32 number)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    runtime::http::Request request;
+    request.method = "POST";
+    request.target = "/v1/generate";
+    request.body = boost::json::serialize(boost::json::object{{"model", "m"},
+                                                              {"weight_version", "v1"},
+                                                              {"prompt", "direct " + std::to_string(number)},
+                                                              {"max_tokens", FLAGS_tokens},
+                                                              {"block_keys", boost::json::array()}});
+    runtime::http::Call call(runtime::http::parseAddress(address), std::chrono::seconds(5));
+    static_cast<void>(co_await call.send(request));
+    std::string body;
+    while (body.find("\"text\"") == std::string::npos) {
+        const auto piece = co_await call.read();
+        body += piece.data;
+        if (piece.isEnd || piece.isBroken) {
+            break;
+        }
+    }
+    co_return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count();
+}
+
+boost::asio::awaitable<std::vector<double>> askInTurn(std::string entry, u32 caller, u32 requests)
+{
+    std::vector<double> times;
+    PromptCall call;
+    call.tokens = FLAGS_tokens;
+    for (u32 i = 0; i < requests; ++i) {
+        call.prompt = "caller " + std::to_string(caller) + " request " + std::to_string(i);
+        const auto answer = co_await sendPrompt(entry, call);
+        times.push_back(answer.isWhole ? toMilliseconds(answer.firstToken) : -1);
+    }
+    co_return times;
+}
+
+void report(const std::string &name, const std::vector<double> &times)
+{
+    const auto failed = std::count_if(times.begin(), times.end(), [](double ms) { return ms < 0; });
+    std::cout << "| " << name << " | " << times.size() << " | " << failed << " | " << std::fixed << std::setprecision(2)
+              << quantile(times, 0.5) << " | " << quantile(times, 0.99) << " |\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("measures what entry and endpoint process cost, on loopback with stand-ins");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    DeploymentOptions options;
+    options.entries = 1;
+    options.services = 0;
+    options.heartbeatMs = 250;
+    options.coldLimit = 64;
+    options.warmLimit = 256;
+    options.queueLimit = 4096;
+    options.engine.tokenMs = 0;
+    options.engine.coldBears = 1000;
+    options.engine.warmBears = 1000;
+    Deployment deployment(options);
+    deployment.start();
+
+    std::cout << "| path | requests | failed | first token p50 ms | p99 ms |\n|---|---|---|---|---|\n";
+    std::vector<double> direct;
+    for (u32 i = 0; i < FLAGS_requests; ++i) {
+        direct.push_back(deployment.spawn(askDirectly(deployment.engine(i % 2).address(), i)).get());
+    }
+    report("engine directly, one caller", direct);
+    report("entry and endpoint process, one caller", deployment.spawn(askInTurn(deployment.entryAddress(0), 0, FLAGS_requests)).get());
+
+    const pid_t entry = deployment.process("entry-0").pid();
+    const pid_t endpoint = deployment.process("model-0").pid();
+    const double entryBefore = processorSeconds(entry);
+    const double endpointBefore = processorSeconds(endpoint);
+    const auto begin = std::chrono::steady_clock::now();
+    std::vector<std::future<std::vector<double>>> callers;
+    for (u32 i = 0; i < FLAGS_callers; ++i) {
+        callers.push_back(deployment.spawn(askInTurn(deployment.entryAddress(0), i, FLAGS_requests / 4)));
+    }
+    std::vector<double> times;
+    for (auto &caller : callers) {
+        const auto got = caller.get();
+        times.insert(times.end(), got.begin(), got.end());
+    }
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    report("entry and endpoint processes, " + std::to_string(FLAGS_callers) + " callers", times);
+    const auto count = static_cast<double>(times.size());
+    std::cout << std::setprecision(0) << "\nrequests a second: " << count / seconds << std::setprecision(1)
+              << "\nentry: processor microseconds a request: " << 1e6 * (processorSeconds(entry) - entryBefore) / count
+              << ", resident KiB: " << residentKib(entry)
+              << "\nendpoint process: processor microseconds a request: " << 2e6 * (processorSeconds(endpoint) - endpointBefore) / count
+              << ", resident KiB: " << residentKib(endpoint) << "\n";
+
+    const double idleEntry = processorSeconds(entry);
+    const double idleEndpoint = processorSeconds(endpoint);
+    constexpr u32 IdleSeconds = 10;
+    sleep(IdleSeconds);
+    std::cout << "idle with " << options.engines << " links: entry " << std::setprecision(2)
+              << 100 * (processorSeconds(entry) - idleEntry) / IdleSeconds << " % of a core, endpoint process "
+              << 100 * (processorSeconds(endpoint) - idleEndpoint) / IdleSeconds << " %\n";
+    return 0;
+}
--- a/tests/integration/support/child_process.cpp
+++ b/tests/integration/support/child_process.cpp
@@ -43,6 +43,11 @@
     }
 }
 
+pid_t ChildProcess::pid() const
+{
+    return m_pid;
+}
+
 void ChildProcess::signal(int number) const
 {
     if (m_exitCode == -1) {
--- a/tests/integration/support/child_process.hpp
+++ b/tests/integration/support/child_process.hpp
@@ -20,6 +20,7 @@
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
 
+    [[nodiscard]] pid_t pid() const;
     void signal(int number) const;
 
     /** @brief Waits for its end; its exit code, 128 + n after signal n, or -1 if it still runs. */
--- a/tests/standins/source/fault_proxy.cpp
+++ b/tests/standins/source/fault_proxy.cpp
@@ -114,6 +114,9 @@
             connection->close();
             co_return;
         }
+        boost::system::error_code ignored;
+        connection->caller.set_option(Tcp::no_delay(true), ignored);
+        connection->server.set_option(Tcp::no_delay(true), ignored);
         const auto executor = connection->caller.get_executor();
         asio::co_spawn(executor, pump(self, connection, connection->caller, connection->server, false), asio::detached);
         co_await pump(self, connection, connection->server, connection->caller, true);
