Recover the runs of a dying endpoint without spending retries; bound imports by cost; drop hints

Under four test programs at once answers_test failed: 26 of 40 streams on silent links, 4 of 40 on cut ones. Cause: the budget (ten, plus a fifth of requests) was spent on runs that had put no load on any back end, or were lost with their endpoint; and two silent replacements (600 ms at the test's beat) already counted as a death. Ruled out: lost chunks (positions agreed). Change: attempts that reached no endpoint process are free, the first loss of a run under way is a recovery, not a retry; three replacements make a death. After: 0 of 40 and 0 of 40, all seven programs pass at -j4. Poison: 4 crashes in place of 2 under load; cause: the engine's next start had been seen by polling before the failing request looked; the boot id is now taken before sending.

--- a/bench/experiment/workload.cpp
+++ b/bench/experiment/workload.cpp
@@ -60,7 +60,7 @@
     out.gapSecondsLow = 20;
     out.gapSecondsHigh = 600;
     out.outputTokens = 80;
-    out.burstBeginSecond = 1200;
+    out.burstBeginSecond = 1800; // together with the faults, which begin half way
     out.burstSeconds = 120;
     out.burstFactor = 4;
     return out;
--- a/bench/experiment/world.hpp
+++ b/bench/experiment/world.hpp
@@ -80,7 +80,8 @@
     void exportSome();
     void refreshViews();
     void scheduleFault(double minutes);
-    [[nodiscard]] Store &storeOf(const cache::BlockKey &key);
+    [[nodiscard]] Store *storeHolding(const cache::BlockKey &key);
+    [[nodiscard]] Store *storeFor(const cache::BlockKey &key);
     [[nodiscard]] bool isDuringFault() const;
 
     Deployment m_deployment;
--- a/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
@@ -33,7 +33,7 @@
     /** Silent beats after which the socket is replaced. */
     u32 silentBeats = 3;
     /** Replacements without a word after which the peer counts as dead. */
-    u32 replacementsUntilDead = 2;
+    u32 replacementsUntilDead = 3;
 };
 
 /**
--- a/lib/libburdock-runtime/include/burdock/runtime/link/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/link/server.hpp
@@ -46,7 +46,6 @@
     void close();
 
 private:
-    ServerHandler &m_handler;
     std::shared_ptr<std::atomic<u64>> m_malformed;
     std::shared_ptr<detail::Socket> m_socket;
 };
--- a/lib/libburdock-runtime/source/link/server.cpp
+++ b/lib/libburdock-runtime/source/link/server.cpp
@@ -19,8 +19,7 @@
 } // namespace
 
 Server::Server(Context &context, const http::Address &address, ServerHandler &handler)
-    : m_handler(handler)
-    , m_malformed(std::make_shared<std::atomic<u64>>(0))
+    : m_malformed(std::make_shared<std::atomic<u64>>(0))
 {
     const auto receive = [&handler, malformed = m_malformed](detail::Frames frames) {
         schema::LinkMessage message;
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/kept_cache.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/kept_cache.hpp
@@ -56,6 +56,7 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> fetch(const cache::BlockKey &root, const cache::BlockKey &key);
     [[nodiscard]] boost::asio::awaitable<void> exportOne(const cache::ExportCandidate &candidate);
     void avoidStore(const std::string &name);
+    void noteDeclined();
     void noteTransfer(std::size_t bytes, Duration time);
 
     Process &m_process;
@@ -71,7 +72,6 @@
     std::map<std::string, TimePoint> m_avoidUntil; // by store name
     double m_blockBytes;
     double m_linkBytesPerSecond;
-    u64 m_queuedBytes = 0;
 };
 
 } // namespace burdock::serving
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
@@ -22,7 +22,7 @@
     [[nodiscard]] boost::asio::awaitable<Conclusion> relay(const platform::GenerateHead &head, platform::Generation &generation,
                                                            RunOutlet &outlet, TimePoint deadline);
     [[nodiscard]] Conclusion broken(bool mayHaveRun, bool crashed, std::string detail) const;
-    [[nodiscard]] boost::asio::awaitable<bool> hasCrashed(const std::string &bootId);
+    [[nodiscard]] boost::asio::awaitable<bool> hasCrashed(std::string bootBefore);
 
     Process &m_process;
     platform::Engine &m_engine;
--- a/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <burdock/membership/member_table.hpp>
-#include <burdock/placement/recent_placements.hpp>
 #include <burdock/platform/object_store.hpp>
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/runtime/link/client.hpp>
@@ -55,9 +54,6 @@
     /** @brief Leaves an endpoint out of proposals for a while. */
     void avoid(const std::string &endpoint, Duration time);
 
-    void notePlacement(const cache::BlockKey &key, u64 endpoint);
-    [[nodiscard]] u64 hintFor(const std::vector<cache::BlockKey> &keys) const;
-
     [[nodiscard]] u32 crashesOf(u64 fingerprint) const;
     [[nodiscard]] retry::SuspectState suspectState(u64 fingerprint) const;
     /** @brief Takes over how many crashes an endpoint process has counted. */
@@ -91,7 +87,6 @@
     std::map<std::string, std::string> m_seeds; // link addresses by peer name
     bool m_hasList = false;
     std::map<std::string, std::shared_ptr<runtime::link::Client>> m_clients;
-    placement::RecentPlacements m_recent;
     retry::Quarantine m_quarantine;
 };
 
--- a/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
@@ -69,6 +69,8 @@
     [[nodiscard]] boost::asio::awaitable<AttemptResult> follow(const RunSpec &spec, RunSink &sink, Progress &progress,
                                                                const std::shared_ptr<runtime::link::Client> &link,
                                                                const std::shared_ptr<RunMailbox> &mailbox, const schema::RunRef &ref);
+    /** @brief Takes note of a failed attempt; true if another one may follow. */
+    [[nodiscard]] bool mayGoOn(const RunSpec &spec, Progress &progress, const AttemptResult &attempted, const std::string &endpoint);
     [[nodiscard]] schema::LinkMessage makeRequest(const RunSpec &spec, const Progress &progress, const Proposal &proposal,
                                                   const schema::RunRef &ref, const runtime::SpanContext &span) const;
     [[nodiscard]] placement::PlacementRequest placementFor(const RunSpec &spec);
--- a/lib/libburdock-serving/source/endpoint/kept_cache.cpp
+++ b/lib/libburdock-serving/source/endpoint/kept_cache.cpp
@@ -12,9 +12,12 @@
 constexpr u32 BytesPerToken = 4;
 constexpr std::size_t MaxKnownBlocks = 200'000;
 constexpr std::size_t MaxExports = 1024;
+constexpr std::size_t PlacesOfBlock = 2;
 constexpr double FirstGuessBlockBytes = 64 * 1024;
 constexpr double FirstGuessLinkBytesPerSecond = 100e6;
 constexpr double NewestWeight = 0.2;
+constexpr double DeclinedRecovery = 0.02;
+constexpr Duration SlowAnswer = std::chrono::milliseconds(500);
 constexpr Duration AvoidStoreTime = std::chrono::seconds(5);
 constexpr Duration ExportPause = std::chrono::milliseconds(20);
 constexpr Duration EventPause = std::chrono::milliseconds(200);
@@ -57,14 +60,15 @@
         co_return 0;
     }
     const auto &policy = config->bundle().policy();
-    const cache::ImportByCost byCost({policy.weight_first_token_ms(), policy.weight_recomputed_ktoken(), policy.weight_link_mib()});
+    const cache::CostWeights weights{policy.weight_first_token_ms(), policy.weight_recomputed_ktoken(), policy.weight_link_mib()};
+    const cache::ImportByCost byCost(weights);
     const auto facts = importCase(keys.size() - first);
     if (!byCost.shouldImport(facts)) {
         m_process.metrics.count("burdock_imports_declined_total");
+        noteDeclined();
         co_return 0;
     }
-    // Importing for longer than recomputation takes would make a slow link worse than none.
-    const Duration budget = fromMilliseconds(1000.0 * facts.tokens / facts.prefillTokensPerSecond);
+    const Duration budget = cache::importBudget(weights, facts);
     const TimePoint begin = m_process.clock.now();
     u32 imported = 0;
     for (std::size_t i = first; i < keys.size() && m_process.clock.now() - begin < budget; ++i) {
@@ -84,17 +88,21 @@
 
 boost::asio::awaitable<std::optional<std::string>> KeptCache::fetch(const cache::BlockKey &root, const cache::BlockKey &key)
 {
-    const auto stores = storesFor(root);
-    if (stores.empty()) {
-        co_return std::nullopt;
-    }
-    const TimePoint begin = m_process.clock.now();
-    auto payload = co_await stores.front()->store->get(key);
-    if (payload) {
-        noteTransfer(payload->size(), m_process.clock.now() - begin);
-        m_process.metrics.count("burdock_cache_link_bytes_total", {{"direction", "import"}}, static_cast<double>(payload->size()));
+    // The second place holds what was kept while the first was dead or full.
+    for (const auto *store : storesFor(root)) {
+        const TimePoint begin = m_process.clock.now();
+        auto payload = co_await store->store->get(key);
+        if (payload) {
+            noteTransfer(payload->size(), m_process.clock.now() - begin);
+            m_process.metrics.count("burdock_cache_link_bytes_total", {{"direction", "import"}}, static_cast<double>(payload->size()));
+            co_return payload;
+        }
+        if (m_process.clock.now() - begin >= SlowAnswer) {
+            // Too slow to answer at all counts as the slowest transfer that there is.
+            noteTransfer(0, m_process.clock.now() - begin);
+        }
     }
-    co_return payload;
+    co_return std::nullopt;
 }
 
 void KeptCache::noteRun(const std::vector<cache::BlockKey> &keys, u32 cachedTokens)
@@ -210,7 +218,6 @@
     facts.bytes = static_cast<u64>(m_blockBytes * static_cast<double>(blocks));
     const double limit = static_cast<double>(policy.cache_link_bytes_per_second());
     facts.linkBytesPerSecond = static_cast<u64>(std::max(1.0, std::min(limit, m_linkBytesPerSecond)));
-    facts.linkQueuedBytes = m_queuedBytes;
     return facts;
 }
 
@@ -225,6 +232,7 @@
         }
     }
     std::sort(ranked.rbegin(), ranked.rend());
+    ranked.resize(std::min(ranked.size(), PlacesOfBlock));
     std::vector<const NamedStore *> stores;
     std::transform(ranked.begin(), ranked.end(), std::back_inserter(stores), [](const auto &entry) { return entry.second; });
     return stores;
@@ -236,10 +244,20 @@
     m_avoidUntil[name] = m_process.clock.now() + AvoidStoreTime;
 }
 
+// Guards against a link that was slow once and is then never used, so never measured, again: it shows as imports that stay
+// declined after the link has recovered. Moving the estimate back a little with each refusal has it tried again.
+void KeptCache::noteDeclined()
+{
+    const std::lock_guard lock(m_mutex);
+    m_linkBytesPerSecond += DeclinedRecovery * (FirstGuessLinkBytesPerSecond - m_linkBytesPerSecond);
+}
+
 void KeptCache::noteTransfer(std::size_t bytes, Duration time)
 {
     const std::lock_guard lock(m_mutex);
-    m_blockBytes = moving(m_blockBytes, static_cast<double>(bytes));
+    if (bytes > 0) {
+        m_blockBytes = moving(m_blockBytes, static_cast<double>(bytes));
+    }
     const double seconds = std::max(1e-6, toMilliseconds(time) / 1000.0);
     m_linkBytesPerSecond = moving(m_linkBytesPerSecond, static_cast<double>(bytes) / seconds);
 }
--- a/lib/libburdock-serving/source/endpoint/once_store.cpp
+++ b/lib/libburdock-serving/source/endpoint/once_store.cpp
@@ -4,6 +4,8 @@
 #include <burdock/serving/config/platform_watch.hpp>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace burdock::serving {
 
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -85,6 +85,8 @@
         span.setAttribute("imported_blocks", std::to_string(imported));
     }
     runtime::Span span(m_process.tracer, "endpoint.generate", parent);
+    // Taken before the request is sent: the watch may have seen the engine's next start by the time that the request fails.
+    const std::string bootBefore = m_watch.bootId();
     const auto generation = m_engine.generate(generateRequest);
     const auto head = co_await generation->start();
     if (head.progress == Progress::NotSent) {
@@ -92,7 +94,7 @@
         co_return broken(false, false, "engine unreachable");
     }
     if (head.progress == Progress::MayBeSent) {
-        const bool crashed = co_await hasCrashed("");
+        const bool crashed = co_await hasCrashed(bootBefore);
         co_return broken(true, crashed, "engine cut the connection");
     }
     m_watch.noteBootId(head.bootId);
@@ -144,16 +146,15 @@
     }
 }
 
-boost::asio::awaitable<bool> PromptRunner::hasCrashed(const std::string &bootId)
+boost::asio::awaitable<bool> PromptRunner::hasCrashed(std::string bootBefore)
 {
-    const std::string before = bootId.empty() ? m_watch.bootId() : bootId;
     const auto state = co_await m_engine.state();
     if (!state.isReachable) {
         m_watch.noteUnreachable();
         co_return true;
     }
     m_watch.noteBootId(state.bootId);
-    co_return state.bootId != before;
+    co_return state.bootId != bootBefore;
 }
 
 Conclusion PromptRunner::broken(bool mayHaveRun, bool crashed, std::string detail) const
--- a/lib/libburdock-serving/source/entry/fleet.cpp
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -15,7 +15,6 @@
 constexpr Duration ListRetryPause = std::chrono::milliseconds(500);
 constexpr Duration ForgetSuspects = std::chrono::minutes(30);
 constexpr std::size_t MaxSuspects = 4096;
-constexpr std::size_t MaxRecentPlacements = 65536;
 constexpr u32 ProposalsAtMost = 8;
 // Entries that keep a link to each endpoint; three, so that two may be lost at once.
 constexpr u32 Attendants = 3;
@@ -29,7 +28,6 @@
     , m_runs(runs)
     , m_links(links)
     , m_options(options)
-    , m_recent(MaxRecentPlacements)
     , m_quarantine(ForgetSuspects, MaxSuspects)
 {
 }
@@ -116,7 +114,7 @@
                                      const std::vector<std::string> &tried)
 {
     const u32 boundPercent = config.bundle().policy().bounded_load_percent();
-    const placement::HomePolicy policy({placement::LoadBound::Bounded, placement::HintUse::Follow, boundPercent});
+    const placement::HomePolicy policy({placement::LoadBound::Bounded, placement::HintUse::Ignore, boundPercent});
     const std::lock_guard lock(m_mutex);
     const auto candidates = membership::eligible(m_members, pool, config.eligibility(), m_process.clock.now());
     std::vector<Proposal> proposals;
@@ -146,18 +144,6 @@
     m_members.avoid(endpoint, m_process.clock.now() + time);
 }
 
-void Fleet::notePlacement(const cache::BlockKey &key, u64 endpoint)
-{
-    const std::lock_guard lock(m_mutex);
-    m_recent.note(key, endpoint);
-}
-
-u64 Fleet::hintFor(const std::vector<cache::BlockKey> &keys) const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_recent.find(keys);
-}
-
 u32 Fleet::crashesOf(u64 fingerprint) const
 {
     const std::lock_guard lock(m_mutex);
--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr u32 MaxAttempts = 3;
+constexpr u32 MaxFreeAttempts = 8;
 constexpr u32 MaxOverloadRefusals = 2;
 constexpr u32 BudgetReserve = 10;
 constexpr u64 AckEveryBytes = 16 * 1024;
@@ -66,7 +67,10 @@
     u64 deliveredBytes = 0;
     bool hasHead = false;
     bool mayHaveRun = false;
-    bool hasPaidRetry = false;
+    bool isNextPaid = false; // the next attempt costs no retry, or one that was paid already
+    bool hasRecovered = false;
+    u32 sequence = 0; // of the attempts, those among them that are no retry
+    u32 freeAttempts = 0;
     std::vector<std::string> tried;
 };
 
@@ -74,14 +78,15 @@
 {
     enum class Kind : u8 {
         Complete,
-        NotSent, // the request provably never left this process
-        NotRun, // refused, or provably not run
+        NotSent, // provably reached no endpoint process
+        NotRun, // refused by an endpoint process, or by its back end
         Lost, // may have run, or ran in part
         CallerGone,
     };
     Kind kind = Kind::NotSent;
     Refusal refusal;
     schema::RunEnd end;
+    bool wasAccepted = false;
 };
 
 RunDriver::RunDriver(Process &process, Fleet &fleet, RunTable &runs, Duration acceptTimeout)
@@ -101,7 +106,7 @@
     const auto placement = placementFor(spec);
     RunResult result;
     result.refusal = {RefusalReason::NoEndpoint, DefaultRetryAfter};
-    while (progress.attempts < MaxAttempts && m_process.clock.now() < spec.deadline) {
+    while (progress.attempts < MaxAttempts && progress.freeAttempts < MaxFreeAttempts && m_process.clock.now() < spec.deadline) {
         if (m_fleet.suspectState(spec.fingerprint) == retry::SuspectState::Quarantined) {
             result.refusal = {RefusalReason::Quarantined, Duration::zero()};
             break;
@@ -110,10 +115,11 @@
         if (proposals.empty()) {
             break;
         }
-        if (progress.attempts > 0 && !std::exchange(progress.hasPaidRetry, false) && !spendRetry(spec)) {
+        if (progress.attempts > 0 && !std::exchange(progress.isNextPaid, false) && !spendRetry(spec)) {
             m_process.metrics.count("burdock_retry_budget_spent_total");
             break;
         }
+        const auto &endpoint = proposals.front().endpoint;
         ++progress.attempts;
         auto attempted = co_await attempt(spec, sink, progress, proposals.front(), parent);
         m_runs.remove(progress.runId);
@@ -128,20 +134,8 @@
             co_return result;
         }
         result.refusal = attempted.refusal;
-        progress.tried.push_back(proposals.front().endpoint);
         m_process.metrics.count("burdock_attempts_failed_total", {{"reason", std::string(refusalRule(attempted.refusal.reason).name)}});
-        if (attempted.kind == Kind::Lost) {
-            progress.mayHaveRun = true;
-            m_fleet.avoid(proposals.front().endpoint, AvoidAfterLoss);
-            const bool canContinue = spec.prompt.has_value() || progress.deliveredBytes == 0;
-            if (!spec.isRepeatable() || !canContinue) {
-                break;
-            }
-            continue;
-        }
-        const auto &rule = refusalRule(attempted.refusal.reason);
-        progress.overloadRefusals += rule.isOverload ? 1 : 0;
-        if (!rule.tryElsewhere || progress.overloadRefusals >= MaxOverloadRefusals) {
+        if (!mayGoOn(spec, progress, attempted, endpoint)) {
             break;
         }
     }
@@ -153,6 +147,32 @@
     co_return result;
 }
 
+bool RunDriver::mayGoOn(const RunSpec &spec, Progress &progress, const AttemptResult &attempted, const std::string &endpoint)
+{
+    using Kind = AttemptResult::Kind;
+    if (attempted.kind == Kind::NotSent) {
+        // No back end has had any load of it, so it is no retry; the endpoint is passed over only once, as its link may be back.
+        --progress.attempts;
+        ++progress.freeAttempts;
+        progress.tried = {endpoint};
+        return true;
+    }
+    progress.tried.push_back(endpoint);
+    if (attempted.kind == Kind::Lost) {
+        progress.mayHaveRun = true;
+        m_fleet.avoid(endpoint, AvoidAfterLoss);
+        // The first loss of a run under way is no retry either: a dying endpoint takes many runs with it at once, and what
+        // they need elsewhere is what they would have needed there. A second one costs, so a run costs twice at the most.
+        if (attempted.wasAccepted && !std::exchange(progress.hasRecovered, true)) {
+            progress.isNextPaid = true;
+        }
+        return spec.isRepeatable() && (spec.prompt.has_value() || progress.deliveredBytes == 0);
+    }
+    const auto &rule = refusalRule(attempted.refusal.reason);
+    progress.overloadRefusals += rule.isOverload ? 1 : 0;
+    return rule.tryElsewhere && progress.overloadRefusals < MaxOverloadRefusals;
+}
+
 boost::asio::awaitable<RunDriver::AttemptResult> RunDriver::attempt(const RunSpec &spec, RunSink &sink, Progress &progress,
                                                                     const Proposal &proposal, const runtime::SpanContext &parent)
 {
@@ -166,19 +186,11 @@
     }
     schema::RunRef ref;
     ref.set_run_id(progress.runId);
-    ref.set_attempt(progress.attempts);
+    ref.set_attempt(++progress.sequence);
     const auto mailbox = std::make_shared<RunMailbox>(co_await boost::asio::this_coro::executor);
-    m_runs.add(progress.runId, proposal.endpoint, progress.attempts, mailbox);
-    const auto request = makeRequest(spec, progress, proposal, ref, span.context());
-    link->send(request);
-    auto result = co_await follow(spec, sink, progress, link, mailbox, ref);
-    if (result.kind == AttemptResult::Kind::Complete && request.run_request().prompt().block_keys_size() > 0) {
-        cache::BlockKey key{};
-        const auto &last = *request.run_request().prompt().block_keys().rbegin();
-        std::copy_n(last.begin(), key.size(), key.begin());
-        m_fleet.notePlacement(key, proposal.id);
-    }
-    co_return result;
+    m_runs.add(progress.runId, proposal.endpoint, progress.sequence, mailbox);
+    link->send(makeRequest(spec, progress, proposal, ref, span.context()));
+    co_return co_await follow(spec, sink, progress, link, mailbox, ref);
 }
 
 boost::asio::awaitable<RunDriver::AttemptResult> RunDriver::follow(const RunSpec &spec, RunSink &sink, Progress &progress,
@@ -188,9 +200,10 @@
     using Kind = AttemptResult::Kind;
     const u64 bootAtSend = link->peerBootId();
     const TimePoint sentAt = m_process.clock.now();
+    bool wasAccepted = false;
     const auto lost = [&](RefusalReason reason) {
         link->send(cancelMessage(ref));
-        return AttemptResult{Kind::Lost, {reason, DefaultRetryAfter}, {}};
+        return AttemptResult{Kind::Lost, {reason, DefaultRetryAfter}, {}, wasAccepted};
     };
     const auto notRun = [](Kind kind, RefusalReason reason, Duration retryAfter) {
         return AttemptResult{kind, {reason, retryAfter}, {}};
@@ -211,7 +224,7 @@
             // Going elsewhere costs a retry; without one, waiting for the link to be replaced is the better way.
             acceptDeadline = spec.deadline;
             if (spec.isRepeatable() && spendRetry(spec)) {
-                progress.hasPaidRetry = true;
+                progress.isNextPaid = true;
                 co_return lost(RefusalReason::BackEndLost);
             }
             continue;
@@ -230,6 +243,7 @@
         }
         const auto &message = event->message;
         isAccepted = true;
+        wasAccepted = true;
         if (message.has_run_refused()) {
             const auto reason = refusalReasonFrom(message.run_refused().reason()).value_or(RefusalReason::BackEndLost);
             co_return notRun(Kind::NotRun, reason, retryAfterOf(message.run_refused()));
@@ -282,7 +296,7 @@
             const bool isSameProcess = bootAtSend != 0 && bootAtSend == link->peerBootId();
             const bool isRemembered = m_process.clock.now() - sentAt < UnknownIsProofFor;
             if (isSameProcess && isRemembered && cursor.position() == 0) {
-                co_return notRun(Kind::NotRun, RefusalReason::BackEndUnreachable, DefaultRetryAfter);
+                co_return notRun(Kind::NotSent, RefusalReason::BackEndUnreachable, DefaultRetryAfter);
             }
             co_return lost(RefusalReason::BackEndLost);
         }
@@ -293,7 +307,7 @@
         if (!end.may_have_run()) {
             co_return notRun(Kind::NotRun, RefusalReason::BackEndUnreachable, DefaultRetryAfter);
         }
-        co_return AttemptResult{Kind::Lost, {RefusalReason::BackEndLost, DefaultRetryAfter}, {}};
+        co_return AttemptResult{Kind::Lost, {RefusalReason::BackEndLost, DefaultRetryAfter}, {}, true};
     }
 }
 
@@ -344,7 +358,6 @@
     const cache::BlockScope scope{spec.customer, prompt.model(), prompt.adapter(), prompt.weight_version()};
     const auto keys = cache::blockKeys(scope, prompt.prompt(), spec.config->bundle().policy().block_bytes());
     request.home = cache::homeHash(scope, prompt.prompt(), keys);
-    request.hint = m_fleet.hintFor(keys);
     return request;
 }
 
--- a/lib/libburdock/include/burdock/cache/cost_model.hpp
+++ b/lib/libburdock/include/burdock/cache/cost_model.hpp
@@ -28,6 +28,13 @@
 /** @brief Weighted cost of computing the same tokens again. */
 [[nodiscard]] double recomputeCost(const CostWeights &weights, const ImportCase &facts);
 
+/**
+ * @brief Time after which an import that goes slower than expected is given up for recomputation.
+ *
+ * Once so much time has passed, the import has cost as much as recomputation would have.
+ */
+[[nodiscard]] Duration importBudget(const CostWeights &weights, const ImportCase &facts);
+
 /** @brief What to do with kept blocks of a prompt. */
 class ImportPolicy
 {
--- a/lib/libburdock/source/cache/cost_model.cpp
+++ b/lib/libburdock/source/cache/cost_model.cpp
@@ -1,5 +1,7 @@
 #include <burdock/cache/cost_model.hpp>
 
+#include <algorithm>
+
 namespace burdock::cache {
 
 namespace {
@@ -7,6 +9,7 @@
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
 constexpr double MillisecondsPerSecond = 1000.0;
 constexpr double TokensPerKiloToken = 1000.0;
+constexpr double LongestBudgetMs = 60'000.0;
 
 } // namespace
 
@@ -23,6 +26,16 @@
     return weights.firstTokenMs * waitMs + weights.recomputedKiloToken * facts.tokens / TokensPerKiloToken;
 }
 
+Duration importBudget(const CostWeights &weights, const ImportCase &facts)
+{
+    const double linkCost = weights.linkMebibyte * static_cast<double>(facts.bytes) / BytesPerMebibyte;
+    const double worthMs = recomputeCost(weights, facts) - linkCost;
+    if (weights.firstTokenMs * LongestBudgetMs <= worthMs) {
+        return fromMilliseconds(LongestBudgetMs);
+    }
+    return fromMilliseconds(std::max(0.0, worthMs / weights.firstTokenMs));
+}
+
 ImportByCost::ImportByCost(const CostWeights &weights)
     : m_weights(weights)
 {
