--- a/bench/experiment/world.cpp
+++ b/bench/experiment/world.cpp
@@ -188,7 +188,8 @@
     m_outcome.requestsDuringFault += isDuringFault() ? 1 : 0;
     placement::PlacementRequest wanted;
     wanted.random = m_random();
-    const cache::BlockScope scope{std::to_string(prompt.customer), "m", "", "v"};
+    const auto customer = std::to_string(prompt.customer);
+    const cache::BlockScope scope{customer, "m", "", "v"};
     wanted.home = cache::homeHash(scope, std::to_string(prompt.session), request->keys);
     wanted.hint = m_recent[request->entry].find(request->keys);
     const auto order = m_placement->order(wanted, m_views[request->entry], MaxCandidates);
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -7,7 +7,10 @@
 #include <burdock/serving/entry/prompt_api.hpp>
 
 #include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
 #include <random>
+#include <sstream>
 
 using namespace burdock;
 
@@ -129,3 +132,21 @@
     CHECK(std::string(request.query("b")) == "22");
     CHECK(request.query("c").empty());
 }
+
+TEST_CASE("the examples that come with the product are well formed")
+{
+    const std::filesystem::path examples(BURDOCK_EXAMPLES);
+    const auto read = [](const std::filesystem::path &path) {
+        std::ostringstream text;
+        text << std::ifstream(path).rdbuf();
+        return text.str();
+    };
+    for (const auto *name : {"errata", "badgeworks"}) {
+        const auto checked = schema::parseBundle(name, read(examples / name / "bundle.json"));
+        CHECK_MESSAGE(checked.document.has_value(), (checked.faults.empty() ? "" : schema::toString(checked.faults.front())));
+    }
+    for (const auto *name : {"settings-entry.json", "settings-endpoint.json"}) {
+        const auto checked = schema::parseSettings(name, read(examples / name));
+        CHECK_MESSAGE(checked.document.has_value(), (checked.faults.empty() ? "" : schema::toString(checked.faults.front())));
+    }
+}
