Beat slowly on idle links and seldom on those where answers flow

An entry at the target size has some nine attended links that idle and some three hundred on which answers flow; four beats a second on each would be 400 KB/s against a budget of 2. The schedule is a pure class of its own, with a test. Tried beside it and dropped: the loop that follows an attempt as a class of its own (attempt.cpp).

--- a/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/membership/beat_schedule.hpp>
 #include <burdock/membership/member_table.hpp>
 #include <burdock/runtime/http/message.hpp>
 #include <burdock/runtime/link/context.hpp>
@@ -29,9 +30,7 @@
 
 struct ClientOptions
 {
-    Duration beat = std::chrono::milliseconds(250);
-    /** Silent beats after which the socket is replaced. */
-    u32 silentBeats = 3;
+    membership::BeatOptions beats;
     /** Replacements without a word after which the peer counts as dead. */
     u32 replacementsUntilDead = 3;
 };
--- a/lib/libburdock-runtime/source/link/client.cpp
+++ b/lib/libburdock-runtime/source/link/client.cpp
@@ -38,6 +38,7 @@
         , m_handler(handler)
         , m_strand(m_context.makeStrand())
         , m_timer(m_strand)
+        , m_schedule(options.beats)
     {
     }
 
@@ -53,6 +54,9 @@
     void send(const schema::LinkMessage &message)
     {
         const std::lock_guard lock(m_mutex);
+        if (m_schedule.noteWork(now())) {
+            boost::asio::post(m_strand, [self = shared_from_this()] { self->beat(); });
+        }
         if (m_isEstablished) {
             m_socket->send({message.SerializeAsString()});
             return;
@@ -95,9 +99,9 @@
         socket->raw().set(zmq::sockopt::reconnect_ivl_max, ReconnectMaxMs);
         socket->raw().connect(m_url);
         socket->start();
-        m_lastHeard = SteadyClock::now();
         m_linkId = 0;
         const std::lock_guard lock(m_mutex);
+        m_schedule.noteOpened(now());
         m_isEstablished = false;
         m_socket = std::move(socket);
     }
@@ -116,13 +120,16 @@
         if (m_isClosed) {
             return;
         }
-        if (SteadyClock::now() - m_lastHeard > m_options.beat * m_options.silentBeats) {
+        const auto step = nextStep();
+        if (step.isSilent) {
             replaceSocket();
         }
-        schema::LinkMessage message;
-        *message.mutable_heartbeat() = m_handler.heartbeat();
-        m_socket->send({message.SerializeAsString()});
-        m_timer.expires_after(m_options.beat);
+        if (step.sendsBeat || step.isSilent) {
+            schema::LinkMessage message;
+            *message.mutable_heartbeat() = m_handler.heartbeat();
+            m_socket->send({message.SerializeAsString()});
+        }
+        m_timer.expires_after(step.next);
         m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
             if (!error) {
                 self->beat();
@@ -130,6 +137,17 @@
         });
     }
 
+    [[nodiscard]] membership::BeatSchedule::Step nextStep()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_schedule.step(now());
+    }
+
+    [[nodiscard]] static TimePoint now()
+    {
+        return std::chrono::time_point_cast<Duration>(SteadyClock::now());
+    }
+
     // Guards against a connection that went silent for good because something between the two ends lost track of it: it shows
     // as missed heartbeats while TCP reports nothing. A new socket holds because new connections work.
     void replaceSocket()
@@ -148,7 +166,10 @@
         if (generation != m_generation || frames.size() != 1 || !message.ParseFromString(frames.front())) {
             return;
         }
-        m_lastHeard = SteadyClock::now();
+        {
+            const std::lock_guard lock(m_mutex);
+            m_schedule.noteHeard(now());
+        }
         m_replacements = 0;
         if (message.has_heartbeat()) {
             m_bootId = message.heartbeat().boot_id();
@@ -196,10 +217,10 @@
     u32 m_replacements = 0;
     u64 m_linkId = 0; // how the peer names the present connection
     bool m_isClosed = false;
-    SteadyClock::time_point m_lastHeard{};
     std::atomic<u64> m_bootId{0};
 
     std::mutex m_mutex; // guards what follows
+    membership::BeatSchedule m_schedule;
     bool m_isEstablished = false;
     std::shared_ptr<detail::Socket> m_socket;
     std::deque<schema::LinkMessage> m_waiting;
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -32,7 +32,7 @@
 runtime::link::ClientOptions linkOptions(Duration beat)
 {
     runtime::link::ClientOptions options;
-    options.beat = beat;
+    options.beats.beat = beat;
     return options;
 }
 
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -1,3 +1,4 @@
+#include <burdock/membership/beat_schedule.hpp>
 #include <burdock/membership/member_table.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/placement/recent_placements.hpp>
@@ -149,3 +150,34 @@
     const auto most = std::max_element(links.begin(), links.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
     CHECK(most->second < 60);
 }
+
+TEST_CASE("a link beats fast while it works, slowly while idle, and seldom while answers flow")
+{
+    using namespace membership;
+    constexpr TimePoint Start{std::chrono::hours(1)};
+    constexpr Duration Beat = std::chrono::milliseconds(250);
+    BeatSchedule schedule({});
+    schedule.noteOpened(Start);
+    CHECK(schedule.step(Start).sendsBeat);
+    CHECK(schedule.step(Start).next == Beat);
+    schedule.noteHeard(Start);
+    CHECK(schedule.step(Start + Beat).next == 8 * Beat);
+    // Work on an idle link: fast beats again, and silence counts from now.
+    CHECK(schedule.noteWork(Start + 100 * Beat));
+    CHECK_FALSE(schedule.noteWork(Start + 101 * Beat));
+    CHECK(schedule.step(Start + 101 * Beat).sendsBeat);
+    CHECK_FALSE(schedule.step(Start + 103 * Beat).isSilent);
+    CHECK(schedule.step(Start + 104 * Beat).isSilent);
+    // Answers flow.
+    schedule.noteOpened(Start + 104 * Beat);
+    u32 beats = 0;
+    for (u32 i = 0; i < 100; ++i) {
+        const auto now = Start + 105 * Beat + i * Beat;
+        static_cast<void>(schedule.noteWork(now));
+        schedule.noteHeard(now);
+        const auto step = schedule.step(now + Beat / 2);
+        beats += step.sendsBeat ? 1 : 0;
+        CHECK_FALSE(step.isSilent);
+    }
+    CHECK(beats <= 6);
+}
