--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -10,7 +10,7 @@
 
 int main()
 {
-    const std::vector<placement::EndpointView> endpoints {{11, 1.0, 0, 4}, {22, 1.0, 3, 4}, {33, 0.5, 0, 4}};
+    const std::vector<placement::EndpointView> endpoints{{11, 1.0, 0, 4}, {22, 1.0, 3, 4}, {33, 0.5, 0, 4}};
     placement::PlacementRequest request;
     request.home = 42;
     const auto order = placement::HomePolicy({}).order(request, endpoints, 2);
@@ -20,16 +20,17 @@
     policy.warmUp = {1, 4, true};
     policy.queueLimit = 1;
     admission::AdmissionController controller(policy);
-    const TimePoint now {};
+    const TimePoint now{};
     for (admission::Ticket ticket = 1; ticket <= 3; ++ticket) {
         admission::AdmissionRequest asked;
         asked.ticket = ticket;
         asked.customer = "desk";
         asked.deadline = now + std::chrono::seconds(10);
         const auto decision = controller.request(asked, now);
-        std::cout << "request " << ticket << ": " << (decision.status == admission::AdmissionStatus::Admitted ? "admitted"
-                                                          : decision.status == admission::AdmissionStatus::Queued ? "queued"
-                                                                                                                 : "refused")
+        std::cout << "request " << ticket << ": "
+                  << (decision.status == admission::AdmissionStatus::Admitted     ? "admitted"
+                          : decision.status == admission::AdmissionStatus::Queued ? "queued"
+                                                                                  : "refused")
                   << "\n";
     }
 
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -44,18 +44,28 @@
     Duration ioTimeout = std::chrono::seconds(30);
 };
 
+/** @brief Whether a server takes connections from the start. */
+enum class Listening : u8 {
+    AtOnce,
+    Later, ///< the address is bound, and connections are refused until listen()
+};
+
 /** @brief An HTTP/1.1 server on one address. */
 class Server
 {
 public:
     /** @throws std::system_error if the address can't be bound */
-    Server(boost::asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler);
+    Server(boost::asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler,
+           Listening listening = Listening::AtOnce);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
     [[nodiscard]] u16 port() const;
 
+    /** @brief Begins to take connections; only once, and not after stopListening(). */
+    void listen();
+
     /** @brief Takes no new connections, and no further request on those that are open. */
     void stopListening();
 
--- a/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
@@ -32,7 +32,7 @@
 {
     membership::BeatOptions beats;
     /** Replacements without a word after which the peer counts as dead. */
-    u32 replacementsUntilDead = 3;
+    u32 replacementsUntilDead = 4;
 };
 
 /**
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -160,12 +160,15 @@
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
         m_acceptor.bind(endpoint);
-        m_acceptor.listen();
         m_port = m_acceptor.local_endpoint().port();
     }
 
-    void start()
+    void listen()
     {
+        if (m_isStopping) {
+            return;
+        }
+        m_acceptor.listen();
         asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
     }
 
@@ -287,10 +290,17 @@
     std::set<beast::tcp_stream *> m_streams;
 };
 
-Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler)
+Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler, Listening listening)
     : m_impl(std::make_shared<Impl>(context, address, limits, handler))
 {
-    m_impl->start();
+    if (listening == Listening::AtOnce) {
+        m_impl->listen();
+    }
+}
+
+void Server::listen()
+{
+    m_impl->listen();
 }
 
 Server::~Server()
--- a/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
@@ -52,6 +52,10 @@
     schema::RunEnd end; ///< if Complete
 };
 
+namespace detail {
+struct AttemptResult;
+}
+
 /** @brief Carries requests through: chooses endpoints, retries, resumes. Thread-safe. */
 class RunDriver
 {
@@ -62,15 +66,13 @@
 
 private:
     struct Progress;
-    struct AttemptResult;
+    class Payer;
 
-    [[nodiscard]] boost::asio::awaitable<AttemptResult> attempt(const RunSpec &spec, RunSink &sink, Progress &progress,
-                                                                const Proposal &proposal, const runtime::SpanContext &parent);
-    [[nodiscard]] boost::asio::awaitable<AttemptResult> follow(const RunSpec &spec, RunSink &sink, Progress &progress,
-                                                               const std::shared_ptr<runtime::link::Client> &link,
-                                                               const std::shared_ptr<RunMailbox> &mailbox, const schema::RunRef &ref);
+    [[nodiscard]] boost::asio::awaitable<detail::AttemptResult> attempt(const RunSpec &spec, RunSink &sink, Progress &progress,
+                                                                        const Proposal &proposal, const runtime::SpanContext &parent);
     /** @brief Takes note of a failed attempt; true if another one may follow. */
-    [[nodiscard]] bool mayGoOn(const RunSpec &spec, Progress &progress, const AttemptResult &attempted, const std::string &endpoint);
+    [[nodiscard]] bool mayGoOn(const RunSpec &spec, Progress &progress, const detail::AttemptResult &attempted,
+                               const std::string &endpoint);
     [[nodiscard]] schema::LinkMessage makeRequest(const RunSpec &spec, const Progress &progress, const Proposal &proposal,
                                                   const schema::RunRef &ref, const runtime::SpanContext &span) const;
     [[nodiscard]] placement::PlacementRequest placementFor(const RunSpec &spec);
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -17,6 +17,7 @@
 constexpr u32 DefaultMaxBodyBytes = 8 * 1024 * 1024;
 constexpr u32 DefaultReadTimeoutMs = 30'000;
 constexpr u32 SilentBeatsUntilElsewhere = 3;
+constexpr Duration ReadyPause = std::chrono::milliseconds(20);
 constexpr Duration DrainPause = std::chrono::milliseconds(20);
 // A request whose first bytes had arrived when listening ended shows up as busy only once it is read whole.
 constexpr Duration QuietUntilGone = std::chrono::milliseconds(200);
@@ -55,9 +56,10 @@
     , m_driver(process, m_fleet, m_runs, beatOf(settings) * SilentBeatsUntilElsewhere)
     , m_callers(process, m_config, m_fleet, m_driver)
     , m_admin(
-          process, [this] { return m_callers.isReady(); }, [this] { return status(); })
+          process, [this] { return isReady(); }, [this] { return status(); })
     , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
-    , m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callers)
+    , m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callers,
+                     http::Listening::Later)
 {
 }
 
@@ -65,11 +67,23 @@
 {
     boost::asio::co_spawn(m_process.workers, m_watch.run(), boost::asio::detached);
     boost::asio::co_spawn(m_process.workers, m_fleet.followVms(m_store), boost::asio::detached);
+    boost::asio::co_spawn(m_process.workers, openToCallers(), boost::asio::detached);
     for (const auto &seed : m_settings.entry().seed_links()) {
         m_fleet.addSeed(seed);
     }
 }
 
+// Guards against a restarted entry that turns callers away before it knows anything: it shows as refusals not_configured. A port
+// that is closed until then holds whether or not the balancer looks at /readyz, since it takes the next entry.
+boost::asio::awaitable<void> EntryRole::openToCallers()
+{
+    while (!m_callers.isReady()) {
+        co_await runtime::sleepFor(ReadyPause);
+    }
+    m_callerServer.listen();
+    m_isOpen = true;
+}
+
 boost::asio::awaitable<void> EntryRole::drain()
 {
     m_callers.setStopping();
@@ -84,6 +98,11 @@
     }
 }
 
+bool EntryRole::isReady() const
+{
+    return m_isOpen && m_callers.isReady();
+}
+
 std::string EntryRole::status() const
 {
     boost::json::array endpoints;
@@ -107,7 +126,7 @@
         {"name", m_process.vmName},
         {"zone", m_process.zone},
         {"config_version", m_config.version()},
-        {"ready", m_callers.isReady()},
+        {"ready", isReady()},
         {"runs", m_runs.size()},
         {"endpoints", std::move(endpoints)},
     };
--- a/lib/libburdock-serving/source/entry/entry_role.hpp
+++ b/lib/libburdock-serving/source/entry/entry_role.hpp
@@ -6,6 +6,8 @@
 #include <burdock/serving/entry/caller_handler.hpp>
 #include <burdock/serving/role.hpp>
 
+#include <atomic>
+
 namespace burdock::serving::detail {
 
 /** @brief The entry: speaks to callers and proposes their requests to endpoint processes. */
@@ -18,9 +20,12 @@
     [[nodiscard]] boost::asio::awaitable<void> drain() override;
 
 private:
+    [[nodiscard]] boost::asio::awaitable<void> openToCallers();
+    [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string status() const;
 
     Process &m_process;
+    std::atomic<bool> m_isOpen{false};
     schema::DaemonSettings m_settings;
     platform::HttpObjectStore m_store;
     ConfigHolder m_config;
--- a/lib/libburdock/source/verdict.cpp
+++ b/lib/libburdock/source/verdict.cpp
@@ -32,7 +32,7 @@
     {RefusalReason::BackEndLost, "back_end_lost", Verdict::MayHaveRun, 502, Final, Other},
     {RefusalReason::DeadlinePassed, "deadline_passed", Verdict::MayHaveRun, 504, Final, Other},
     {RefusalReason::RetryBudgetSpent, "retry_budget_spent", Verdict::NotRun, 503, Final, Overload},
-    {RefusalReason::NotConfigured, "not_configured", Verdict::NotRun, 503, Final, Other},
+    {RefusalReason::NotConfigured, "not_configured", Verdict::NotRun, 503, Elsewhere, Other},
 }};
 
 } // namespace
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -245,6 +245,9 @@
             if (daemon.pool != platform::EntryPool) {
                 continue;
             }
+            if (!document.at("ready").as_bool()) {
+                return false;
+            }
             for (const auto &endpoint : document.at("endpoints").as_array()) {
                 const bool isModel = endpoint.at("pool").as_string() == "models";
                 if (endpoint.at("health").as_string() != "alive" || (isModel && endpoint.at("loaded").as_array().empty())) {
