Sharpen two tests that passed without their guards

With the block frame unchecked "a damaged block" passed: the daemons had not yet noticed the restart, believed their engines to hold the draft, and read no block at all. It now waits for the restart and checks that the store was read. With older versions taken over, "a platform that serves an older version" passed: peers set it right before the test looked; it now looks for a second entry into force of the first version.

--- a/tests/integration/cache_test.cpp
+++ b/tests/integration/cache_test.cpp
@@ -31,6 +31,22 @@
     return call;
 }
 
+// Restarts of the engines that both endpoint processes have noticed.
+bool haveNoticed(Deployment &deployment, u32 restarts)
+{
+    for (const auto *name : {"model-0", "model-1"}) {
+        const auto log = deployment.logOf(name);
+        u32 noticed = 0;
+        for (auto at = log.find("endpoint_restarted"); at != std::string::npos; at = log.find("endpoint_restarted", at + 1)) {
+            ++noticed;
+        }
+        if (noticed < restarts) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::size_t keptBlocks(Deployment &deployment)
 {
     return deployment.store(0).blocks() + deployment.store(1).blocks();
@@ -73,11 +89,15 @@
     const auto call = draft("mayor", 5);
     const auto first = ask(deployment, 0, call);
     REQUIRE(waitUntil([&] { return keptBlocks(deployment) >= 5; }));
+    u32 restarts = 0;
     for (const auto mode : {StoreMode::FlipBits, StoreMode::Truncate, StoreMode::WrongBlock, StoreMode::Dead}) {
         deployment.store(0).setMode(mode);
         deployment.store(1).setMode(mode);
         deployment.engine(0).crash();
         deployment.engine(1).crash();
+        REQUIRE(waitUntil([&] { return haveNoticed(deployment, restarts + 1); }));
+        ++restarts;
+        const u32 reads = deployment.store(0).reads() + deployment.store(1).reads();
         Answer again;
         REQUIRE(waitUntil([&] {
             again = ask(deployment, 1, call);
@@ -85,6 +105,7 @@
         }));
         CHECK(again.text == first.text);
         CHECK(again.cachedTokens == 0);
+        CHECK((mode == StoreMode::Dead || deployment.store(0).reads() + deployment.store(1).reads() > reads));
     }
 }
 
--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -99,6 +99,12 @@
     const u64 reads = deployment.platform().calls("watch");
     REQUIRE(waitUntil([&] { return deployment.platform().calls("watch") > reads + 6; }));
     CHECK(allHold(deployment, 2));
+    // Nor did anybody go back in between, to be set right by a peer.
+    for (const auto &name : allProcesses()) {
+        const auto log = deployment.logOf(name);
+        const std::string first = "\"config_in_force\",\"version\":1}";
+        CHECK(log.find(first) == log.rfind(first));
+    }
     // A process that starts now gets the old version from the platform, and the newer one from its peers.
     deployment.process("entry-1").signal(SIGKILL);
     static_cast<void>(deployment.process("entry-1").waitForEnd(std::chrono::seconds(5)));
