--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -30,6 +30,22 @@
     return deployment.service(0).carriedOut(body) + deployment.service(1).carriedOut(body);
 }
 
+// Sends an order that the service has carried out, and answers only after releaseOrders().
+std::future<Answer> orderUnderWay(Deployment &deployment)
+{
+    deployment.service(0).setMode(ServiceMode::TakeAndWait);
+    deployment.service(1).setMode(ServiceMode::TakeAndWait);
+    auto pending = deployment.spawn(sendService(deployment.entryAddress(0), order("badge", "k")));
+    REQUIRE(waitUntil([&] { return carriedOut(deployment, "badge") == 1; }));
+    return pending;
+}
+
+void releaseOrders(Deployment &deployment)
+{
+    deployment.service(0).release();
+    deployment.service(1).release();
+}
+
 } // namespace
 
 TEST_CASE("one key runs once, whoever sends it and however often")
@@ -161,15 +177,11 @@
 {
     Deployment deployment(printersOnly());
     deployment.start();
-    deployment.service(0).setMode(ServiceMode::TakeAndWait);
-    deployment.service(1).setMode(ServiceMode::TakeAndWait);
-    auto lost = deployment.spawn(sendService(deployment.entryAddress(0), order("badge", "k")));
-    REQUIRE(waitUntil([&] { return carriedOut(deployment, "badge") == 1; }));
+    auto lost = orderUnderWay(deployment);
     deployment.process("entry-0").signal(SIGKILL);
     CHECK(lost.get().status != 200);
     CHECK(ask(deployment, 1, order("badge", "k")).verdict == "may_have_run");
-    deployment.service(0).release();
-    deployment.service(1).release();
+    releaseOrders(deployment);
     CHECK(waitUntil([&] { return ask(deployment, 1, order("badge", "k")).status == 200; }));
     CHECK(carriedOut(deployment, "badge") == 1);
 }
@@ -180,10 +192,7 @@
 {
     Deployment deployment(printersOnly());
     deployment.start();
-    deployment.service(0).setMode(ServiceMode::TakeAndWait);
-    deployment.service(1).setMode(ServiceMode::TakeAndWait);
-    auto pending = deployment.spawn(sendService(deployment.entryAddress(0), order("badge", "k")));
-    REQUIRE(waitUntil([&] { return carriedOut(deployment, "badge") == 1; }));
+    auto pending = orderUnderWay(deployment);
     const std::string holder = deployment.service(0).total() == 1 ? "print-0" : "print-1";
 
     SUBCASE("frozen")
@@ -191,8 +200,7 @@
         deployment.process(holder).signal(SIGSTOP);
         CHECK(pending.get().verdict == "may_have_run");
         CHECK(ask(deployment, 1, order("badge", "k")).verdict == "may_have_run");
-        deployment.service(0).release();
-        deployment.service(1).release();
+        releaseOrders(deployment);
         deployment.process(holder).signal(SIGCONT);
         CHECK(waitUntil([&] { return ask(deployment, 1, order("badge", "k")).status == 200; }));
     }
@@ -200,8 +208,7 @@
     {
         deployment.process(holder).signal(SIGKILL);
         CHECK(pending.get().verdict == "may_have_run");
-        deployment.service(0).release();
-        deployment.service(1).release();
+        releaseOrders(deployment);
         deployment.startProcess(holder);
         REQUIRE(waitUntil([&] { return deployment.status(holder).contains("config_version"); }));
         CHECK(ask(deployment, 1, order("badge", "k")).verdict == "may_have_run");
@@ -215,15 +222,11 @@
 {
     Deployment deployment(printersOnly());
     deployment.start();
-    deployment.service(0).setMode(ServiceMode::TakeAndWait);
-    deployment.service(1).setMode(ServiceMode::TakeAndWait);
-    auto pending = deployment.spawn(sendService(deployment.entryAddress(0), order("badge", "k")));
-    REQUIRE(waitUntil([&] { return carriedOut(deployment, "badge") == 1; }));
+    auto pending = orderUnderWay(deployment);
     deployment.linkProxy("print-0").freezeOpen();
     deployment.linkProxy("print-1").freezeOpen();
     REQUIRE(waitUntil([&] { return deployment.logOf("entry-0").find("link_replaced") != std::string::npos; }));
-    deployment.service(0).release();
-    deployment.service(1).release();
+    releaseOrders(deployment);
     CHECK(pending.get().isWhole);
     CHECK(carriedOut(deployment, "badge") == 1);
 }
