--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -4,6 +4,7 @@
 
 #include <burdock/platform/http_block_store.hpp>
 #include <burdock/runtime/sleep.hpp>
+#include <burdock/serving/link_messages.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -137,7 +138,7 @@
 void EndpointRole::answerHeartbeat(const runtime::link::PeerId &peer, const schema::Heartbeat &heartbeat)
 {
     for (const auto &suspect : heartbeat.suspects()) {
-        m_registry.mergeSuspect({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())});
+        m_registry.mergeSuspect(toSuspectRecord(suspect));
     }
     schema::LinkMessage message;
     auto *answer = message.mutable_heartbeat();
@@ -148,12 +149,7 @@
     answer->set_pool(m_settings.endpoint().pool());
     answer->set_config_version(m_config.version());
     *answer->mutable_load() = m_registry.load();
-    for (const auto &record : m_registry.suspects()) {
-        auto *suspect = answer->add_suspects();
-        suspect->set_fingerprint(record.fingerprint);
-        suspect->set_crashes(record.crashes);
-        suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
-    }
+    addSuspects(*answer, m_registry.suspects());
     m_server.send(peer, message);
     if (heartbeat.config_version() > m_config.version()) {
         askForConfig(peer);
--- a/lib/libburdock-serving/source/entry/fleet.cpp
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -192,12 +192,7 @@
     beat.set_boot_id(m_process.bootId);
     beat.set_config_version(m_config.version());
     const std::lock_guard lock(m_mutex);
-    for (const auto &record : m_quarantine.records(m_process.clock.now())) {
-        auto *suspect = beat.add_suspects();
-        suspect->set_fingerprint(record.fingerprint);
-        suspect->set_crashes(record.crashes);
-        suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
-    }
+    addSuspects(beat, m_quarantine.records(m_process.clock.now()));
     return beat;
 }
 
@@ -249,7 +244,7 @@
         const std::lock_guard lock(m_mutex);
         const auto now = m_process.clock.now();
         for (const auto &suspect : heartbeat.suspects()) {
-            m_quarantine.merge({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())}, now);
+            m_quarantine.merge(toSuspectRecord(suspect), now);
         }
         const auto found = m_clients.find(peer);
         client = found == m_clients.end() ? nullptr : found->second;
--- a/lib/libburdock-serving/source/link_messages.cpp
+++ b/lib/libburdock-serving/source/link_messages.cpp
@@ -56,6 +56,21 @@
     return reported;
 }
 
+void addSuspects(schema::Heartbeat &heartbeat, const std::vector<retry::SuspectRecord> &records)
+{
+    for (const auto &record : records) {
+        auto *suspect = heartbeat.add_suspects();
+        suspect->set_fingerprint(record.fingerprint);
+        suspect->set_crashes(record.crashes);
+        suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
+    }
+}
+
+retry::SuspectRecord toSuspectRecord(const schema::Suspect &suspect)
+{
+    return {suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())};
+}
+
 std::string weightName(std::string_view model, std::string_view version)
 {
     return std::string(model) + "@" + std::string(version);
