Tell peers of a crash at once, and only what they have not confirmed

Cause: the second crash is known to the endpoint process that saw it and to the entry that had the run; the other entry heard of it with its next heartbeat, and a link that idles or on which answers flow beats every 8th or 20th time only. A resend through that entry was taken for a new request and crashed two more engines; the neighbours there met their second crash.

Change: a crash is told at once: an endpoint process beats out of turn to its entries, an entry to its links once a request may not run at all. Heartbeats carry what the peer has not confirmed (retry::SuspectExchange) in place of all suspects each time.

--- a/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/link/client.hpp
@@ -17,8 +17,8 @@
 public:
     virtual ~ClientHandler() = default;
 
-    /** @brief The heartbeat to send now. */
-    [[nodiscard]] virtual schema::Heartbeat heartbeat() = 0;
+    /** @brief The heartbeat to send a peer now. */
+    [[nodiscard]] virtual schema::Heartbeat heartbeat(const std::string &peer) = 0;
 
     virtual void onMessage(const std::string &peer, const schema::LinkMessage &message) = 0;
 
@@ -58,6 +58,9 @@
      */
     [[nodiscard]] bool withdraw(const schema::RunRef &ref);
 
+    /** @brief Sends a heartbeat out of turn, because there is news in it. */
+    void beatNow();
+
     /** @brief Identifies the peer's process; 0 until it was heard. */
     [[nodiscard]] u64 peerBootId() const;
 
--- a/lib/libburdock-runtime/source/link/client.cpp
+++ b/lib/libburdock-runtime/source/link/client.cpp
@@ -70,6 +70,15 @@
         return std::erase_if(m_waiting, [&ref](const auto &message) { return isRequestOf(message, ref); }) > 0;
     }
 
+    void beatNow()
+    {
+        boost::asio::post(m_strand, [self = shared_from_this()] {
+            if (!self->m_isClosed) {
+                self->sendBeat();
+            }
+        });
+    }
+
     [[nodiscard]] u64 peerBootId() const
     {
         return m_bootId;
@@ -125,9 +134,7 @@
             replaceSocket();
         }
         if (step.sendsBeat || step.isSilent) {
-            schema::LinkMessage message;
-            *message.mutable_heartbeat() = m_handler.heartbeat();
-            m_socket->send({message.SerializeAsString()});
+            sendBeat();
         }
         m_timer.expires_after(step.next);
         m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
@@ -137,6 +144,13 @@
         });
     }
 
+    void sendBeat()
+    {
+        schema::LinkMessage message;
+        *message.mutable_heartbeat() = m_handler.heartbeat(m_peer);
+        m_socket->send({message.SerializeAsString()});
+    }
+
     [[nodiscard]] membership::BeatSchedule::Step nextStep()
     {
         const std::lock_guard lock(m_mutex);
@@ -248,6 +262,11 @@
     return m_impl->withdraw(ref);
 }
 
+void Client::beatNow()
+{
+    m_impl->beatNow();
+}
+
 u64 Client::peerBootId() const
 {
     return m_impl->peerBootId();
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <burdock/retry/quarantine.hpp>
 #include <burdock/serving/config/config_holder.hpp>
 #include <burdock/serving/endpoint/admission_gate.hpp>
 #include <burdock/serving/endpoint/back_end_runner.hpp>
+#include <burdock/serving/suspect_book.hpp>
 
 #include <atomic>
 #include <memory>
@@ -16,7 +16,8 @@
 class RunRegistry
 {
 public:
-    RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, std::size_t tailBytes);
+    RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, SuspectBook &suspects,
+                std::size_t tailBytes);
 
     /** @brief Where answers go; set once before the first message. */
     void setServer(runtime::link::Server &server);
@@ -28,6 +29,8 @@
 
     /** @brief Notes that a peer's link lives. */
     void notePeer(const runtime::link::PeerId &peer);
+    /** @brief The peers heard within the last minute. */
+    [[nodiscard]] std::vector<runtime::link::PeerId> peers() const;
 
     /** @brief Forgets runs that are over, and cancels prompts whose entry has been silent for too long. Until the process stops. */
     [[nodiscard]] boost::asio::awaitable<void> sweepLoop();
@@ -40,8 +43,6 @@
     [[nodiscard]] bool isIdle() const;
 
     [[nodiscard]] schema::EndpointLoad load() const;
-    void mergeSuspect(const retry::SuspectRecord &record);
-    [[nodiscard]] std::vector<retry::SuspectRecord> suspects() const;
 
 private:
     struct Entry
@@ -58,7 +59,6 @@
     [[nodiscard]] boost::asio::awaitable<void> runAdmitted(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
                                                            bool isSuspect, const runtime::SpanContext &span);
     [[nodiscard]] Refusal eligibility(const schema::RunRequest &request) const;
-    [[nodiscard]] retry::SuspectState suspectState(const schema::RunRequest &request);
     void noteOutcome(const schema::RunRequest &request, Conclusion &conclusion);
     void refuse(RunOutlet &outlet, const Refusal &refusal);
     void sweep();
@@ -67,6 +67,7 @@
     ConfigHolder &m_config;
     AdmissionGate &m_gate;
     BackEndRunner &m_runner;
+    SuspectBook &m_suspects;
     std::size_t m_tailBytes;
     runtime::link::Server *m_server = nullptr;
     std::atomic<bool> m_isLeaving{false};
@@ -75,7 +76,6 @@
     mutable runtime::OrderedMutex<runtime::LockLevel::Runs> m_mutex; // guards what follows
     std::unordered_map<std::string, Entry> m_runs;
     std::unordered_map<runtime::link::PeerId, TimePoint> m_peers;
-    retry::Quarantine m_quarantine;
 };
 
 } // namespace burdock::serving
--- a/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
@@ -2,10 +2,10 @@
 
 #include <burdock/membership/member_table.hpp>
 #include <burdock/platform/object_store.hpp>
-#include <burdock/retry/quarantine.hpp>
 #include <burdock/runtime/link/client.hpp>
 #include <burdock/serving/config/config_holder.hpp>
 #include <burdock/serving/entry/run_table.hpp>
+#include <burdock/serving/suspect_book.hpp>
 
 #include <map>
 #include <memory>
@@ -54,16 +54,13 @@
     /** @brief Leaves an endpoint out of proposals for a while. */
     void avoid(const std::string &endpoint, Duration time);
 
-    [[nodiscard]] u32 crashesOf(u64 fingerprint) const;
-    [[nodiscard]] retry::SuspectState suspectState(u64 fingerprint) const;
-    /** @brief Takes over how many crashes an endpoint process has counted. */
-    void noteCrashes(u64 fingerprint, u32 crashes);
-    void noteSuccess(u64 fingerprint);
+    /** @brief Requests that were under way at crashes of endpoints. */
+    [[nodiscard]] SuspectBook &suspects();
 
     [[nodiscard]] u32 entryCount() const;
     [[nodiscard]] std::vector<membership::Member> members() const;
 
-    [[nodiscard]] schema::Heartbeat heartbeat() override;
+    [[nodiscard]] schema::Heartbeat heartbeat(const std::string &peer) override;
     void onMessage(const std::string &peer, const schema::LinkMessage &message) override;
     void onReplaced(const std::string &peer) override;
     void onHealth(const std::string &peer, membership::LinkHealth health) override;
@@ -71,6 +68,7 @@
 private:
     void takeList(const std::vector<membership::ListedVm> &vms);
     void openAttendedLinks();
+    void tellSuspects();
     void learnFromSeed(const std::string &peer, const schema::Heartbeat &heartbeat);
     void takeHeartbeat(const std::string &peer, const schema::Heartbeat &heartbeat);
     [[nodiscard]] std::shared_ptr<runtime::link::Client> openLink(const std::string &peer, const membership::Member &member);
@@ -80,6 +78,7 @@
     RunTable &m_runs;
     runtime::link::Context &m_links;
     runtime::link::ClientOptions m_options;
+    SuspectBook m_suspects;
 
     mutable runtime::OrderedMutex<runtime::LockLevel::Membership> m_mutex;
     membership::MemberTable m_members;
@@ -87,7 +86,6 @@
     std::map<std::string, std::string> m_seeds; // link addresses by peer name
     bool m_hasList = false;
     std::map<std::string, std::shared_ptr<runtime::link::Client>> m_clients;
-    retry::Quarantine m_quarantine;
 };
 
 } // namespace burdock::serving
--- a/lib/libburdock-serving/include/burdock/serving/link_messages.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/link_messages.hpp
@@ -2,7 +2,7 @@
 
 #include <burdock/link.pb.h>
 #include <burdock/membership/member_table.hpp>
-#include <burdock/retry/quarantine.hpp>
+#include <burdock/retry/suspect_exchange.hpp>
 
 /** @brief Helpers for messages between entries and endpoint processes. */
 namespace burdock::serving {
@@ -15,9 +15,9 @@
 
 [[nodiscard]] membership::ReportedLoad toReportedLoad(const schema::EndpointLoad &load);
 
-/** @brief Adds suspect records to a heartbeat, and reads one back. */
-void addSuspects(schema::Heartbeat &heartbeat, const std::vector<retry::SuspectRecord> &records);
-[[nodiscard]] retry::SuspectRecord toSuspectRecord(const schema::Suspect &suspect);
+/** @brief Adds what is told of suspects to a heartbeat, and reads it back. */
+void addSuspectNews(schema::Heartbeat &heartbeat, const retry::SuspectNews &news);
+[[nodiscard]] retry::SuspectNews toSuspectNews(const schema::Heartbeat &heartbeat);
 
 /** @brief `model@version`, the form in which loaded weights are named. */
 [[nodiscard]] std::string weightName(std::string_view model, std::string_view version);
--- /dev/null
+++ b/lib/libburdock-serving/include/burdock/serving/suspect_book.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <burdock/link.pb.h>
+#include <burdock/retry/suspect_exchange.hpp>
+#include <burdock/runtime/ordered_mutex.hpp>
+#include <burdock/serving/process.hpp>
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace burdock::serving {
+
+/** @brief Suspects as one process knows them, and what each of its peers has yet to hear of them. Thread-safe. */
+class SuspectBook
+{
+public:
+    /** @param leastCrashesTold records with fewer crashes are not told to peers */
+    SuspectBook(Process &process, u32 leastCrashesTold);
+
+    /** @brief Called, with no lock held, whenever peers have something new to hear; set before the first message. */
+    void setOnNews(std::function<void()> onNews);
+
+    [[nodiscard]] retry::SuspectState state(u64 fingerprint) const;
+    [[nodiscard]] u32 crashes(u64 fingerprint) const;
+
+    /** @brief Counts a crash; returns how many there have been. */
+    u32 noteCrash(u64 fingerprint);
+    void noteSuccess(u64 fingerprint);
+
+    /** @brief Takes over how many crashes another process has counted; a maximum, since the same crash is told in several ways. */
+    void noteCrashes(u64 fingerprint, u32 crashes);
+
+    /** @brief Adds to a heartbeat what its receiver has not confirmed. */
+    void tell(const std::string &peer, schema::Heartbeat &heartbeat);
+    void hear(const std::string &peer, const schema::Heartbeat &heartbeat);
+
+    /** @brief The peer is gone for good. */
+    void forget(const std::string &peer);
+
+    /** @brief Changes with each record that peers have to hear of. */
+    [[nodiscard]] u64 newsCount() const;
+
+private:
+    void announce(bool isNews);
+    [[nodiscard]] retry::SuspectExchange &exchange(const std::string &peer);
+
+    Process &m_process;
+    u32 m_leastCrashesTold;
+    std::function<void()> m_onNews;
+
+    mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex; // guards what follows
+    retry::Quarantine m_quarantine;
+    std::unordered_map<std::string, retry::SuspectExchange> m_exchanges;
+    u64 m_newsCount = 0;
+};
+
+} // namespace burdock::serving
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -21,6 +21,10 @@
 constexpr Duration EngineSilence = std::chrono::seconds(3);
 constexpr Duration ServiceSilence = std::chrono::seconds(30);
 constexpr Duration BlockTimeout = std::chrono::seconds(1);
+// Entries hear of every suspect, so that a retry through another entry is known for one.
+constexpr u32 LeastCrashesTold = 1;
+// A crash makes suspects of all runs within moments; they are told in one beat.
+constexpr Duration GatherSuspects = std::chrono::milliseconds(10);
 constexpr Duration DrainPause = std::chrono::milliseconds(20);
 // Entries learn from the next heartbeat that this process leaves; until then their proposals get a refusal.
 constexpr Duration QuietUntilGone = std::chrono::milliseconds(1500);
@@ -56,7 +60,8 @@
     , m_once(process, m_store)
     , m_engineSide(settings.endpoint().is_engine() ? std::make_unique<EngineSide>(process, m_config, m_store, m_gate, settings) : nullptr)
     , m_serviceRunner(std::make_unique<ServiceRunner>(process, m_once, http::parseAddress(settings.endpoint().backend()), ServiceSilence))
-    , m_registry(process, m_config, m_gate, runner(),
+    , m_suspects(process, LeastCrashesTold)
+    , m_registry(process, m_config, m_gate, runner(), m_suspects,
                  settings.endpoint().max_tail_bytes() == 0 ? DefaultTailBytes : settings.endpoint().max_tail_bytes())
     , m_links(process.workers, linkKeysOf(settings))
     , m_server(m_links, http::parseAddress(settings.endpoint().listen()), *this)
@@ -65,6 +70,7 @@
     , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
 {
     m_registry.setServer(m_server);
+    m_suspects.setOnNews([this] { tellSuspects(); });
     m_config.addListener([this](const Snapshot &config) { applyPool(config); });
 }
 
@@ -137,9 +143,15 @@
 
 void EndpointRole::answerHeartbeat(const runtime::link::PeerId &peer, const schema::Heartbeat &heartbeat)
 {
-    for (const auto &suspect : heartbeat.suspects()) {
-        m_registry.mergeSuspect(toSuspectRecord(suspect));
+    m_suspects.hear(peer, heartbeat);
+    sendHeartbeat(peer);
+    if (heartbeat.config_version() > m_config.version()) {
+        askForConfig(peer);
     }
+}
+
+void EndpointRole::sendHeartbeat(const runtime::link::PeerId &peer)
+{
     schema::LinkMessage message;
     auto *answer = message.mutable_heartbeat();
     answer->set_sender(m_process.vmName);
@@ -149,10 +161,28 @@
     answer->set_pool(m_settings.endpoint().pool());
     answer->set_config_version(m_config.version());
     *answer->mutable_load() = m_registry.load();
-    addSuspects(*answer, m_registry.suspects());
+    m_suspects.tell(peer, *answer);
     m_server.send(peer, message);
-    if (heartbeat.config_version() > m_config.version()) {
-        askForConfig(peer);
+}
+
+void EndpointRole::tellSuspects()
+{
+    if (m_isTellingSuspects.exchange(true)) {
+        return;
+    }
+    const u64 told = m_suspects.newsCount();
+    for (const auto &peer : m_registry.peers()) {
+        sendHeartbeat(peer);
+    }
+    boost::asio::co_spawn(m_process.workers, tellFurtherSuspects(told), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> EndpointRole::tellFurtherSuspects(u64 told)
+{
+    co_await runtime::sleepFor(GatherSuspects);
+    m_isTellingSuspects = false;
+    if (m_suspects.newsCount() != told) {
+        tellSuspects();
     }
 }
 
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
@@ -39,6 +39,9 @@
 private:
     void onMessage(const runtime::link::PeerId &peer, const schema::LinkMessage &message) override;
     void answerHeartbeat(const runtime::link::PeerId &peer, const schema::Heartbeat &heartbeat);
+    void sendHeartbeat(const runtime::link::PeerId &peer);
+    void tellSuspects();
+    [[nodiscard]] boost::asio::awaitable<void> tellFurtherSuspects(u64 told);
     void askForConfig(const runtime::link::PeerId &peer);
     void pushConfig(const runtime::link::PeerId &peer);
     void applyPool(const Snapshot &config);
@@ -54,7 +57,9 @@
     OnceStore m_once;
     std::unique_ptr<EngineSide> m_engineSide;
     std::unique_ptr<ServiceRunner> m_serviceRunner;
+    SuspectBook m_suspects;
     RunRegistry m_registry;
+    std::atomic<bool> m_isTellingSuspects{false};
     runtime::link::Context m_links;
     runtime::link::Server m_server;
     AdminHandler m_admin;
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -15,8 +15,6 @@
 constexpr Duration KeepTombstone = std::chrono::seconds(60);
 constexpr Duration OrphanAfter = std::chrono::seconds(10);
 constexpr Duration ForgetPeerAfter = std::chrono::minutes(1);
-constexpr Duration ForgetSuspects = std::chrono::minutes(30);
-constexpr std::size_t MaxSuspects = 4096;
 constexpr Duration RetryAfterMove = std::chrono::milliseconds(100);
 constexpr double BytesPerToken = 4.0;
 
@@ -27,13 +25,14 @@
 
 } // namespace
 
-RunRegistry::RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, std::size_t tailBytes)
+RunRegistry::RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, SuspectBook &suspects,
+                         std::size_t tailBytes)
     : m_process(process)
     , m_config(config)
     , m_gate(gate)
     , m_runner(runner)
+    , m_suspects(suspects)
     , m_tailBytes(tailBytes)
-    , m_quarantine(ForgetSuspects, MaxSuspects)
 {
 }
 
@@ -71,7 +70,8 @@
 {
     runtime::Span span(m_process.tracer, "endpoint.run", {request.trace().trace_id(), request.trace().span_id()});
     auto refusal = eligibility(request);
-    const auto suspicion = suspectState(request);
+    m_suspects.noteCrashes(request.fingerprint(), request.suspect_crashes());
+    const auto suspicion = m_suspects.state(request.fingerprint());
     if (suspicion == retry::SuspectState::Quarantined) {
         refusal = {RefusalReason::Quarantined, Duration::zero()};
     }
@@ -135,26 +135,13 @@
     return {};
 }
 
-retry::SuspectState RunRegistry::suspectState(const schema::RunRequest &request)
-{
-    const std::lock_guard lock(m_mutex);
-    const TimePoint now = m_process.clock.now();
-    if (request.suspect_crashes() > 0) {
-        m_quarantine.merge({request.fingerprint(), request.suspect_crashes(), Duration::zero()}, now);
-    }
-    return m_quarantine.state(request.fingerprint(), now);
-}
-
 void RunRegistry::noteOutcome(const schema::RunRequest &request, Conclusion &conclusion)
 {
-    const std::lock_guard lock(m_mutex);
     if (conclusion.outcome == admission::RunOutcome::Success) {
-        m_quarantine.noteSuccess(request.fingerprint());
+        m_suspects.noteSuccess(request.fingerprint());
     }
     if (conclusion.end.endpoint_crashed()) {
-        const TimePoint now = m_process.clock.now();
-        m_quarantine.noteCrash(request.fingerprint(), now);
-        conclusion.end.set_suspect_crashes(m_quarantine.crashes(request.fingerprint(), now));
+        conclusion.end.set_suspect_crashes(m_suspects.noteCrash(request.fingerprint()));
     }
 }
 
@@ -207,6 +194,16 @@
     m_peers[peer] = m_process.clock.now();
 }
 
+std::vector<runtime::link::PeerId> RunRegistry::peers() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<runtime::link::PeerId> out;
+    for (const auto &[peer, heard] : m_peers) {
+        out.push_back(peer);
+    }
+    return out;
+}
+
 boost::asio::awaitable<void> RunRegistry::sweepLoop()
 {
     while (true) {
@@ -236,7 +233,13 @@
         const bool isDelivered = entry.outlet && entry.outlet->isDelivered();
         return isDelivered || entry.touched + (entry.outlet ? KeepEnded : KeepTombstone) < now;
     });
-    std::erase_if(m_peers, [&](const auto &peer) { return peer.second + ForgetPeerAfter < now; });
+    std::erase_if(m_peers, [&](const auto &peer) {
+        const bool isGone = peer.second + ForgetPeerAfter < now;
+        if (isGone) {
+            m_suspects.forget(peer.first);
+        }
+        return isGone;
+    });
 }
 
 void RunRegistry::setLeaving()
@@ -273,16 +276,4 @@
     return load;
 }
 
-void RunRegistry::mergeSuspect(const retry::SuspectRecord &record)
-{
-    const std::lock_guard lock(m_mutex);
-    m_quarantine.merge(record, m_process.clock.now());
-}
-
-std::vector<retry::SuspectRecord> RunRegistry::suspects() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_quarantine.records(m_process.clock.now());
-}
-
 } // namespace burdock::serving
--- a/lib/libburdock-serving/source/entry/fleet.cpp
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -13,11 +13,12 @@
 
 constexpr Duration ListWait = std::chrono::seconds(4);
 constexpr Duration ListRetryPause = std::chrono::milliseconds(500);
-constexpr Duration ForgetSuspects = std::chrono::minutes(30);
-constexpr std::size_t MaxSuspects = 4096;
 constexpr u32 ProposalsAtMost = 8;
 // Entries that keep a link to each endpoint; three, so that two may be lost at once.
 constexpr u32 Attendants = 3;
+// An entry passes on only what must not run at all: a crash makes as many suspects as there were runs, and a retry says with the
+// request what it is suspected of.
+constexpr u32 LeastCrashesTold = retry::CrashesToQuarantine;
 
 } // namespace
 
@@ -28,8 +29,9 @@
     , m_runs(runs)
     , m_links(links)
     , m_options(options)
-    , m_quarantine(ForgetSuspects, MaxSuspects)
+    , m_suspects(process, LeastCrashesTold)
 {
+    m_suspects.setOnNews([this] { tellSuspects(); });
 }
 
 Fleet::~Fleet() = default;
@@ -73,6 +75,7 @@
             auto client = it++;
             if (m_members.find(client->first) == nullptr && m_seeds.count(client->first) == 0) {
                 closed.push_back(std::move(client->second));
+                m_suspects.forget(client->first);
                 m_clients.erase(client);
             }
         }
@@ -144,29 +147,17 @@
     m_members.avoid(endpoint, m_process.clock.now() + time);
 }
 
-u32 Fleet::crashesOf(u64 fingerprint) const
+SuspectBook &Fleet::suspects()
 {
-    const std::lock_guard lock(m_mutex);
-    return m_quarantine.crashes(fingerprint, m_process.clock.now());
-}
-
-retry::SuspectState Fleet::suspectState(u64 fingerprint) const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_quarantine.state(fingerprint, m_process.clock.now());
-}
-
-void Fleet::noteCrashes(u64 fingerprint, u32 crashes)
-{
-    const std::lock_guard lock(m_mutex);
-    // A maximum, not a sum: the same crash is told by the run's end and by heartbeats.
-    m_quarantine.merge({fingerprint, crashes, Duration::zero()}, m_process.clock.now());
+    return m_suspects;
 }
 
-void Fleet::noteSuccess(u64 fingerprint)
+void Fleet::tellSuspects()
 {
     const std::lock_guard lock(m_mutex);
-    m_quarantine.noteSuccess(fingerprint);
+    for (const auto &[peer, client] : m_clients) {
+        client->beatNow();
+    }
 }
 
 u32 Fleet::entryCount() const
@@ -185,14 +176,13 @@
     return out;
 }
 
-schema::Heartbeat Fleet::heartbeat()
+schema::Heartbeat Fleet::heartbeat(const std::string &peer)
 {
     schema::Heartbeat beat;
     beat.set_sender(m_process.vmName);
     beat.set_boot_id(m_process.bootId);
     beat.set_config_version(m_config.version());
-    const std::lock_guard lock(m_mutex);
-    addSuspects(beat, m_quarantine.records(m_process.clock.now()));
+    m_suspects.tell(peer, beat);
     return beat;
 }
 
@@ -239,13 +229,10 @@
 
 void Fleet::takeHeartbeat(const std::string &peer, const schema::Heartbeat &heartbeat)
 {
+    m_suspects.hear(peer, heartbeat);
     std::shared_ptr<runtime::link::Client> client;
     {
         const std::lock_guard lock(m_mutex);
-        const auto now = m_process.clock.now();
-        for (const auto &suspect : heartbeat.suspects()) {
-            m_quarantine.merge(toSuspectRecord(suspect), now);
-        }
         const auto found = m_clients.find(peer);
         client = found == m_clients.end() ? nullptr : found->second;
     }
--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -86,7 +86,7 @@
     RunResult result;
     result.refusal = {RefusalReason::NoEndpoint, DefaultRetryAfter};
     while (progress.attempts < MaxAttempts && progress.freeAttempts < MaxFreeAttempts && m_process.clock.now() < spec.deadline) {
-        if (m_fleet.suspectState(spec.fingerprint) == retry::SuspectState::Quarantined) {
+        if (m_fleet.suspects().state(spec.fingerprint) == retry::SuspectState::Quarantined) {
             result.refusal = {RefusalReason::Quarantined, Duration::zero()};
             break;
         }
@@ -103,7 +103,7 @@
         auto attempted = co_await attempt(spec, sink, progress, proposals.front(), parent);
         m_runs.remove(progress.runId);
         if (attempted.kind == AttemptKind::Complete) {
-            m_fleet.noteSuccess(spec.fingerprint);
+            m_fleet.suspects().noteSuccess(spec.fingerprint);
             result.status = RunStatus::Complete;
             result.end = std::move(attempted.end);
             co_return result;
@@ -214,7 +214,7 @@
     request->set_customer(spec.customer);
     request->set_priority(spec.priority);
     request->set_fingerprint(spec.fingerprint);
-    request->set_suspect_crashes(m_fleet.crashesOf(spec.fingerprint));
+    request->set_suspect_crashes(m_fleet.suspects().crashes(spec.fingerprint));
     request->set_deadline_ms(static_cast<u32>(toMilliseconds(spec.deadline - m_process.clock.now())));
     request->mutable_trace()->set_trace_id(span.traceId);
     request->mutable_trace()->set_span_id(span.spanId);
--- a/lib/libburdock-serving/source/link_messages.cpp
+++ b/lib/libburdock-serving/source/link_messages.cpp
@@ -56,19 +56,29 @@
     return reported;
 }
 
-void addSuspects(schema::Heartbeat &heartbeat, const std::vector<retry::SuspectRecord> &records)
+void addSuspectNews(schema::Heartbeat &heartbeat, const retry::SuspectNews &news)
 {
-    for (const auto &record : records) {
+    for (const auto &record : news.records) {
         auto *suspect = heartbeat.add_suspects();
         suspect->set_fingerprint(record.fingerprint);
         suspect->set_crashes(record.crashes);
         suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
     }
+    heartbeat.set_suspects_up_to(news.upTo);
+    heartbeat.set_suspects_heard(news.heard);
+    heartbeat.set_suspects_heard_boot_id(news.heardProcess);
 }
 
-retry::SuspectRecord toSuspectRecord(const schema::Suspect &suspect)
+retry::SuspectNews toSuspectNews(const schema::Heartbeat &heartbeat)
 {
-    return {suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())};
+    retry::SuspectNews news;
+    for (const auto &suspect : heartbeat.suspects()) {
+        news.records.push_back({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())});
+    }
+    news.upTo = heartbeat.suspects_up_to();
+    news.heard = heartbeat.suspects_heard();
+    news.heardProcess = heartbeat.suspects_heard_boot_id();
+    return news;
 }
 
 std::string weightName(std::string_view model, std::string_view version)
--- a/lib/libburdock/include/burdock/retry/quarantine.hpp
+++ b/lib/libburdock/include/burdock/retry/quarantine.hpp
@@ -7,6 +7,9 @@
 
 namespace burdock::retry {
 
+/** @brief Crashes at which a request counts as their cause. */
+inline constexpr u32 CrashesToQuarantine = 2;
+
 /** @brief How a request with a given fingerprint may run. */
 enum class SuspectState : u8 {
     Clear, ///< as any other
@@ -48,17 +51,28 @@
     void noteCrash(u64 fingerprint, TimePoint now);
     void noteSuccess(u64 fingerprint);
 
-    /** @brief Takes over a record of another process. */
-    void merge(const SuspectRecord &record, TimePoint now);
+    /**
+     * @brief Takes over a record of another process.
+     * @return true if it told more than was known
+     */
+    bool merge(const SuspectRecord &record, TimePoint now);
+
+    /** @brief Grows with each change of a record. */
+    [[nodiscard]] u64 sequence() const;
 
-    /** @brief The records to tell other processes of. */
-    [[nodiscard]] std::vector<SuspectRecord> records(TimePoint now) const;
+    /**
+     * @brief The records to tell another process of.
+     * @param after   only those changed after this sequence number
+     * @param crashes only those with so many crashes
+     */
+    [[nodiscard]] std::vector<SuspectRecord> records(TimePoint now, u64 after = 0, u32 crashes = 1) const;
 
 private:
     struct Entry
     {
         u32 crashes = 0;
         TimePoint touched{};
+        u64 sequence = 0; ///< of the last change
     };
 
     void dropOldest();
@@ -66,6 +80,7 @@
     Duration m_forgetAfter;
     std::size_t m_capacity;
     std::unordered_map<u64, Entry> m_entries;
+    u64 m_sequence = 0;
 };
 
 } // namespace burdock::retry
--- a/lib/libburdock/source/retry/quarantine.cpp
+++ b/lib/libburdock/source/retry/quarantine.cpp
@@ -4,12 +4,6 @@
 
 namespace burdock::retry {
 
-namespace {
-
-constexpr u32 CrashesToQuarantine = 2;
-
-} // namespace
-
 Quarantine::Quarantine(Duration forgetAfter, std::size_t capacity)
     : m_forgetAfter(forgetAfter)
     , m_capacity(capacity)
@@ -42,6 +36,7 @@
     }
     ++entry.crashes;
     entry.touched = now;
+    entry.sequence = ++m_sequence;
     dropOldest();
 }
 
@@ -50,25 +45,32 @@
     m_entries.erase(fingerprint);
 }
 
-void Quarantine::merge(const SuspectRecord &record, TimePoint now)
+bool Quarantine::merge(const SuspectRecord &record, TimePoint now)
 {
     if (record.age >= m_forgetAfter) {
-        return;
+        return false;
     }
     auto &entry = m_entries[record.fingerprint];
     if (record.crashes <= entry.crashes) {
-        return;
+        return false;
     }
     entry.crashes = record.crashes;
     entry.touched = now - record.age;
+    entry.sequence = ++m_sequence;
     dropOldest();
+    return true;
+}
+
+u64 Quarantine::sequence() const
+{
+    return m_sequence;
 }
 
-std::vector<SuspectRecord> Quarantine::records(TimePoint now) const
+std::vector<SuspectRecord> Quarantine::records(TimePoint now, u64 after, u32 crashes) const
 {
     std::vector<SuspectRecord> out;
     for (const auto &[fingerprint, entry] : m_entries) {
-        if (entry.touched + m_forgetAfter >= now) {
+        if (entry.touched + m_forgetAfter >= now && entry.sequence > after && entry.crashes >= crashes) {
             out.push_back({fingerprint, entry.crashes, now - entry.touched});
         }
     }
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -6,6 +6,7 @@
 #include <burdock/once/once_machine.hpp>
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/retry/retry_budget.hpp>
+#include <burdock/retry/suspect_exchange.hpp>
 #include <burdock/run/answer_tail.hpp>
 #include <burdock/verdict.hpp>
 #include <burdock/weights/load_slots.hpp>
@@ -216,6 +217,49 @@
     CHECK(one.state(8, Start) == retry::SuspectState::Quarantined);
 }
 
+// A hundred suspects in every heartbeat multiply control traffic by ten; a beat that drops what the peer has not heard lets a
+// poisonous request crash one more endpoint. Messages are lost and processes replaced meanwhile.
+TEST_CASE("a peer hears of every suspect once, through lost messages and new processes")
+{
+    constexpr u64 Entry = 1;
+    retry::Quarantine told(std::chrono::minutes(30), 100);
+    retry::Quarantine heard(std::chrono::minutes(30), 100);
+    retry::SuspectExchange teller(Entry);
+    retry::SuspectExchange hearer(2);
+    const auto tell = [&] {
+        return teller.news(told, 1, Start);
+    };
+    const auto answer = [&] {
+        return hearer.news(heard, 1, Start);
+    };
+    told.noteCrash(7, Start);
+    told.noteCrash(8, Start);
+    CHECK(tell().records.size() == 2); // lost
+    CHECK(tell().records.size() == 2);
+    CHECK(hearer.take(heard, tell(), Entry, Start));
+    CHECK_FALSE(hearer.take(heard, tell(), Entry, Start));
+    CHECK_FALSE(teller.take(told, answer(), 2, Start));
+    CHECK(tell().records.empty());
+    told.noteCrash(8, Start);
+    REQUIRE(tell().records.size() == 1);
+    CHECK(tell().records.front().crashes == 2);
+    CHECK(teller.news(told, 3, Start).records.empty());
+    // A new process at the hearing end knows nothing, and must not be taken to have heard what its predecessor did.
+    retry::Quarantine empty(std::chrono::minutes(30), 100);
+    retry::SuspectExchange successor(3);
+    static_cast<void>(teller.take(told, successor.news(empty, 1, Start), 3, Start));
+    CHECK(tell().records.size() == 2);
+    CHECK(successor.take(empty, tell(), Entry, Start));
+    // A new process at the telling end starts counting again; what was confirmed to its predecessor says nothing about it.
+    retry::Quarantine anew(std::chrono::minutes(30), 100);
+    retry::SuspectExchange heir(4);
+    anew.noteCrash(9, Start);
+    auto confirmation = successor.news(empty, 1, Start);
+    confirmation.records.clear();
+    static_cast<void>(heir.take(anew, confirmation, 3, Start));
+    CHECK(heir.news(anew, 1, Start).records.size() == 1);
+}
+
 TEST_CASE("load slots: no more holders than slots, and a holder that stands still lapses on the observer's clock")
 {
     weights::LoadSlots slots(2, std::chrono::seconds(10));
