Spend a tenth of the platform's calls and of an entry's time on what grows with the fleet

Causes, from docs/CAPACITY.md: every entry watched the configuration (3,200 calls a second at a change a second; the platform takes 2,000 reads), each replica that waited for a load slot looked five times a second (3,300 a second), and each request walked the list of all endpoints (513 us of 10,000).

Changes: three entries of an availability zone watch, by rank; the others look each 5 s, and every answer tells the version that its endpoint process holds. A replica's pause between looks grows with the time waited. Members are listed by pool.

Found on the way, each with its cause: a request for configuration over a seed link was never answered, because the entry looked for the peer among members (hidden while every beat asked anew; config_test and cache_test failed); co_await on both sides of ?: is freed twice by GCC 12. The stand-in counts waiting watches now.

--- a/lib/libburdock-serving/include/burdock/serving/config/config_holder.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/config/config_holder.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,9 +42,12 @@
     /** @brief As offer(), for what a peer sent. */
     config::Offer offer(const schema::ConfigPush &push);
 
-    /** @brief What to ask a peer that holds a newer version. */
+    /** @brief What to ask a peer for whose steps do not continue what is held. */
     [[nodiscard]] schema::ConfigRequest request() const;
 
+    /** @brief What to ask a peer for that holds a version; nothing if it is not newer, or was asked for a moment ago. */
+    [[nodiscard]] std::optional<schema::ConfigRequest> requestFor(u64 version);
+
     /** @brief What brings a peer to the version in force. */
     [[nodiscard]] schema::ConfigPush pushFor(const schema::ConfigRequest &request) const;
 
@@ -66,6 +70,8 @@
     mutable runtime::OrderedMutex<runtime::LockLevel::Config> m_mutex; // guards what follows
     std::shared_ptr<const Snapshot> m_current;
     config::ChangeHistory m_history;
+    u64 m_askedVersion = 0;
+    TimePoint m_askedAt{};
 };
 
 } // namespace burdock::serving
--- a/lib/libburdock-serving/include/burdock/serving/config/platform_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/config/platform_watch.hpp
@@ -4,7 +4,7 @@
 #include <burdock/serving/config/config_holder.hpp>
 #include <burdock/serving/config/config_reader.hpp>
 
-#include <atomic>
+#include <functional>
 
 namespace burdock::serving {
 
@@ -14,8 +14,11 @@
 public:
     PlatformWatch(Process &process, platform::ObjectStore &store, ConfigHolder &holder);
 
-    /** @brief Watches until the process stops. */
-    [[nodiscard]] boost::asio::awaitable<void> run();
+    /**
+     * @brief Watches until the process stops, or looks now and then while others watch.
+     * @param watches whether this process is one that watches; asked again and again
+     */
+    [[nodiscard]] boost::asio::awaitable<void> run(std::function<bool()> watches);
 
     /** @brief Reads once; for processes that get later versions from peers. Retries until something is in force. */
     [[nodiscard]] boost::asio::awaitable<void> readOnce();
--- a/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
@@ -57,6 +57,9 @@
     /** @brief Requests that were under way at crashes of endpoints. */
     [[nodiscard]] SuspectBook &suspects();
 
+    /** @brief Whether this entry is one of the few of its availability zone that watch the platform's configuration. */
+    [[nodiscard]] bool watchesConfig() const;
+
     [[nodiscard]] u32 entryCount() const;
     [[nodiscard]] std::vector<membership::Member> members() const;
 
@@ -69,7 +72,10 @@
     void takeList(const std::vector<membership::ListedVm> &vms);
     void openAttendedLinks();
     void tellSuspects();
-    void requestConfig(const std::string &peer);
+    void noteLoad(const std::string &peer, const schema::EndpointLoad &load);
+    void noteConfigVersion(const std::string &peer, u64 version);
+    void requestConfig(const std::string &peer, const schema::ConfigRequest &wanted);
+    void sendTo(const std::string &peer, const schema::LinkMessage &message);
     void learnFromSeed(const std::string &peer, const schema::Heartbeat &heartbeat);
     void takeHeartbeat(const std::string &peer, const schema::Heartbeat &heartbeat);
     [[nodiscard]] std::shared_ptr<runtime::link::Client> openLink(const std::string &peer, const membership::Member &member);
@@ -84,6 +90,7 @@
     mutable runtime::OrderedMutex<runtime::LockLevel::Membership> m_mutex;
     membership::MemberTable m_members;
     std::vector<u64> m_entryIds;
+    std::vector<u64> m_entryIdsOfZone;
     std::map<std::string, std::string> m_seeds; // link addresses by peer name
     bool m_hasList = false;
     std::map<std::string, std::shared_ptr<runtime::link::Client>> m_clients;
--- a/lib/libburdock-serving/source/config/config_holder.cpp
+++ b/lib/libburdock-serving/source/config/config_holder.cpp
@@ -6,6 +6,13 @@
 
 namespace burdock::serving {
 
+namespace {
+
+// Every answer tells the version; while one request for it is under way, the others need none.
+constexpr Duration AskAgainAfter = std::chrono::milliseconds(500);
+
+} // namespace
+
 ConfigHolder::ConfigHolder(Process &process, std::vector<std::string> trustedSigners)
     : m_process(process)
     , m_trustedSigners(std::move(trustedSigners))
@@ -73,6 +80,21 @@
     return request;
 }
 
+std::optional<schema::ConfigRequest> ConfigHolder::requestFor(u64 version)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = m_process.clock.now();
+        const bool isAskedFor = version <= m_askedVersion && now - m_askedAt < AskAgainAfter;
+        if (version <= m_history.version() || isAskedFor) {
+            return std::nullopt;
+        }
+        m_askedVersion = version;
+        m_askedAt = now;
+    }
+    return request();
+}
+
 schema::ConfigPush ConfigHolder::pushFor(const schema::ConfigRequest &request) const
 {
     schema::ConfigPush push;
--- a/lib/libburdock-serving/source/config/platform_watch.cpp
+++ b/lib/libburdock-serving/source/config/platform_watch.cpp
@@ -8,6 +8,8 @@
 
 // Bounds how long a watch whose connection went silent can hide a change.
 constexpr Duration WatchWait = std::chrono::seconds(4);
+// Bounds how late a process that does not watch takes over a change, if no peer tells it sooner.
+constexpr Duration LookPause = std::chrono::seconds(5);
 constexpr Duration RetryPause = std::chrono::milliseconds(500);
 constexpr Duration RebasePause = std::chrono::minutes(5);
 // Some 400 bytes each; two hours' worth at the target size.
@@ -29,11 +31,18 @@
 {
 }
 
-boost::asio::awaitable<void> PlatformWatch::run()
+boost::asio::awaitable<void> PlatformWatch::run(std::function<bool()> watches)
 {
+    const auto id = currentConfigId();
     u64 seen = 0;
     while (true) {
-        const auto result = co_await m_store.watch(currentConfigId(), seen, WatchWait);
+        const bool isWatching = watches() || m_holder.version() == 0;
+        platform::ReadResult result;
+        if (isWatching) {
+            result = co_await m_store.watch(id, seen, WatchWait);
+        } else {
+            result = co_await m_store.read(id);
+        }
         m_process.metrics.set("burdock_platform_reachable", result.answer == StoreAnswer::Unreachable ? 0 : 1);
         if (result.answer == StoreAnswer::Found) {
             seen = co_await take(result.value) ? result.version : 0;
@@ -41,7 +50,9 @@
         if (result.answer == StoreAnswer::Unreachable || seen == 0) {
             // An object store that was restored from an old copy counts from a lower version; watching from 0 finds that too.
             seen = 0;
-            co_await runtime::sleepFor(jittered(RetryPause, m_process.random));
+            co_await runtime::sleepFor(jittered(isWatching ? RetryPause : LookPause, m_process.random));
+        } else if (!isWatching) {
+            co_await runtime::sleepFor(jittered(LookPause, m_process.random));
         }
     }
 }
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -115,9 +115,8 @@
         answerHeartbeat(peer, message.heartbeat());
         break;
     case schema::LinkMessage::kRunRequest:
-        if (message.run_request().config_version() > m_config.version()) {
-            askForConfig(peer);
-        } else if (message.run_request().config_version() < m_config.version()) {
+        noteConfigVersion(peer, message.run_request().config_version());
+        if (message.run_request().config_version() < m_config.version()) {
             // What the entry holds is known by its number only; if that does not fit, it asks again.
             schema::ConfigRequest request;
             request.set_known_version(message.run_request().config_version());
@@ -139,7 +138,7 @@
         break;
     case schema::LinkMessage::kConfigPush:
         if (m_config.offer(message.config_push()) == config::Offer::Gap) {
-            askForConfig(peer);
+            askForConfig(peer, m_config.request());
         }
         break;
     default:
@@ -151,9 +150,7 @@
 {
     m_suspects.hear(peer, heartbeat);
     sendHeartbeat(peer);
-    if (heartbeat.config_version() > m_config.version()) {
-        askForConfig(peer);
-    }
+    noteConfigVersion(peer, heartbeat.config_version());
 }
 
 void EndpointRole::sendHeartbeat(const runtime::link::PeerId &peer)
@@ -192,10 +189,17 @@
     }
 }
 
-void EndpointRole::askForConfig(const runtime::link::PeerId &peer)
+void EndpointRole::noteConfigVersion(const runtime::link::PeerId &peer, u64 version)
+{
+    if (const auto request = m_config.requestFor(version)) {
+        askForConfig(peer, *request);
+    }
+}
+
+void EndpointRole::askForConfig(const runtime::link::PeerId &peer, const schema::ConfigRequest &request)
 {
     schema::LinkMessage message;
-    *message.mutable_config_request() = m_config.request();
+    *message.mutable_config_request() = request;
     m_server.send(peer, message);
 }
 
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
@@ -42,7 +42,8 @@
     void sendHeartbeat(const runtime::link::PeerId &peer);
     void tellSuspects();
     [[nodiscard]] boost::asio::awaitable<void> tellFurtherSuspects(u64 told);
-    void askForConfig(const runtime::link::PeerId &peer);
+    void noteConfigVersion(const runtime::link::PeerId &peer, u64 version);
+    void askForConfig(const runtime::link::PeerId &peer, const schema::ConfigRequest &request);
     void pushConfig(const runtime::link::PeerId &peer, const schema::ConfigRequest &request);
     void applyPool(const Snapshot &config);
     [[nodiscard]] BackEndRunner &runner();
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -270,6 +270,7 @@
 {
     auto load = m_gate.load();
     load.set_leaving(m_isLeaving);
+    load.set_config_version(m_config.version());
     for (auto &name : m_runner.loaded()) {
         load.add_loaded(std::move(name));
     }
--- a/lib/libburdock-serving/source/endpoint/weight_orders.cpp
+++ b/lib/libburdock-serving/source/endpoint/weight_orders.cpp
@@ -115,9 +115,11 @@
 {
     const u32 slotCount = m_config.current()->bundle().policy().concurrent_weight_loads();
     weights::LoadSlots slots(slotCount, SlotLease);
+    const TimePoint begin = m_process.clock.now();
     SlotResult slot = co_await takeSlot(slots);
     while (slot == SlotResult::Busy) {
-        co_await runtime::sleepFor(jittered(Pause, m_process.random));
+        const auto pause = weights::LoadSlots::pauseAfter(m_process.clock.now() - begin);
+        co_await runtime::sleepFor(jittered(pause, m_process.random));
         slot = co_await takeSlot(slots);
     }
     if (slot == SlotResult::PlatformDown) {
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -65,7 +65,7 @@
 
 void EntryRole::start()
 {
-    boost::asio::co_spawn(m_process.workers, m_watch.run(), boost::asio::detached);
+    boost::asio::co_spawn(m_process.workers, m_watch.run([this] { return m_fleet.watchesConfig(); }), boost::asio::detached);
     boost::asio::co_spawn(m_process.workers, m_watch.rebaseLoop(), boost::asio::detached);
     boost::asio::co_spawn(m_process.workers, m_fleet.followVms(m_store), boost::asio::detached);
     boost::asio::co_spawn(m_process.workers, openToCallers(), boost::asio::detached);
@@ -127,6 +127,7 @@
         {"name", m_process.vmName},
         {"zone", m_process.zone},
         {"config_version", m_config.version()},
+        {"watches_config", m_fleet.watchesConfig()},
         {"ready", isReady()},
         {"runs", m_runs.size()},
         {"endpoints", std::move(endpoints)},
--- a/lib/libburdock-serving/source/entry/fleet.cpp
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -11,11 +11,14 @@
 
 namespace {
 
-constexpr Duration ListWait = std::chrono::seconds(4);
+// A watch whose connection went silent hides changes of the list for so long; links tell who lives meanwhile.
+constexpr Duration ListWait = std::chrono::seconds(15);
 constexpr Duration ListRetryPause = std::chrono::milliseconds(500);
 constexpr u32 ProposalsAtMost = 8;
 // Entries that keep a link to each endpoint; three, so that two may be lost at once.
 constexpr u32 Attendants = 3;
+// Entries of an availability zone that watch the platform's configuration.
+constexpr u32 Watchers = 3;
 // An entry passes on only what must not run at all: a crash makes as many suspects as there were runs, and a retry says with the
 // request what it is suspected of.
 constexpr u32 LeastCrashesTold = retry::CrashesToQuarantine;
@@ -56,10 +59,14 @@
 {
     std::vector<membership::ListedVm> endpoints;
     std::vector<u64> entryIds;
+    std::vector<u64> entryIdsOfZone;
     for (const auto &vm : vms) {
         if (vm.pool == platform::EntryPool) {
             if (!vm.isLeaving) {
                 entryIds.push_back(hash::fast(vm.name));
+                if (vm.zone == m_process.zone) {
+                    entryIdsOfZone.push_back(entryIds.back());
+                }
             }
         } else {
             endpoints.push_back(vm);
@@ -71,6 +78,7 @@
         m_members.setListed(endpoints);
         m_hasList = true;
         m_entryIds = std::move(entryIds);
+        m_entryIdsOfZone = std::move(entryIdsOfZone);
         for (auto it = m_clients.begin(); it != m_clients.end();) {
             auto client = it++;
             if (m_members.find(client->first) == nullptr && m_seeds.count(client->first) == 0) {
@@ -160,6 +168,12 @@
     }
 }
 
+bool Fleet::watchesConfig() const
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_hasList || membership::watchesConfig(hash::fast(m_process.vmName), m_process.zone, m_entryIdsOfZone, Watchers);
+}
+
 u32 Fleet::entryCount() const
 {
     const std::lock_guard lock(m_mutex);
@@ -202,8 +216,7 @@
 void Fleet::onMessage(const std::string &peer, const schema::LinkMessage &message)
 {
     if (const auto *load = loadOf(message)) {
-        const std::lock_guard lock(m_mutex);
-        m_members.noteLoad(peer, toReportedLoad(*load));
+        noteLoad(peer, *load);
     }
     switch (message.body_case()) {
     case schema::LinkMessage::kHeartbeat:
@@ -212,16 +225,14 @@
         break;
     case schema::LinkMessage::kConfigPush:
         if (m_config.offer(message.config_push()) == config::Offer::Gap) {
-            requestConfig(peer);
+            requestConfig(peer, m_config.request());
         }
         break;
     case schema::LinkMessage::kConfigRequest:
         if (const auto config = m_config.current(); config && config->version() > message.config_request().known_version()) {
             schema::LinkMessage push;
             *push.mutable_config_push() = m_config.pushFor(message.config_request());
-            if (const auto client = link(peer)) {
-                client->send(push);
-            }
+            sendTo(peer, push);
         }
         break;
     default:
@@ -232,12 +243,34 @@
 void Fleet::takeHeartbeat(const std::string &peer, const schema::Heartbeat &heartbeat)
 {
     m_suspects.hear(peer, heartbeat);
-    if (heartbeat.config_version() > m_config.version()) {
-        requestConfig(peer);
+    noteConfigVersion(peer, heartbeat.config_version());
+}
+
+void Fleet::noteLoad(const std::string &peer, const schema::EndpointLoad &load)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_members.noteLoad(peer, toReportedLoad(load));
     }
+    noteConfigVersion(peer, load.config_version());
+}
+
+void Fleet::noteConfigVersion(const std::string &peer, u64 version)
+{
+    if (const auto request = m_config.requestFor(version)) {
+        requestConfig(peer, *request);
+    }
+}
+
+void Fleet::requestConfig(const std::string &peer, const schema::ConfigRequest &wanted)
+{
+    schema::LinkMessage request;
+    *request.mutable_config_request() = wanted;
+    sendTo(peer, request);
 }
 
-void Fleet::requestConfig(const std::string &peer)
+// Also to peers that are no members: a seed link is one end of a conversation like any other.
+void Fleet::sendTo(const std::string &peer, const schema::LinkMessage &message)
 {
     std::shared_ptr<runtime::link::Client> client;
     {
@@ -246,9 +279,7 @@
         client = found == m_clients.end() ? nullptr : found->second;
     }
     if (client) {
-        schema::LinkMessage request;
-        *request.mutable_config_request() = m_config.request();
-        client->send(request);
+        client->send(message);
     }
 }
 
--- a/lib/libburdock/include/burdock/membership/member_table.hpp
+++ b/lib/libburdock/include/burdock/membership/member_table.hpp
@@ -69,6 +69,12 @@
 class MemberTable
 {
 public:
+    using Members = std::map<std::string, Member, std::less<>>;
+
+    MemberTable() = default;
+    MemberTable(const MemberTable &) = delete;
+    MemberTable &operator=(const MemberTable &) = delete;
+
     /** @brief Takes over the platform's list of endpoint VMs. */
     void setListed(const std::vector<ListedVm> &vms);
 
@@ -81,10 +87,16 @@
     void avoid(std::string_view name, TimePoint until);
 
     [[nodiscard]] const Member *find(std::string_view name) const;
-    [[nodiscard]] const std::map<std::string, Member, std::less<>> &members() const;
+    [[nodiscard]] const Members &members() const;
+
+    /** @brief The members of one pool, so that a request does not look at those of the others. */
+    [[nodiscard]] const std::vector<const Members::value_type *> &pool(std::string_view name) const;
 
 private:
-    std::map<std::string, Member, std::less<>> m_members;
+    void indexPools();
+
+    Members m_members;
+    std::map<std::string, std::vector<const Members::value_type *>, std::less<>> m_pools;
 };
 
 /** @brief Endpoints of one pool that may be proposed work, in the form that placement takes. */
@@ -109,6 +121,14 @@
  */
 [[nodiscard]] bool attends(u64 entryId, u64 endpointId, const std::vector<u64> &entryIds, u32 attendants);
 
+/**
+ * @brief True if an entry watches the platform's configuration, one of a few in its availability zone.
+ *
+ * The platform counts a waiting watch as a call, and each change answers all of them: with every entry watching, its rates would
+ * have to grow with the fleet.
+ */
+[[nodiscard]] bool watchesConfig(u64 entryId, std::string_view zone, const std::vector<u64> &entryIdsOfZone, u32 watchers);
+
 /** @brief Collects the endpoints of a pool that may get new work now. */
 [[nodiscard]] Candidates eligible(const MemberTable &table, std::string_view pool, const EligibilityRules &rules, TimePoint now);
 
--- a/lib/libburdock/include/burdock/weights/load_slots.hpp
+++ b/lib/libburdock/include/burdock/weights/load_slots.hpp
@@ -43,6 +43,14 @@
      */
     [[nodiscard]] std::optional<std::vector<SlotHolder>> claim(std::string_view self, TimePoint now) const;
 
+    /**
+     * @brief How long to wait before looking again while all slots are held.
+     *
+     * Guards against many replicas that poll one object: it shows as the platform's reads growing with the pool. A pause that grows
+     * with the time already waited holds, since a long wait means a long queue; it delays a replica by an eighth of its wait.
+     */
+    [[nodiscard]] static Duration pauseAfter(Duration waited);
+
     /** @brief The content to write to give the slot back. */
     [[nodiscard]] std::vector<SlotHolder> release(std::string_view self) const;
 
--- a/lib/libburdock/source/membership/member_table.cpp
+++ b/lib/libburdock/source/membership/member_table.cpp
@@ -22,6 +22,7 @@
         const bool isKept = entry.second.isListed && entry.second.health == LinkHealth::Alive;
         return listed.count(entry.first) == 0 && !isKept;
     });
+    indexPools();
 }
 
 void MemberTable::learn(const std::string &name, const ListedVm &vm)
@@ -30,6 +31,7 @@
     member.vm = vm;
     member.id = hash::fast(vm.name);
     member.health = LinkHealth::Alive;
+    indexPools();
 }
 
 void MemberTable::noteHealth(std::string_view name, LinkHealth health)
@@ -67,11 +69,26 @@
     return it == m_members.end() ? nullptr : &it->second;
 }
 
-const std::map<std::string, Member, std::less<>> &MemberTable::members() const
+const MemberTable::Members &MemberTable::members() const
 {
     return m_members;
 }
 
+const std::vector<const MemberTable::Members::value_type *> &MemberTable::pool(std::string_view name) const
+{
+    static const std::vector<const Members::value_type *> s_none;
+    const auto it = m_pools.find(name);
+    return it == m_pools.end() ? s_none : it->second;
+}
+
+void MemberTable::indexPools()
+{
+    m_pools.clear();
+    for (const auto &item : m_members) {
+        m_pools[item.second.vm.pool].push_back(&item);
+    }
+}
+
 bool attends(u64 entryId, u64 endpointId, const std::vector<u64> &entryIds, u32 attendants)
 {
     const auto rankOf = [endpointId](u64 id) {
@@ -83,16 +100,22 @@
     return ahead < static_cast<std::ptrdiff_t>(attendants);
 }
 
+bool watchesConfig(u64 entryId, std::string_view zone, const std::vector<u64> &entryIdsOfZone, u32 watchers)
+{
+    return attends(entryId, hash::fast(zone), entryIdsOfZone, watchers);
+}
+
 Candidates eligible(const MemberTable &table, std::string_view pool, const EligibilityRules &rules, TimePoint now)
 {
     Candidates out;
-    for (const auto &[name, member] : table.members()) {
+    for (const auto *found : table.pool(pool)) {
+        const auto &member = found->second;
         const auto zone = rules.zones.find(member.vm.zone);
         const bool zoneServes = zone != rules.zones.end() && !zone->second.isOut;
         const bool isDrained = std::find(rules.drained.begin(), rules.drained.end(), member.vm.name) != rules.drained.end();
         const bool isLeaving = member.vm.isLeaving || member.load.isLeaving;
         const bool isAnswering = member.health != LinkHealth::Dead && member.avoidUntil <= now;
-        if (member.vm.pool != pool || !zoneServes || isDrained || isLeaving || !isAnswering) {
+        if (!zoneServes || isDrained || isLeaving || !isAnswering) {
             continue;
         }
         placement::EndpointView view;
@@ -105,7 +128,7 @@
             view.weight *= 1e-6;
         }
         out.views.push_back(view);
-        out.names.push_back(name);
+        out.names.push_back(found->first);
     }
     return out;
 }
--- a/lib/libburdock/source/weights/load_slots.cpp
+++ b/lib/libburdock/source/weights/load_slots.cpp
@@ -4,6 +4,14 @@
 
 namespace burdock::weights {
 
+namespace {
+
+constexpr u32 WaitedForEachPause = 8;
+constexpr Duration ShortestPause = std::chrono::milliseconds(200);
+constexpr Duration LongestPause = std::chrono::seconds(5);
+
+} // namespace
+
 LoadSlots::LoadSlots(u32 slots, Duration leaseTime)
     : m_slots(slots)
     , m_leaseTime(leaseTime)
@@ -42,6 +50,11 @@
     return next;
 }
 
+Duration LoadSlots::pauseAfter(Duration waited)
+{
+    return std::clamp(waited / WaitedForEachPause, ShortestPause, LongestPause);
+}
+
 std::vector<SlotHolder> LoadSlots::release(std::string_view self) const
 {
     auto next = m_holders;
--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -160,6 +160,40 @@
     CHECK(ask(deployment, 0, PromptCall{}).isWhole);
 }
 
+// The platform counts every waiting watch, and each change answers all of them; with thousands of entries its rates are used up.
+// Once only a few watch, those few may die before the list of VMs says so, and the rest would hear nothing.
+TEST_CASE("three entries of a zone watch the platform, and the others hear of changes also when those three are dead")
+{
+    DeploymentOptions options;
+    options.entries = 6;
+    options.zones = 1;
+    options.engines = 1;
+    options.services = 0;
+    Deployment deployment(options);
+    deployment.start();
+    CHECK(waitUntil([&] { return deployment.platform().waiting("config/current") == 3; }));
+    const auto allEntriesHold = [&](const std::vector<std::string> &names, u64 version) {
+        return std::all_of(names.begin(), names.end(), [&](const auto &name) { return versionAt(deployment, name) == version; });
+    };
+    std::vector<std::string> watching;
+    std::vector<std::string> others;
+    for (u32 i = 0; i < options.entries; ++i) {
+        const auto name = "entry-" + std::to_string(i);
+        const bool isWatching = deployment.status(name).at("watches_config").as_bool();
+        (isWatching ? watching : others).push_back(name);
+    }
+    CHECK(watching.size() == 3);
+    CHECK(deployment.edit(drainNobody).code == ops::ExitCode::Ok);
+    CHECK(waitUntil([&] { return allEntriesHold(watching, 2) && allEntriesHold(others, 2); }, std::chrono::seconds(12)));
+    for (const auto &name : watching) {
+        deployment.process(name).signal(SIGKILL);
+    }
+    REQUIRE(deployment.edit([](schema::Bundle &bundle) { bundle.add_drained_endpoints("another"); }).code == ops::ExitCode::Ok);
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(waitUntil([&] { return allEntriesHold(others, 3); }, std::chrono::seconds(12)));
+    MESSAGE("in force after " << std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count() << " s");
+}
+
 // An operator changes one customer's limit a hundred times; one entry sleeps through most of it, and one starts in the middle.
 // Cause of trouble: changes in place of whole bundles leave whoever misses one with something that was never accepted.
 TEST_CASE("many changes reach all processes, also one that slept and one that started meanwhile")
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -19,6 +19,9 @@
 
 namespace json = boost::json;
 
+// Entries that keep a link to each endpoint.
+constexpr u32 Attendants = 3;
+
 constexpr auto Poll = std::chrono::milliseconds(10);
 
 // A port that nobody listens on. The range lies below the one from which the system picks ports for outgoing connections.
@@ -254,6 +257,10 @@
             }
             for (const auto &endpoint : document.at("endpoints").as_array()) {
                 const bool isModel = endpoint.at("pool").as_string() == "models";
+                if (endpoint.at("health").as_string() == "unknown" && m_options.entries > Attendants) {
+                    // Another entry attends it.
+                    continue;
+                }
                 if (endpoint.at("health").as_string() != "alive" || (isModel && endpoint.at("loaded").as_array().empty())) {
                     return false;
                 }
--- a/tests/standins/include/standins/platform.hpp
+++ b/tests/standins/include/standins/platform.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 
@@ -38,6 +39,8 @@
 
     /** @brief Calls received by kind: `read`, `write`, `watch`. */
     [[nodiscard]] u64 calls(const std::string &kind) const;
+    /** @brief Watches of an object that wait at present. */
+    [[nodiscard]] u32 waiting(const std::string &path) const;
 
 private:
     struct Object
@@ -46,6 +49,9 @@
         u64 version = 0;
     };
 
+    using Counter = std::shared_ptr<std::atomic<u32>>; // shared: a watch may outlive the platform
+
+    [[nodiscard]] Counter waitingAt(const std::string &path) const;
     boost::asio::awaitable<void> handle(const runtime::http::Request &request, runtime::http::Reply &reply) override;
     [[nodiscard]] runtime::http::Response put(const runtime::http::Request &request);
     [[nodiscard]] runtime::http::Response get(const std::string &path) const;
@@ -55,6 +61,7 @@
     std::map<std::string, Object> m_objects;
     u64 m_lastVersion = 0;
     std::map<std::string, u64> m_calls;
+    mutable std::map<std::string, Counter> m_waiting;
     std::atomic<PlatformMode> m_mode{PlatformMode::Up};
     runtime::http::Server m_server;
 };
--- a/tests/standins/source/platform.cpp
+++ b/tests/standins/source/platform.cpp
@@ -73,6 +73,21 @@
     return found == m_calls.end() ? 0 : found->second;
 }
 
+u32 Platform::waiting(const std::string &path) const
+{
+    return *waitingAt("/v1/objects/" + path);
+}
+
+Platform::Counter Platform::waitingAt(const std::string &path) const
+{
+    const std::lock_guard lock(m_mutex);
+    auto &counter = m_waiting[path];
+    if (!counter) {
+        counter = std::make_shared<std::atomic<u32>>(0);
+    }
+    return counter;
+}
+
 boost::asio::awaitable<void> Platform::handle(const Request &request, runtime::http::Reply &reply)
 {
     const bool isWrite = request.method == "PUT";
@@ -99,6 +114,9 @@
         co_return;
     }
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
+    const auto counter = waitingAt(path);
+    ++*counter;
+    const std::shared_ptr<void> leave(nullptr, [counter](void *) { --*counter; });
     while (std::chrono::steady_clock::now() < until && m_mode != PlatformMode::Down) {
         if (isNewerThan(path, after)) {
             const auto response = get(path);
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -11,6 +11,7 @@
 #include <burdock/verdict.hpp>
 #include <burdock/weights/load_slots.hpp>
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <random>
 
@@ -349,6 +350,40 @@
     CHECK(slots.release("b").size() == 1);
 }
 
+// New weights for a pool of hundreds: all of its replicas poll the object that holds the slots, and use up the platform's reads.
+TEST_CASE("667 replicas that wait for three slots cost the platform less than 150 reads a second, and few seconds")
+{
+    constexpr u32 Replicas = 667;
+    constexpr double LoadSeconds = 1.5;
+    std::mt19937 random(20261203);
+    struct Waiting
+    {
+        double next = 0;
+    };
+    std::vector<Waiting> waiting(Replicas);
+    std::vector<double> slots(3, 0.0);
+    u32 reads = 0;
+    double now = 0;
+    double end = 0;
+    while (!waiting.empty()) {
+        const auto first = std::min_element(waiting.begin(), waiting.end(), [](const auto &l, const auto &r) { return l.next < r.next; });
+        now = first->next;
+        ++reads;
+        const auto slot = std::min_element(slots.begin(), slots.end());
+        if (*slot <= now) {
+            *slot = now + LoadSeconds;
+            end = *slot;
+            waiting.erase(first);
+            continue;
+        }
+        const auto pause = weights::LoadSlots::pauseAfter(fromMilliseconds(now * 1000));
+        first->next += toMilliseconds(pause) / 1000 * (0.5 + std::uniform_real_distribution<>()(random));
+    }
+    MESSAGE("reads " << reads << " in " << end << " s");
+    CHECK(reads / end < 150);
+    CHECK(end < Replicas / 3.0 * LoadSeconds + 15);
+}
+
 TEST_CASE("each refusal reason has a row of its own, and only a claim or a loss may have run")
 {
     for (u32 value = 1; value <= 18; ++value) {
