Report faults of every kind at once, and help with an example for each command

A document with both wrong types and wrong values was reported in two goes: the values were checked only once the types were right. Now what is faulty is taken out, the rest is read and its values and references are checked too; what only follows from a fault that is reported already is left out. Shown by a unit test with nine faults of five kinds in one document.

--- a/lib/libburdock-operator/include/burdock/ops/command.hpp
+++ b/lib/libburdock-operator/include/burdock/ops/command.hpp
@@ -25,13 +25,19 @@
 public:
     virtual ~Command() = default;
     [[nodiscard]] virtual std::string_view name() const = 0;
-    [[nodiscard]] virtual std::string_view help() const = 0;
+    /** @brief One line: the name, its arguments and the flags that it needs. */
+    [[nodiscard]] virtual std::string_view usage() const = 0;
+    /** @brief Usage, purpose and an example. */
+    [[nodiscard]] virtual std::string help() const = 0;
     [[nodiscard]] virtual ExitCode run(const std::vector<std::string> &arguments, const Options &options) = 0;
 };
 
 /** @brief All subcommands; a new one is added to the list in commands.cpp. */
 [[nodiscard]] std::vector<std::unique_ptr<Command>> allCommands();
 
+/** @brief Prints the help of the subcommand that the words begin with, or the usage of all. */
+[[nodiscard]] ExitCode showHelp(const std::vector<std::string> &words);
+
 /** @brief Finds the subcommand that the words begin with and runs it. */
 [[nodiscard]] ExitCode runCommand(const std::vector<std::string> &words, const Options &options);
 
--- a/lib/libburdock-operator/source/bundle_commands.cpp
+++ b/lib/libburdock-operator/source/bundle_commands.cpp
@@ -112,9 +112,8 @@
 
 } // namespace
 
-SimpleCommand::SimpleCommand(std::string_view name, std::string_view help, std::size_t argumentCount, Body body)
-    : m_name(name)
-    , m_help(help)
+SimpleCommand::SimpleCommand(const CommandText &text, std::size_t argumentCount, Body body)
+    : m_text(text)
     , m_argumentCount(argumentCount)
     , m_body(body)
 {
@@ -122,34 +121,50 @@
 
 std::string_view SimpleCommand::name() const
 {
-    return m_name;
+    return m_text.name;
 }
 
-std::string_view SimpleCommand::help() const
+std::string_view SimpleCommand::usage() const
 {
-    return m_help;
+    return m_text.usage;
+}
+
+std::string SimpleCommand::help() const
+{
+    std::string help = "usage: burdockpaddle " + std::string(m_text.usage) + "\n\n";
+    help += std::string(m_text.purpose) + "\n\nexample:\n  burdockpaddle " + std::string(m_text.example) + "\n";
+    return help;
 }
 
 ExitCode SimpleCommand::run(const std::vector<std::string> &arguments, const Options &options)
 {
     if (arguments.size() != m_argumentCount) {
-        return fail(ExitCode::BadInput, "usage: burdockpaddle " + std::string(m_help));
+        return fail(ExitCode::BadInput, "usage: burdockpaddle " + std::string(m_text.usage));
     }
     return m_body(arguments, options);
 }
 
 void addBundleCommands(std::vector<std::unique_ptr<Command>> &commands)
 {
-    const auto add = [&commands](std::string_view name, std::string_view help, std::size_t count, SimpleCommand::Body body) {
-        commands.push_back(std::make_unique<SimpleCommand>(name, help, count, body));
+    const auto add = [&commands](const CommandText &text, std::size_t count, SimpleCommand::Body body) {
+        commands.push_back(std::make_unique<SimpleCommand>(text, count, body));
     };
-    add("bundle check", "bundle check FILE", 1, checkBundle);
-    add("bundle sign", "bundle sign FILE --key=KEYFILE --out=SIGNED", 1, signBundle);
-    add("bundle keygen", "bundle keygen --out=KEYFILE    (prints the public key)", 0, makeSigningKey);
-    add("bundle show", "bundle show --platform=IP:PORT", 0, showBundle);
-    add("bundle diff", "bundle diff OLD NEW", 2, diffBundles);
-    add("keys links", "keys links    (prints a key pair for links between processes)", 0, makeLinkKeys);
-    add("keys hash", "keys hash APIKEY    (prints the api_key_hash for a bundle)", 1, hashApiKey);
+    add({"bundle check", "bundle check FILE", "Names all faults of a bundle; exit code 2 if there are any.", "bundle check bundle.json"}, 1,
+        checkBundle);
+    add({"bundle sign", "bundle sign FILE --key=KEYFILE --out=SIGNED", "Checks and signs a bundle.",
+         "bundle sign bundle.json --key=signing.key --out=signed.json"},
+        1, signBundle);
+    add({"bundle keygen", "bundle keygen --out=KEYFILE", "Makes a signing key; prints the public key for \"trusted_signers\".",
+         "bundle keygen --out=signing.key"},
+        0, makeSigningKey);
+    add({"bundle show", "bundle show --platform=IP:PORT", "Prints the accepted bundle with all changes since.",
+         "bundle show --platform=10.0.0.5:9000"},
+        0, showBundle);
+    add({"bundle diff", "bundle diff OLD NEW", "Prints what differs between two bundles.", "bundle diff bundle-7.json bundle-8.json"}, 2,
+        diffBundles);
+    add({"keys links", "keys links", "Prints a key pair for the links between processes, for \"links\" in their settings.", "keys links"},
+        0, makeLinkKeys);
+    add({"keys hash", "keys hash APIKEY", "Prints the \"api_key_hash\" of a customer's key.", "keys hash THE-API-KEY"}, 1, hashApiKey);
 }
 
 } // namespace burdock::ops::detail
--- a/lib/libburdock-operator/source/commands.cpp
+++ b/lib/libburdock-operator/source/commands.cpp
@@ -33,24 +33,35 @@
     return commands;
 }
 
+ExitCode showHelp(const std::vector<std::string> &words)
+{
+    const auto commands = allCommands();
+    for (const auto &command : commands) {
+        if (beginsWith(words, wordsOf(command->name()))) {
+            std::cout << command->help();
+            return ExitCode::Ok;
+        }
+    }
+    std::cout << "usage: burdockpaddle COMMAND [WORDS] [--platform=IP:PORT] [--output=table|json]\n\n";
+    for (const auto &command : commands) {
+        std::cout << "  " << command->usage() << "\n";
+    }
+    std::cout << "\n`burdockpaddle COMMAND --help` shows one with an example.\n";
+    return ExitCode::Ok;
+}
+
 ExitCode runCommand(const std::vector<std::string> &words, const Options &options)
 {
     const auto commands = allCommands();
     for (const auto &command : commands) {
         const auto name = wordsOf(command->name());
-        if (!beginsWith(words, name)) {
-            continue;
-        }
-        const std::vector<std::string> arguments(words.begin() + static_cast<std::ptrdiff_t>(name.size()), words.end());
-        if (!arguments.empty() && arguments.front() == "help") {
-            std::cout << "burdockpaddle " << command->help() << "\n";
-            return ExitCode::Ok;
+        if (beginsWith(words, name)) {
+            return command->run({words.begin() + static_cast<std::ptrdiff_t>(name.size()), words.end()}, options);
         }
-        return command->run(arguments, options);
     }
     std::cerr << "burdockpaddle: no such command; there are:\n";
     for (const auto &command : commands) {
-        std::cerr << "  " << command->help() << "\n";
+        std::cerr << "  " << command->usage() << "\n";
     }
     return ExitCode::BadInput;
 }
--- a/lib/libburdock-operator/source/fleet_commands.cpp
+++ b/lib/libburdock-operator/source/fleet_commands.cpp
@@ -211,20 +211,44 @@
 
 void addFleetCommands(std::vector<std::unique_ptr<Command>> &commands)
 {
-    const auto add = [&commands](std::string_view name, std::string_view help, std::size_t count, SimpleCommand::Body body) {
-        commands.push_back(std::make_unique<SimpleCommand>(name, help, count, body));
+    const auto add = [&commands](const CommandText &text, std::size_t count, SimpleCommand::Body body) {
+        commands.push_back(std::make_unique<SimpleCommand>(text, count, body));
     };
-    add("rollout apply", "rollout apply SIGNED --platform=IP:PORT", 1, applyRollout);
-    add("rollout status", "rollout status --platform=IP:PORT", 0, rolloutStatus);
-    add("zone out", "zone out ZONE --platform=IP:PORT --key=KEYFILE", 1, zoneOut);
-    add("zone in", "zone in ZONE --platform=IP:PORT --key=KEYFILE", 1, zoneIn);
-    add("zone status", "zone status --platform=IP:PORT", 0, zoneStatus);
-    add("customer set", "customer set FILE --platform=IP:PORT --key=KEYFILE", 1, setCustomer);
-    add("customer remove", "customer remove CUSTOMER --platform=IP:PORT --key=KEYFILE", 1, removeCustomer);
-    add("endpoint drain", "endpoint drain VM --platform=IP:PORT --key=KEYFILE", 1, drain);
-    add("endpoint undrain", "endpoint undrain VM --platform=IP:PORT --key=KEYFILE", 1, undrain);
-    add("endpoint status", "endpoint status --platform=IP:PORT", 0, endpointStatus);
-    add("status", "status --platform=IP:PORT", 0, fleetStatus);
+    add({"rollout apply", "rollout apply SIGNED --platform=IP:PORT",
+         "Has a signed bundle accepted, and waits until every listed process has it in force.",
+         "rollout apply signed.json --platform=10.0.0.5:9000"},
+        1, applyRollout);
+    add({"rollout status", "rollout status --platform=IP:PORT", "Tells the accepted version and which processes are behind.",
+         "rollout status --platform=10.0.0.5:9000"},
+        0, rolloutStatus);
+    add({"zone out", "zone out ZONE --platform=IP:PORT --key=KEYFILE", "Takes an availability zone out: no new work there.",
+         "zone out bkk-2 --platform=10.0.0.5:9000 --key=signing.key"},
+        1, zoneOut);
+    add({"zone in", "zone in ZONE --platform=IP:PORT --key=KEYFILE", "Brings an availability zone back.",
+         "zone in bkk-2 --platform=10.0.0.5:9000 --key=signing.key"},
+        1, zoneIn);
+    add({"zone status", "zone status --platform=IP:PORT", "Lists the availability zones with what runs there.",
+         "zone status --platform=10.0.0.5:9000"},
+        0, zoneStatus);
+    add({"customer set", "customer set FILE --platform=IP:PORT --key=KEYFILE",
+         "Adds a customer or replaces its key and limits; FILE is one item of a bundle's \"customers\".",
+         "customer set desk.json --platform=10.0.0.5:9000 --key=signing.key"},
+        1, setCustomer);
+    add({"customer remove", "customer remove CUSTOMER --platform=IP:PORT --key=KEYFILE", "Takes a customer out.",
+         "customer remove desk --platform=10.0.0.5:9000 --key=signing.key"},
+        1, removeCustomer);
+    add({"endpoint drain", "endpoint drain VM --platform=IP:PORT --key=KEYFILE",
+         "Lets an endpoint finish what it has, and take nothing new.", "endpoint drain model-3 --platform=10.0.0.5:9000 --key=signing.key"},
+        1, drain);
+    add({"endpoint undrain", "endpoint undrain VM --platform=IP:PORT --key=KEYFILE", "Lets a drained endpoint take work again.",
+         "endpoint undrain model-3 --platform=10.0.0.5:9000 --key=signing.key"},
+        1, undrain);
+    add({"endpoint status", "endpoint status --platform=IP:PORT", "Lists the endpoints with their load.",
+         "endpoint status --platform=10.0.0.5:9000 --output=json"},
+        0, endpointStatus);
+    add({"status", "status --platform=IP:PORT", "Lists all processes, and who is cold, leaving or behind in configuration.",
+         "status --platform=10.0.0.5:9000"},
+        0, fleetStatus);
 }
 
 } // namespace burdock::ops::detail
--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -43,6 +43,14 @@
     return "$." + list + "[" + std::to_string(index) + "]";
 }
 
+void require(bool holds, const std::string &path, const std::string &reason, FaultList &faults)
+{
+    // What follows from a fault that is reported already is no news.
+    if (!holds && !faults.concerns(path)) {
+        faults.add(path, reason);
+    }
+}
+
 // Names in a list; reports empty and repeated ones.
 template <typename Items>
 Names namesOf(const Items &items, const std::string &list, FaultList &faults)
@@ -51,7 +59,7 @@
     for (int i = 0; i < items.size(); ++i) {
         const auto &name = items[i].name();
         if (name.empty()) {
-            faults.add(item(list, i) + ".name", "must not be empty");
+            require(false, item(list, i) + ".name", "must not be empty", faults);
         } else if (!names.insert(name).second) {
             faults.add(item(list, i) + ".name", "'" + name + "' stands in the list twice");
         }
@@ -59,13 +67,6 @@
     return names;
 }
 
-void require(bool holds, const std::string &path, const std::string &reason, FaultList &faults)
-{
-    if (!holds) {
-        faults.add(path, reason);
-    }
-}
-
 void checkPools(const Bundle &bundle, FaultList &faults)
 {
     for (int i = 0; i < bundle.pools_size(); ++i) {
@@ -80,14 +81,22 @@
 
 void checkModelsAndServices(const Bundle &bundle, const Names &pools, FaultList &faults)
 {
+    // With a pool's name unreadable, nobody can say that a reference names none.
+    const auto isNameless = [](const auto &pool) {
+        return pool.name().empty();
+    };
+    const bool isPoolsFaulty
+        = faults.concerns("$.pools") && (bundle.pools_size() == 0 || std::any_of(bundle.pools().begin(), bundle.pools().end(), isNameless));
     for (int i = 0; i < bundle.models_size(); ++i) {
         const auto &model = bundle.models(i);
-        require(pools.count(model.pool()) > 0, item("models", i) + ".pool", "names no pool: '" + model.pool() + "'", faults);
+        require(pools.count(model.pool()) > 0 || isPoolsFaulty, item("models", i) + ".pool", "names no pool: '" + model.pool() + "'",
+                faults);
         require(!model.weight_version().empty(), item("models", i) + ".weight_version", "must not be empty", faults);
     }
     for (int i = 0; i < bundle.services_size(); ++i) {
         const auto &service = bundle.services(i);
-        require(pools.count(service.pool()) > 0, item("services", i) + ".pool", "names no pool: '" + service.pool() + "'", faults);
+        require(pools.count(service.pool()) > 0 || isPoolsFaulty, item("services", i) + ".pool", "names no pool: '" + service.pool() + "'",
+                faults);
         for (int j = 0; j < service.non_repeatable_size(); ++j) {
             const auto path = item("services", i) + ".non_repeatable[" + std::to_string(j) + "]";
             require(!service.non_repeatable(j).method().empty(), path + ".method", "must not be empty", faults);
@@ -116,9 +125,8 @@
 void checkPolicy(const Policy &policy, FaultList &faults)
 {
     const auto within = [&](const char *field, double value, double lowest, double highest) {
-        if (value < lowest || value > highest) {
-            faults.add(std::string("$.policy.") + field, "must be from " + std::to_string(lowest) + " to " + std::to_string(highest));
-        }
+        require(value >= lowest && value <= highest, std::string("$.policy.") + field,
+                "must be from " + std::to_string(lowest) + " to " + std::to_string(highest), faults);
     };
     within("block_bytes", policy.block_bytes(), MinBlockBytes, MaxBlockBytes);
     within("weight_first_token_ms", policy.weight_first_token_ms(), 0, 1e6);
@@ -196,7 +204,7 @@
         checkEndpointSettings(settings, faults);
         break;
     default:
-        faults.add("$.role", "must be ENTRY or ENDPOINT");
+        require(false, "$.role", "must be ENTRY or ENDPOINT", faults);
     }
 }
 
@@ -205,8 +213,7 @@
 {
     FaultList faults(file);
     Document document;
-    detail::readJson(json, document, faults);
-    if (faults.isEmpty()) {
+    if (detail::readJson(json, document, faults)) {
         check(document, faults);
     }
     if (!faults.isEmpty()) {
--- a/lib/libburdock-schema/source/json_check.cpp
+++ b/lib/libburdock-schema/source/json_check.cpp
@@ -4,6 +4,7 @@
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/util/json_util.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace burdock::schema::detail {
@@ -17,7 +18,8 @@
 constexpr double MostExact = 9007199254740992.0; // 2^53
 constexpr std::size_t MostDigits = 16;
 
-void checkObject(const Descriptor &type, const json::value &value, const std::string &path, FaultList &faults);
+// Each check takes out what is faulty, so that the rest can be read and its values checked in the same report. False: take it out.
+bool checkObject(const Descriptor &type, json::value &value, const std::string &path, FaultList &faults);
 
 bool isWholeNumber(const json::value &value, double lowest, double highest)
 {
@@ -64,48 +66,77 @@
     }
 }
 
-void checkValue(const FieldDescriptor &field, const json::value &value, const std::string &path, FaultList &faults)
+// Whether a JSON path is another one or leads on from it.
+bool isWithin(std::string_view path, std::string_view outer)
+{
+    return path.starts_with(outer) && (path.size() == outer.size() || path[outer.size()] == '.' || path[outer.size()] == '[');
+}
+
+bool checkValue(const FieldDescriptor &field, json::value &value, const std::string &path, FaultList &faults)
 {
     if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
-        checkObject(*field.message_type(), value, path, faults);
-        return;
+        return checkObject(*field.message_type(), value, path, faults);
     }
-    if (auto fault = scalarFault(field, value); !fault.empty()) {
-        faults.add(path, std::move(fault));
+    auto fault = scalarFault(field, value);
+    if (fault.empty()) {
+        return true;
+    }
+    faults.add(path, std::move(fault));
+    return false;
+}
+
+// Stands for a faulty item of a list, so that those behind it keep their numbers.
+json::value placeholderFor(const FieldDescriptor &field)
+{
+    switch (field.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_MESSAGE:
+        return json::object();
+    case FieldDescriptor::CPPTYPE_STRING:
+        return json::string();
+    default:
+        return 0;
     }
 }
 
-void checkField(const FieldDescriptor &field, const json::value &value, const std::string &path, FaultList &faults)
+bool checkField(const FieldDescriptor &field, json::value &value, const std::string &path, FaultList &faults)
 {
     if (!field.is_repeated()) {
-        checkValue(field, value, path, faults);
-        return;
+        return checkValue(field, value, path, faults);
     }
     if (!value.is_array()) {
         faults.add(path, "must be an array");
-        return;
+        return false;
     }
     std::size_t index = 0;
-    for (const auto &item : value.get_array()) {
-        checkValue(field, item, path + "[" + std::to_string(index++) + "]", faults);
+    for (auto &item : value.get_array()) {
+        if (!checkValue(field, item, path + "[" + std::to_string(index++) + "]", faults)) {
+            item = placeholderFor(field);
+        }
     }
+    return true;
 }
 
-void checkObject(const Descriptor &type, const json::value &value, const std::string &path, FaultList &faults)
+bool checkObject(const Descriptor &type, json::value &value, const std::string &path, FaultList &faults)
 {
     if (!value.is_object()) {
         faults.add(path, "must be an object");
-        return;
+        return false;
     }
-    for (const auto &member : value.get_object()) {
+    std::vector<std::string> faulty;
+    for (auto &member : value.get_object()) {
         const auto name = std::string(member.key());
         const auto *field = type.FindFieldByName(name);
         if (field == nullptr) {
             faults.add(path + "." + name, "is not a field of " + type.name());
-            continue;
         }
-        checkField(*field, member.value(), path + "." + name, faults);
+        if (field == nullptr || !checkField(*field, member.value(), path + "." + name, faults)) {
+            faulty.push_back(name);
+        }
+    }
+    for (const auto &name : faulty) {
+        value.get_object().erase(name);
     }
+    return true;
 }
 
 } // namespace
@@ -125,27 +156,34 @@
     return std::move(m_faults);
 }
 
+bool FaultList::concerns(std::string_view path) const
+{
+    return std::any_of(m_faults.begin(), m_faults.end(),
+                       [path](const auto &fault) { return isWithin(path, fault.path) || isWithin(fault.path, path); });
+}
+
 bool FaultList::isEmpty() const
 {
     return m_faults.empty();
 }
 
-void readJson(std::string_view text, google::protobuf::Message &message, FaultList &faults)
+bool readJson(std::string_view text, google::protobuf::Message &message, FaultList &faults)
 {
     boost::system::error_code error;
-    const auto value = json::parse(text, error);
+    auto value = json::parse(text, error);
     if (error) {
         faults.add("$", "is not JSON: " + error.message());
-        return;
+        return false;
     }
-    checkObject(*message.GetDescriptor(), value, "$", faults);
-    if (!faults.isEmpty()) {
-        return;
+    if (!checkObject(*message.GetDescriptor(), value, "$", faults)) {
+        return false;
     }
-    const auto status = google::protobuf::util::JsonStringToMessage(std::string(text), &message);
+    const auto readable = faults.isEmpty() ? std::string(text) : json::serialize(value);
+    const auto status = google::protobuf::util::JsonStringToMessage(readable, &message);
     if (!status.ok()) {
         faults.add("$", std::string(status.message()));
     }
+    return status.ok();
 }
 
 } // namespace burdock::schema::detail
--- a/main/operator/source/main.cpp
+++ b/main/operator/source/main.cpp
@@ -1,9 +1,12 @@
 #include <burdock/ops/command.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sodium.h>
+#include <string>
+#include <vector>
 
 DEFINE_string(platform, "127.0.0.1:9000", "IP:port of the platform's object API");
 DEFINE_string(key, "", "file with the signing key");
@@ -13,9 +16,11 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("operates a deployment\n\n"
-                            "  burdockpaddle COMMAND [WORDS] [--platform=IP:PORT] [--output=table|json]\n\n"
-                            "Without a command it lists them all; `burdockpaddle COMMAND help` shows one with an example.");
+    // gflags knows no subcommands: its own --help lists flags of all libraries.
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (std::find(words.begin(), words.end(), "--help") != words.end()) {
+        return static_cast<int>(burdock::ops::showHelp(words));
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
     if (sodium_init() < 0 || (FLAGS_output != "table" && FLAGS_output != "json")) {
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 
 using namespace burdock;
@@ -43,6 +44,35 @@
 
 } // namespace
 
+TEST_CASE("faults of every kind are in one report, and none that only follows from another")
+{
+    const std::string text = R"({"version": "one", "zones": [{"name": "a", "out": 1}, {"name": "a"}], "colour": "red",
+        "pools": [{"name": "p", "cold_limit": 4, "warm_limit": 2}],
+        "models": [{"name": 5, "pool": "p", "weight_version": "v"}, {"name": "m", "pool": "q", "weight_version": "v"}],
+        "customers": [{"name": "c", "api_key_hash": "short"}],
+        "policy": {"block_bytes": 8192, "bounded_load_percent": 150, "cache_link_bytes_per_second": 1, "prefill_tokens_per_second": 1,
+                   "concurrent_weight_loads": 1, "default_deadline_ms": 1}})";
+    const auto checked = schema::parseBundle("b", text);
+    REQUIRE_FALSE(checked.document);
+    std::set<std::string> paths;
+    for (const auto &fault : checked.faults) {
+        paths.insert(fault.path);
+    }
+    CHECK(paths.size() == checked.faults.size());
+    const std::set<std::string> expected{
+        "$.version",
+        "$.zones[0].out",
+        "$.zones[1].name",
+        "$.colour",
+        "$.pools[0].warm_limit",
+        "$.models[0].name",
+        "$.models[1].pool",
+        "$.customers[0].api_key_hash",
+        "$.policy.default_deadline_ms",
+    };
+    CHECK((paths == expected));
+}
+
 TEST_CASE("what lies between two bundles, applied to the first, makes the second; and a change is no bundle")
 {
     schema::Bundle before;
