--- a/lib/libburdock-operator/include/burdock/ops/command.hpp
+++ b/lib/libburdock-operator/include/burdock/ops/command.hpp
@@ -16,6 +16,7 @@
     std::string key; ///< file with the signing key
     std::string out; ///< file to write
     bool isJson = false;
+    bool isWatching = false; ///< prints the status again and again
     u32 patienceMs = 30'000; ///< how long a rollout waits for the fleet
 };
 
--- a/lib/libburdock-operator/include/burdock/ops/fleet_status.hpp
+++ b/lib/libburdock-operator/include/burdock/ops/fleet_status.hpp
@@ -18,6 +18,8 @@
 
     [[nodiscard]] u64 number(std::string_view key) const;
     [[nodiscard]] bool flag(std::string_view key) const;
+    /** @brief Counts by name, as `overloaded 3, customer_limit 1`; empty if there are none. */
+    [[nodiscard]] std::string counts(std::string_view key) const;
 };
 
 /** @brief Asks all listed processes for their status. */
--- a/lib/libburdock-operator/source/fleet_commands.cpp
+++ b/lib/libburdock-operator/source/fleet_commands.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <thread>
 
 namespace burdock::ops::detail {
 
@@ -12,6 +13,9 @@
 
 using Arguments = std::vector<std::string>;
 
+constexpr Duration WatchPause = std::chrono::seconds(2);
+constexpr std::string_view ClearScreen = "\033[H\033[2J";
+
 std::string yesNo(bool value)
 {
     return value ? "yes" : "no";
@@ -172,9 +176,8 @@
     return ExitCode::Ok;
 }
 
-ExitCode fleetStatus(const Arguments & /*arguments*/, const Options &options)
+ExitCode printFleet(PlatformConsole &console, const Options &options)
 {
-    PlatformConsole console(options);
     Rollout rollout(console.store());
     const auto accepted = console.wait(rollout.accepted());
     std::vector<std::vector<std::string>> rows;
@@ -184,13 +187,26 @@
         const bool isEntry = status.vm.pool == platform::EntryPool;
         const u64 running = isEntry ? status.number("runs") : status.number("running");
         rows.push_back({status.vm.name, isEntry ? "entry" : "endpoint", status.vm.zone, status.isReachable ? "up" : "unreachable",
-                        std::to_string(version) + (isBehind ? " (behind)" : ""), std::to_string(running), yesNo(status.flag("leaving")),
-                        yesNo(status.flag("cold"))});
+                        std::to_string(version) + (isBehind ? " (behind)" : ""), std::to_string(running),
+                        std::to_string(status.number("queued")), yesNo(status.flag("leaving")), yesNo(status.flag("cold")),
+                        status.counts("refused"), status.counts("cache_bytes")});
     }
-    printTable({"vm", "role", "zone", "state", "config", "running", "leaving", "cold"}, rows, options);
+    printTable({"vm", "role", "zone", "state", "config", "running", "queued", "leaving", "cold", "refused", "cache_bytes"}, rows, options);
     return accepted.answer == StoreAnswer::Unreachable ? fail(ExitCode::Failed, "the platform can't be reached") : ExitCode::Ok;
 }
 
+ExitCode fleetStatus(const Arguments & /*arguments*/, const Options &options)
+{
+    PlatformConsole console(options);
+    auto code = printFleet(console, options);
+    while (options.isWatching) {
+        std::this_thread::sleep_for(WatchPause);
+        std::cout << ClearScreen;
+        code = printFleet(console, options);
+    }
+    return code;
+}
+
 ExitCode rolloutStatus(const Arguments & /*arguments*/, const Options &options)
 {
     PlatformConsole console(options);
@@ -246,8 +262,9 @@
     add({"endpoint status", "endpoint status --platform=IP:PORT", "Lists the endpoints with their load.",
          "endpoint status --platform=10.0.0.5:9000 --output=json"},
         0, endpointStatus);
-    add({"status", "status --platform=IP:PORT", "Lists all processes, and who is cold, leaving or behind in configuration.",
-         "status --platform=10.0.0.5:9000"},
+    add({"status", "status --platform=IP:PORT [--watch]",
+         "Lists all processes: who is cold, leaving or behind in configuration, queues, refusals by reason, kept-cache bytes.",
+         "status --platform=10.0.0.5:9000 --watch"},
         0, fleetStatus);
 }
 
--- a/lib/libburdock-operator/source/fleet_status.cpp
+++ b/lib/libburdock-operator/source/fleet_status.cpp
@@ -46,6 +46,19 @@
     return value != nullptr && value->is_bool() && value->get_bool();
 }
 
+std::string ProcessStatus::counts(std::string_view key) const
+{
+    const auto *value = document.if_contains(key);
+    std::string text;
+    if (value == nullptr || !value->is_object()) {
+        return text;
+    }
+    for (const auto &count : value->get_object()) {
+        text += (text.empty() ? "" : ", ") + std::string(count.key()) + " " + boost::json::serialize(count.value());
+    }
+    return text;
+}
+
 boost::asio::awaitable<std::vector<ProcessStatus>> askAll(platform::ObjectStore &store)
 {
     std::vector<ProcessStatus> statuses;
--- a/lib/libburdock-runtime/include/burdock/runtime/metrics.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/metrics.hpp
@@ -23,6 +23,9 @@
     /** @brief Observes a duration; the name ends with _seconds. */
     void observe(const std::string &name, Duration duration, const Labels &labels = {});
 
+    /** @brief What a counter has come to for each value of one of its labels. */
+    [[nodiscard]] std::map<std::string, double> totals(const std::string &name, const std::string &label) const;
+
     /** @brief All metrics in the text exposition format. */
     [[nodiscard]] std::string text() const;
 
--- a/lib/libburdock-runtime/source/metrics.cpp
+++ b/lib/libburdock-runtime/source/metrics.cpp
@@ -1,5 +1,6 @@
 #include <burdock/runtime/metrics.hpp>
 
+#include <algorithm>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -36,6 +37,22 @@
     family.Add(labels, latencyBuckets()).Observe(static_cast<double>(duration.count()) / MicrosecondsPerSecond);
 }
 
+std::map<std::string, double> Metrics::totals(const std::string &name, const std::string &label) const
+{
+    std::map<std::string, double> out;
+    for (const auto &family : m_registry.Collect()) {
+        if (family.name != name) {
+            continue;
+        }
+        for (const auto &metric : family.metric) {
+            const auto found
+                = std::find_if(metric.label.begin(), metric.label.end(), [&label](const auto &pair) { return pair.name == label; });
+            out[found == metric.label.end() ? "" : found->value] += metric.counter.value;
+        }
+    }
+    return out;
+}
+
 std::string Metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -244,6 +244,8 @@
         {"limit", load.limit()},
         {"cold", load.cold()},
         {"leaving", load.leaving()},
+        {"refused", countsOf(m_process.metrics, "burdock_refusals_total", "reason")},
+        {"cache_bytes", countsOf(m_process.metrics, "burdock_cache_link_bytes_total", "direction")},
         {"loaded", std::move(loaded)},
         {"incarnation", m_engineSide ? m_engineSide->orders.incarnation() : 0},
     };
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -130,6 +130,7 @@
         {"watches_config", m_fleet.watchesConfig()},
         {"ready", isReady()},
         {"runs", m_runs.size()},
+        {"refused", countsOf(m_process.metrics, "burdock_refusals_total", "reason")},
         {"endpoints", std::move(endpoints)},
     };
     return boost::json::serialize(status);
--- a/lib/libburdock-serving/source/role.cpp
+++ b/lib/libburdock-serving/source/role.cpp
@@ -30,6 +30,15 @@
     return std::chrono::milliseconds(beatMs == 0 ? DefaultHeartbeatMs : beatMs);
 }
 
+boost::json::object countsOf(const runtime::Metrics &metrics, const std::string &name, const std::string &label)
+{
+    boost::json::object counts;
+    for (const auto &[value, total] : metrics.totals(name, label)) {
+        counts[value] = static_cast<u64>(total);
+    }
+    return counts;
+}
+
 } // namespace detail
 
 std::unique_ptr<Role> makeRole(Process &process, const schema::DaemonSettings &settings)
--- a/lib/libburdock-serving/source/role_support.hpp
+++ b/lib/libburdock-serving/source/role_support.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <burdock/runtime/link/client.hpp>
+#include <burdock/runtime/metrics.hpp>
 #include <burdock/settings.pb.h>
 
+#include <boost/json.hpp>
 #include <string>
 #include <vector>
 
@@ -14,4 +16,7 @@
 [[nodiscard]] runtime::link::Keys linkKeysOf(const schema::DaemonSettings &settings);
 [[nodiscard]] Duration beatOf(const schema::DaemonSettings &settings);
 
+/** @brief A counter by one of its labels, for a status document. */
+[[nodiscard]] boost::json::object countsOf(const runtime::Metrics &metrics, const std::string &name, const std::string &label);
+
 } // namespace burdock::serving::detail
--- a/main/operator/source/main.cpp
+++ b/main/operator/source/main.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(key, "", "file with the signing key");
 DEFINE_string(out, "", "file to write");
 DEFINE_string(output, "table", "table or json");
+DEFINE_bool(watch, false, "print the status again each two seconds");
 DEFINE_uint32(patience_ms, 30'000, "how long a rollout waits for the fleet, in milliseconds");
 
 int main(int argc, char **argv)
@@ -27,6 +28,6 @@
         std::cerr << "burdockpaddle: --output must be table or json\n";
         return static_cast<int>(burdock::ops::ExitCode::BadInput);
     }
-    const burdock::ops::Options options{FLAGS_platform, FLAGS_key, FLAGS_out, FLAGS_output == "json", FLAGS_patience_ms};
+    const burdock::ops::Options options{FLAGS_platform, FLAGS_key, FLAGS_out, FLAGS_output == "json", FLAGS_watch, FLAGS_patience_ms};
     return static_cast<int>(burdock::ops::runCommand({argv + 1, argv + argc}, options));
 }
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <regex>
 #include <set>
 #include <sstream>
 
@@ -191,6 +192,44 @@
     }
 }
 
+// A renamed metric leaves alerts that never fire, and nobody sees it. Every name on the dashboard and in the alerts is one that the
+// operators' page lists, and every one listed there is counted somewhere in the code.
+TEST_CASE("dashboard, alerts and the operators' page name metrics that exist")
+{
+    const std::filesystem::path root(BURDOCK_SOURCES);
+    const auto textOf = [](const std::filesystem::path &path) {
+        std::ostringstream text;
+        text << std::ifstream(path).rdbuf();
+        return text.str();
+    };
+    const std::regex name("burdock_[a-z_]+");
+    const auto namesIn = [&name](const std::string &text) {
+        std::set<std::string> names;
+        for (std::sregex_iterator it(text.begin(), text.end(), name), end; it != end; ++it) {
+            names.insert(std::regex_replace(it->str(), std::regex("_(bucket|count|sum)$"), ""));
+        }
+        return names;
+    };
+    std::string code;
+    for (const auto &file : std::filesystem::recursive_directory_iterator(root / "lib")) {
+        if (file.path().extension() == ".cpp") {
+            code += textOf(file.path());
+        }
+    }
+    const auto page = textOf(root / "docs" / "OPERATING.md");
+    const auto listed = namesIn(page.substr(page.find("## Metrics")));
+    const auto counted = namesIn(code);
+    CHECK(listed.size() > 10);
+    for (const auto &metric : listed) {
+        CHECK_MESSAGE(counted.count(metric) == 1, metric);
+    }
+    for (const auto *file : {"alerts.yml", "dashboard.json"}) {
+        for (const auto &metric : namesIn(textOf(root / "dist" / "monitoring" / file))) {
+            CHECK_MESSAGE(listed.count(metric) == 1, file << ": " << metric);
+        }
+    }
+}
+
 TEST_CASE("a traceparent is read as it was written, and a malformed one is ignored")
 {
     const runtime::SpanContext context{"4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"};
