Read fields of others' documents in one place

Two copies in the platform package and one in the stand-ins differed: one cut the number of a cache event to 32 bits, one threw on a negative number.

--- a/lib/libburdock-operator/source/fleet_commands.cpp
+++ b/lib/libburdock-operator/source/fleet_commands.cpp
@@ -200,6 +200,7 @@
     PlatformConsole console(options);
     auto code = printFleet(console, options);
     while (options.isWatching) {
+        std::cout << std::flush;
         std::this_thread::sleep_for(WatchPause);
         std::cout << ClearScreen;
         code = printFleet(console, options);
--- a/lib/libburdock-platform/source/http_engine.cpp
+++ b/lib/libburdock-platform/source/http_engine.cpp
@@ -1,4 +1,5 @@
 #include <burdock/platform/http_engine.hpp>
+#include <burdock/platform/json_fields.hpp>
 
 #include <boost/json.hpp>
 
@@ -26,18 +27,6 @@
     return json::serialize(body);
 }
 
-u32 numberOf(const json::object &object, std::string_view key)
-{
-    const auto *value = object.if_contains(key);
-    return value != nullptr && value->is_int64() ? static_cast<u32>(value->get_int64()) : 0;
-}
-
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const auto *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
 std::vector<std::string> textsOf(const json::object &object, std::string_view key)
 {
     std::vector<std::string> texts;
@@ -86,8 +75,8 @@
             co_return head;
         }
         const auto &facts = line->at("head").get_object();
-        head.promptTokens = numberOf(facts, "prompt_tokens");
-        head.cachedTokens = numberOf(facts, "cached_tokens");
+        head.promptTokens = static_cast<u32>(numberOf(facts, "prompt_tokens"));
+        head.cachedTokens = static_cast<u32>(numberOf(facts, "cached_tokens"));
         head.weightVersion = textOf(facts, "weight_version");
         co_return head;
     }
@@ -107,7 +96,7 @@
             }
             if (line->contains("done") && line->at("done").is_object()) {
                 event.kind = GenerateEventKind::Done;
-                event.outputTokens = numberOf(line->at("done").get_object(), "output_tokens");
+                event.outputTokens = static_cast<u32>(numberOf(line->at("done").get_object(), "output_tokens"));
                 co_return event;
             }
         }
--- a/lib/libburdock-platform/source/http_object_store.cpp
+++ b/lib/libburdock-platform/source/http_object_store.cpp
@@ -1,4 +1,5 @@
 #include <burdock/platform/http_object_store.hpp>
+#include <burdock/platform/json_fields.hpp>
 
 #include <boost/json.hpp>
 #include <charconv>
@@ -71,13 +72,6 @@
     return {StoreAnswer::Unknown, 0};
 }
 
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const auto *value = object.if_contains(key);
-    const auto *text = value == nullptr ? nullptr : value->if_string();
-    return text == nullptr ? std::string() : std::string(*text);
-}
-
 std::vector<membership::ListedVm> parseVms(const std::string &body)
 {
     std::vector<membership::ListedVm> vms;
--- a/tests/standins/source/engine.cpp
+++ b/tests/standins/source/engine.cpp
@@ -1,6 +1,7 @@
 #include <standins/engine.hpp>
 
 #include <burdock/hash/digest.hpp>
+#include <burdock/platform/json_fields.hpp>
 #include <burdock/runtime/sleep.hpp>
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 namespace {
 
 namespace json = boost::json;
+using platform::numberOf;
+using platform::textOf;
 using runtime::http::Request;
 using runtime::http::Response;
 
@@ -23,18 +26,6 @@
     return hash::toHex(std::to_string(hash::fast(prompt, index) % 100'000)).substr(0, 6) + " ";
 }
 
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const auto *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
-u64 numberOf(const json::object &object, std::string_view key)
-{
-    const auto *value = object.if_contains(key);
-    return value != nullptr && value->is_number() ? value->to_number<u64>() : 0;
-}
-
 json::object parseBody(const std::string &body)
 {
     boost::system::error_code error;
