--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -363,6 +363,11 @@
     return m_signingKey.secretKey;
 }
 
+const std::string &Deployment::linkPublicKey() const
+{
+    return m_linkKeys.publicKey;
+}
+
 std::string Deployment::entryAddress(u32 number) const
 {
     return daemon("entry-" + std::to_string(number)).listen;
--- a/tests/integration/support/deployment.hpp
+++ b/tests/integration/support/deployment.hpp
@@ -70,6 +70,7 @@
     [[nodiscard]] runtime::WorkerPool &pool();
     [[nodiscard]] const schema::Bundle &bundle() const;
     [[nodiscard]] const std::string &signingKey() const;
+    [[nodiscard]] const std::string &linkPublicKey() const;
     [[nodiscard]] std::string entryAddress(u32 number) const;
     [[nodiscard]] std::string adminAddress(const std::string &name) const;
     [[nodiscard]] std::string settings(const std::string &name) const;
--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
+#include <optional>
+#include <zmq.hpp>
 
 using namespace support;
 
@@ -82,6 +84,51 @@
     CHECK(status.at("endpoints").at(0).at("health").as_string() != "alive");
 }
 
+namespace {
+
+// Tells how the handshake of a CURVE client ended.
+class HandshakeMonitor : public zmq::monitor_t
+{
+public:
+    std::optional<bool> isLetIn;
+
+private:
+    void on_event_handshake_succeeded(const zmq_event_t & /*event*/, const char * /*address*/) override
+    {
+        isLetIn = true;
+    }
+
+    void on_event_handshake_failed_auth(const zmq_event_t & /*event*/, const char * /*address*/) override
+    {
+        isLetIn = false;
+    }
+};
+
+} // namespace
+
+// Somebody has read the deployment's public key from a settings file, and sends work with a key pair of their own.
+// Cause: CURVE by itself lets in every client that knows the server's public key.
+TEST_CASE("a peer that knows the public key only is not let in")
+{
+    Deployment deployment;
+    deployment.start();
+    const auto own = runtime::link::makeKeys();
+    zmq::context_t context;
+    zmq::socket_t socket(context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::curve_serverkey, deployment.linkPublicKey());
+    socket.set(zmq::sockopt::curve_publickey, own.publicKey);
+    socket.set(zmq::sockopt::curve_secretkey, own.secretKey);
+    HandshakeMonitor monitor;
+    monitor.init(socket, "inproc://handshake", ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_HANDSHAKE_FAILED_AUTH);
+    socket.connect("tcp://" + deployment.linkProxy("model-0").address());
+    REQUIRE(waitUntil([&] {
+        monitor.check_event(0);
+        return monitor.isLetIn.has_value();
+    }));
+    CHECK_FALSE(*monitor.isLetIn);
+}
+
 TEST_CASE("a daemon with faulty settings names all faults and does not start")
 {
     Deployment deployment;
