Let an API key pass from one customer to another in one change

Cause: a change put each customer after taking out its own old record, so the old record of the next one took out the key that the first had just been given; that customer was turned away. Found on reading; a unit test failed (1 of 1) before and passes after.

--- a/lib/libburdock-serving/source/config/snapshot.cpp
+++ b/lib/libburdock-serving/source/config/snapshot.cpp
@@ -43,6 +43,10 @@
     for (const auto &name : change.removed().customers()) {
         removeCustomer(name);
     }
+    // All old records go before a new one comes: a key may pass from one customer to another in the same change.
+    for (const auto &customer : change.put().customers()) {
+        removeCustomer(customer.name());
+    }
     for (const auto &customer : change.put().customers()) {
         putCustomer(customer);
     }
@@ -72,7 +76,6 @@
 
 void Snapshot::putCustomer(const schema::Customer &customer)
 {
-    removeCustomer(customer.name());
     const auto shared = std::make_shared<const schema::Customer>(customer);
     m_customersByName.put(customer.name(), shared);
     m_customersByKey.put(customer.api_key_hash(), shared);
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -5,6 +5,7 @@
 #include <burdock/schema/change.hpp>
 #include <burdock/schema/document.hpp>
 #include <burdock/schema/signing.hpp>
+#include <burdock/serving/config/snapshot.hpp>
 #include <burdock/serving/entry/prompt_api.hpp>
 
 #include <doctest/doctest.h>
@@ -45,6 +46,31 @@
 
 } // namespace
 
+// An operator gives one customer's API key to another and the first a new one, in one change. The second is then turned away with the key
+// that it was given. Cause: taking out the first one's old record takes the key's new entry with it.
+TEST_CASE("a key that passes from one customer to another in one change works for its new holder")
+{
+    schema::Bundle bundle;
+    const auto add = [](schema::Bundle &to, const std::string &name, const std::string &key) {
+        auto *customer = to.add_customers();
+        customer->set_name(name);
+        customer->set_api_key_hash(key);
+    };
+    add(bundle, "first", "k1");
+    add(bundle, "second", "k2");
+    const serving::Snapshot before(bundle);
+    schema::Change change;
+    add(*change.mutable_put(), "second", "k1");
+    add(*change.mutable_put(), "first", "k3");
+    const serving::Snapshot after(before, change);
+    REQUIRE(after.customerByKeyHash("k1") != nullptr);
+    CHECK(after.customerByKeyHash("k1")->name() == "second");
+    REQUIRE(after.customerByKeyHash("k3") != nullptr);
+    CHECK(after.customerByKeyHash("k3")->name() == "first");
+    CHECK(after.customerByKeyHash("k2") == nullptr);
+    CHECK(before.customerByKeyHash("k1")->name() == "first");
+}
+
 TEST_CASE("faults of every kind are in one report, and none that only follows from another")
 {
     const std::string text = R"({"version": "one", "zones": [{"name": "a", "out": 1}, {"name": "a"}], "colour": "red",
