--- a/lib/libburdock-operator/source/commands.cpp
+++ b/lib/libburdock-operator/source/commands.cpp
@@ -18,6 +18,15 @@
     return words;
 }
 
+using Commands = std::vector<std::unique_ptr<Command>>;
+
+void printUsages(const Commands &commands, std::ostream &out)
+{
+    for (const auto &command : commands) {
+        out << "  " << command->usage() << "\n";
+    }
+}
+
 bool beginsWith(const std::vector<std::string> &words, const std::vector<std::string> &name)
 {
     return words.size() >= name.size() && std::equal(name.begin(), name.end(), words.begin());
@@ -43,9 +52,7 @@
         }
     }
     std::cout << "usage: burdockpaddle COMMAND [WORDS] [--platform=IP:PORT] [--output=table|json]\n\n";
-    for (const auto &command : commands) {
-        std::cout << "  " << command->usage() << "\n";
-    }
+    printUsages(commands, std::cout);
     std::cout << "\n`burdockpaddle COMMAND --help` shows one with an example.\n";
     return ExitCode::Ok;
 }
@@ -60,9 +67,7 @@
         }
     }
     std::cerr << "burdockpaddle: no such command; there are:\n";
-    for (const auto &command : commands) {
-        std::cerr << "  " << command->usage() << "\n";
-    }
+    printUsages(commands, std::cerr);
     return ExitCode::BadInput;
 }
 
