--- a/lib/libburdock-operator/source/bundle_commands.cpp
+++ b/lib/libburdock-operator/source/bundle_commands.cpp
@@ -146,9 +146,7 @@
 
 void addBundleCommands(std::vector<std::unique_ptr<Command>> &commands)
 {
-    const auto add = [&commands](const CommandText &text, std::size_t count, SimpleCommand::Body body) {
-        commands.push_back(std::make_unique<SimpleCommand>(text, count, body));
-    };
+    const auto add = adderTo(commands);
     add({"bundle check", "bundle check FILE", "Names all faults of a bundle; exit code 2 if there are any.", "bundle check bundle.json"}, 1,
         checkBundle);
     add({"bundle sign", "bundle sign FILE --key=KEYFILE --out=SIGNED", "Checks and signs a bundle.",
--- a/lib/libburdock-operator/source/bundle_commands.hpp
+++ b/lib/libburdock-operator/source/bundle_commands.hpp
@@ -7,7 +7,7 @@
 /** @brief Adds `bundle check|sign|keygen|show|diff` and `keys links|hash`. */
 void addBundleCommands(std::vector<std::unique_ptr<Command>> &commands);
 
-/** @brief Adds `rollout apply|status`, `zone out|in|status`, `endpoint drain|undrain|status` and `status`. */
+/** @brief Adds `rollout apply|status`, `zone out|in|status`, `customer set|remove`, `endpoint drain|undrain|status` and `status`. */
 void addFleetCommands(std::vector<std::unique_ptr<Command>> &commands);
 
 /** @brief What a command says of itself. */
@@ -38,4 +38,12 @@
     Body m_body;
 };
 
+/** @brief A function that adds a command, given its text, its number of arguments and what it does. */
+[[nodiscard]] inline auto adderTo(std::vector<std::unique_ptr<Command>> &commands)
+{
+    return [&commands](const CommandText &text, std::size_t argumentCount, SimpleCommand::Body body) {
+        commands.push_back(std::make_unique<SimpleCommand>(text, argumentCount, body));
+    };
+}
+
 } // namespace burdock::ops::detail
--- a/lib/libburdock-operator/source/fleet_commands.cpp
+++ b/lib/libburdock-operator/source/fleet_commands.cpp
@@ -228,9 +228,7 @@
 
 void addFleetCommands(std::vector<std::unique_ptr<Command>> &commands)
 {
-    const auto add = [&commands](const CommandText &text, std::size_t count, SimpleCommand::Body body) {
-        commands.push_back(std::make_unique<SimpleCommand>(text, count, body));
-    };
+    const auto add = adderTo(commands);
     add({"rollout apply", "rollout apply SIGNED --platform=IP:PORT",
          "Has a signed bundle accepted, and waits until every listed process has it in force.",
          "rollout apply signed.json --platform=10.0.0.5:9000"},
