--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -19,6 +19,18 @@
     return options;
 }
 
+u64 refusalsAt(Deployment &deployment, u32 engines)
+{
+    u64 count = 0;
+    for (u32 i = 0; i < engines; ++i) {
+        const auto status = deployment.status("model-" + std::to_string(i));
+        for (const auto &[reason, times] : status.at("refused").as_object()) {
+            count += times.to_number<u64>();
+        }
+    }
+    return count;
+}
+
 } // namespace
 
 // One draft crashes each engine that runs it, and its caller sends it again and again. Within a minute no engine is left, and
@@ -119,6 +131,39 @@
     CHECK(runs <= Requests);
 }
 
+// Every endpoint of a pool is full. Each request that one refuses goes to the next, and endpoint processes spend on refusing what
+// they lack for running. Cause: retries that know no measure.
+TEST_CASE("where all endpoints are full, attempts stay within 1.2 times the requests and what is saved up")
+{
+    constexpr u32 Engines = 4;
+    constexpr u32 Requests = 300;
+    DeploymentOptions options = manyEngines(Engines);
+    options.coldLimit = 1;
+    options.warmLimit = 1;
+    options.queueLimit = 1;
+    Deployment deployment(options);
+    deployment.start();
+    const u64 before = refusalsAt(deployment, Engines);
+    std::vector<std::future<Answer>> answers;
+    for (u32 i = 0; i < Requests; ++i) {
+        PromptCall call;
+        call.prompt = "request " + std::to_string(i);
+        call.tokens = 400;
+        answers.push_back(deployment.spawn(sendPrompt(deployment.entryAddress(i % 2), call)));
+    }
+    u32 whole = 0;
+    for (auto &pending : answers) {
+        const auto answer = pending.get();
+        whole += answer.isWhole ? 1 : 0;
+        CHECK((answer.isWhole || (answer.verdict == "not_run" && answer.saysWhen)));
+    }
+    const u64 attempts = refusalsAt(deployment, Engines) - before + whole;
+    MESSAGE("whole " << whole << ", attempts " << attempts << " for " << Requests << " requests");
+    CHECK(whole >= Engines);
+    CHECK(attempts >= Requests);
+    CHECK(attempts <= Requests * 12 / 10 + 2 * 10);
+}
+
 // Refused requests that wait for their deadline before they hear of it hold their callers for nothing; and a large customer that
 // fills the queue starves the small ones.
 TEST_CASE("overload is refused at once with a time to come back, and a small customer gets its share")
