Give up returning a load slot that the platform lost

Cause: giving the slot back read the object until it was found or the platform unreachable; absent was neither, and the loop had no end. Ruled out: the lease (others saw it lapse), the engine (got no order). An object that is gone holds nothing, so it ends there too.

--- a/lib/libburdock-serving/source/endpoint/weight_orders.cpp
+++ b/lib/libburdock-serving/source/endpoint/weight_orders.cpp
@@ -178,8 +178,8 @@
                 co_return;
             }
         }
-        if (read.answer == StoreAnswer::Unreachable) {
-            // The lease lapses by itself.
+        if (read.answer == StoreAnswer::Absent || read.answer == StoreAnswer::Unreachable) {
+            // Nothing is held any more, or the lease lapses by itself.
             co_return;
         }
         co_await runtime::sleepFor(jittered(Pause, m_process.random));
--- a/tests/standins/include/standins/platform.hpp
+++ b/tests/standins/include/standins/platform.hpp
@@ -35,6 +35,8 @@
 
     /** @brief Puts an object there whatever it was, with a version of the caller's choice. */
     void force(const std::string &path, const std::string &value, u64 version);
+    /** @brief Loses an object. */
+    void erase(const std::string &path);
     [[nodiscard]] std::string value(const std::string &path) const;
 
     /** @brief Calls received by kind: `read`, `write`, `watch`. */
--- a/tests/standins/source/platform.cpp
+++ b/tests/standins/source/platform.cpp
@@ -59,6 +59,12 @@
     m_objects["/v1/objects/" + path] = {value, version};
 }
 
+void Platform::erase(const std::string &path)
+{
+    const std::lock_guard lock(m_mutex);
+    m_objects.erase("/v1/objects/" + path);
+}
+
 std::string Platform::value(const std::string &path) const
 {
     const std::lock_guard lock(m_mutex);
