See the guards of overload and bad input fail, and a forged change

The test of a small customer's share under overload passed without fair eviction: the small request came after a place in the queue had been freed. It now comes while the queue is full (seen by the endpoint process itself), and must not come last.

--- a/tests/integration/bad_input_test.cpp
+++ b/tests/integration/bad_input_test.cpp
@@ -109,3 +109,16 @@
     CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(12));
     CHECK(ask(deployment, 0, PromptCall{}).isWhole);
 }
+
+// A client that loops while it builds its headers sends without end, and a process that takes all of it grows until it is killed.
+TEST_CASE("headers above the limit are refused, and others are served")
+{
+    constexpr std::size_t TooLong = 20 * 1024;
+    Deployment deployment;
+    deployment.start();
+    const std::string head = "GET /healthz HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(TooLong, 'x') + "\r\n\r\n";
+    for (const auto &address : {deployment.entryAddress(0), deployment.adminAddress("entry-0"), deployment.adminAddress("model-0")}) {
+        CHECK(sendRaw(address, head).starts_with("HTTP/1.1 431 "));
+    }
+    CHECK(ask(deployment, 0, PromptCall{}).isWhole);
+}
--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -160,6 +160,36 @@
     CHECK(ask(deployment, 0, PromptCall{}).isWhole);
 }
 
+// Someone with access to the platform, but without a key of the operators, lays a change of his own on top of the accepted ones.
+// If it were believed, zones would go out; if it stopped the processes from going on, so would service.
+TEST_CASE("a change signed by a stranger is taken by nobody, and the operators' next whole bundle goes past it")
+{
+    Deployment deployment;
+    deployment.start();
+    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    ops::Rollout rollout(store);
+    const auto takeZoneOut = [](schema::Bundle &bundle) {
+        bundle.mutable_zones(0)->set_out(true);
+        return true;
+    };
+    const auto forged = deployment.spawn(rollout.edit(schema::makeSigningKey().secretKey, takeZoneOut)).get();
+    REQUIRE(forged.code == ops::ExitCode::Ok);
+    REQUIRE(waitUntil([&] { return deployment.logOf("entry-0").find("config_rejected") != std::string::npos; }));
+    for (const auto &name : allProcesses()) {
+        CHECK(versionAt(deployment, name) == 1);
+    }
+    CHECK(ask(deployment, 0, PromptCall{}).isWhole);
+    auto bundle = deployment.bundle();
+    bundle.set_version(forged.version + 1);
+    bundle.add_drained_endpoints("model-0");
+    const auto genuine = *schema::sign(ops::toJson(bundle), deployment.signingKey());
+    REQUIRE(deployment.spawn(rollout.apply(genuine)).get().code == ops::ExitCode::Ok);
+    CHECK(waitUntil([&] { return allHold(deployment, forged.version + 1); }));
+    const u32 before = deployment.engine(0).started();
+    CHECK(ask(deployment, 0, PromptCall{}).isWhole);
+    CHECK(deployment.engine(0).started() == before);
+}
+
 // The platform counts every waiting watch, and each change answers all of them; with thousands of entries its rates are used up.
 // Once only a few watch, those few may die before the list of VMs says so, and the rest would hear nothing.
 TEST_CASE("three entries of a zone watch the platform, and the others hear of changes also when those three are dead")
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -180,15 +180,21 @@
     for (u32 i = 0; i < 60; ++i) {
         PromptCall call;
         call.prompt = "large " + std::to_string(i);
-        call.tokens = 50;
+        call.tokens = 300;
         large.push_back(deployment.spawn(sendPrompt(deployment.entryAddress(0), call)));
     }
-    REQUIRE(waitUntil([&] { return deployment.engine(0).started() >= 3; }));
+    const auto queued = [&] {
+        const auto status = deployment.status("model-0");
+        return status.contains("queued") ? status.at("queued").to_number<u32>() : 0;
+    };
+    REQUIRE(waitUntil([&] { return queued() == options.queueLimit; }));
     PromptCall small;
     small.customer = "clerk";
     small.tokens = 5;
     small.prompt = "small";
     CHECK(ask(deployment, 0, small).isWhole);
+    // In turn it would have come after the two that ran and the eight that waited.
+    CHECK(deployment.engine(0).started() < 2 + options.queueLimit);
     u32 refused = 0;
     for (auto &pending : large) {
         const auto answer = pending.get();
