Ask an endpoint again with the weights that it says it has

Cause: entries know what a replica has loaded from its last report; both had swapped since, each refused the old version, and nobody was left to ask, although each refusal brought what is loaded now. Ruled out: the engines (no answer of the wrong version), the budget (not spent).

Change: a refusal for the version doesn't take the endpoint out of the run's choice, and after the engine's conflict the endpoint process looks before it refuses. One function looks, where two did.

--- a/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
@@ -19,19 +19,23 @@
     /** @brief Polls until the process stops. */
     [[nodiscard]] boost::asio::awaitable<void> run();
 
+    /** @brief Asks the engine for its state now. */
+    [[nodiscard]] boost::asio::awaitable<void> look();
+
     /** @brief Takes note of a boot id seen in an answer; true if the engine had restarted. */
     bool noteBootId(const std::string &bootId);
 
     /** @brief The engine did not answer, or cut a connection. */
     void noteUnreachable();
 
-    void setLoaded(std::vector<std::string> loaded);
     [[nodiscard]] std::vector<std::string> loaded() const;
     [[nodiscard]] bool hasLoaded(const std::string &weightName) const;
     [[nodiscard]] bool isReachable() const;
     [[nodiscard]] std::string bootId() const;
 
 private:
+    void setLoaded(std::vector<std::string> loaded);
+
     Process &m_process;
     platform::Engine &m_engine;
     AdmissionGate &m_gate;
--- a/lib/libburdock-serving/source/endpoint/engine_watch.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watch.cpp
@@ -23,17 +23,22 @@
 boost::asio::awaitable<void> EngineWatch::run()
 {
     while (true) {
-        const auto state = co_await m_engine.state();
-        if (state.isReachable) {
-            noteBootId(state.bootId);
-            setLoaded(state.loadedVersions);
-        } else {
-            noteUnreachable();
-        }
+        co_await look();
         co_await runtime::sleepFor(PollPause);
     }
 }
 
+boost::asio::awaitable<void> EngineWatch::look()
+{
+    const auto state = co_await m_engine.state();
+    if (state.isReachable) {
+        noteBootId(state.bootId);
+        setLoaded(state.loadedVersions);
+    } else {
+        noteUnreachable();
+    }
+}
+
 bool EngineWatch::noteBootId(const std::string &bootId)
 {
     bool isRestart = false;
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -98,13 +98,14 @@
         co_return broken(true, crashed, "engine cut the connection");
     }
     m_watch.noteBootId(head.bootId);
-    if (head.status != Ok) {
-        co_return head.status == VersionConflict ? refused(RefusalReason::WrongVersion, RetryAfterVersion)
-                                                 : refused(RefusalReason::Overloaded, RetryAfterEngineFull);
+    if (head.status != Ok && head.status != VersionConflict) {
+        co_return refused(RefusalReason::Overloaded, RetryAfterEngineFull);
     }
     // Guards against an answer computed with other weights than the request names: it shows in the head of the answer when the
     // engine swapped between our look and its start. Dropping it here holds because nothing has been sent on yet.
-    if (head.weightVersion != generateRequest.weightVersion) {
+    if (head.status == VersionConflict || head.weightVersion != generateRequest.weightVersion) {
+        // The refusal tells the entry what is loaded now, with which it may ask here again.
+        co_await m_watch.look();
         co_return refused(RefusalReason::WrongVersion, RetryAfterVersion);
     }
     schema::RunHead runHead;
--- a/lib/libburdock-serving/source/endpoint/weight_orders.cpp
+++ b/lib/libburdock-serving/source/endpoint/weight_orders.cpp
@@ -134,10 +134,7 @@
                                 {"version", std::string_view(wanted.version)},
                                 {"done", result == platform::OrderResult::Done},
                                 {"refused", result == platform::OrderResult::Refused}});
-        const auto state = co_await m_engine.state();
-        if (state.isReachable) {
-            m_watch.setLoaded(state.loadedVersions);
-        }
+        co_await m_watch.look();
     }
     if (slot == SlotResult::Taken) {
         co_await releaseSlot(slots);
--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -39,7 +39,7 @@
     std::string runId;
     placement::PlacementRequest placement;
     detail::Delivery delivery;
-    std::string asked; // last
+    std::string asked; // the endpoint that was asked last
     std::vector<std::string> tried; // all that were asked and may have got the request
     u32 sequence = 0; // of the attempts, those among them that are no retry
     u32 attempts = 0;
@@ -140,6 +140,10 @@
         progress.isNextPaid = progress.attempts > 0;
         return true;
     }
+    if (attempted.refusal.reason == RefusalReason::WrongVersion) {
+        // The refusal brought what the endpoint has loaded, and the next request there names it.
+        return true;
+    }
     progress.tried.push_back(progress.asked);
     if (attempted.kind == AttemptKind::Silent) {
         progress.mayHaveRun = true;
--- a/tests/integration/weights_test.cpp
+++ b/tests/integration/weights_test.cpp
@@ -33,6 +33,33 @@
 
 } // namespace
 
+// Callers are refused for a moment at each rollout of new weights. Entries know what a replica has loaded from its last report, and
+// where all replicas took the new version since, each refuses the old one. Cause: a refusal taken as final that brought what was lacking.
+TEST_CASE("no request is refused while all replicas take new weights at once")
+{
+    Deployment deployment(slowToLoad());
+    deployment.start();
+    u32 served = 0;
+    u32 refused = 0;
+    for (const auto *version : {"v2", "v3", "v4"}) {
+        rollOut(deployment, version, 2);
+        const auto isSwapped = [&] {
+            PromptCall call;
+            call.tokens = 1;
+            const auto answer = ask(deployment, served % 2, call);
+            (answer.isWhole ? served : refused) += 1;
+            if (!answer.isWhole) {
+                MESSAGE(answer.reason);
+            }
+            return hasLoaded(deployment, 0, version) && hasLoaded(deployment, 1, version);
+        };
+        REQUIRE(waitUntil(isSwapped));
+        static_cast<void>(isSwapped());
+    }
+    MESSAGE("served " << served << ", refused " << refused);
+    CHECK(refused == 0);
+}
+
 // New weights are rolled out and a replica stays on the old ones for good, idle and healthy by all signs. The platform had lost the
 // object of load slots while that replica held one, and it never stopped trying to give back what was no longer there.
 TEST_CASE("a replica goes on taking new weights after the platform lost the load slots")
