--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -40,7 +40,7 @@
     placement::PlacementRequest placement;
     detail::Delivery delivery;
     std::string asked; // the endpoint that was asked last
-    std::vector<std::string> tried; // all that were asked and may have got the request
+    std::vector<std::string> tried; // not to be asked again
     u32 sequence = 0; // of the attempts, those among them that are no retry
     u32 attempts = 0;
     u32 freeAttempts = 0;
@@ -166,7 +166,7 @@
 }
 
 // Guards against a short silence of all links that ends requests with time left: it shows as refusals of a pool that serves.
-// Asking the last one again where there is no other holds because it is not among the tried only if it provably got nothing.
+// Asking the last one again where there is no other holds because it is not among the tried only if it provably ran nothing.
 std::vector<Proposal> RunDriver::propose(const RunSpec &spec, const Progress &progress)
 {
     auto leftOut = progress.tried;
