Look at the engine in one place

The watch's look now says whether the engine can be reached, and the runner compares the start that it saw before with the one after.

--- a/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
@@ -19,8 +19,8 @@
     /** @brief Polls until the process stops. */
     [[nodiscard]] boost::asio::awaitable<void> run();
 
-    /** @brief Asks the engine for its state now. */
-    [[nodiscard]] boost::asio::awaitable<void> look();
+    /** @brief Asks the engine for its state now; false if it can't be reached. */
+    boost::asio::awaitable<bool> look();
 
     /** @brief Takes note of a boot id seen in an answer; true if the engine had restarted. */
     bool noteBootId(const std::string &bootId);
--- a/lib/libburdock-serving/source/endpoint/engine_watch.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watch.cpp
@@ -28,7 +28,7 @@
     }
 }
 
-boost::asio::awaitable<void> EngineWatch::look()
+boost::asio::awaitable<bool> EngineWatch::look()
 {
     const auto state = co_await m_engine.state();
     if (state.isReachable) {
@@ -37,6 +37,7 @@
     } else {
         noteUnreachable();
     }
+    co_return state.isReachable;
 }
 
 bool EngineWatch::noteBootId(const std::string &bootId)
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -149,13 +149,8 @@
 
 boost::asio::awaitable<bool> PromptRunner::hasCrashed(std::string bootBefore)
 {
-    const auto state = co_await m_engine.state();
-    if (!state.isReachable) {
-        m_watch.noteUnreachable();
-        co_return true;
-    }
-    m_watch.noteBootId(state.bootId);
-    co_return state.bootId != bootBefore;
+    const bool isReachable = co_await m_watch.look();
+    co_return !isReachable || m_watch.bootId() != bootBefore;
 }
 
 Conclusion PromptRunner::broken(bool mayHaveRun, bool crashed, std::string detail) const
