--- a/lib/libburdock-platform/include/burdock/platform/block_store.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/block_store.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 enum class PutResult : u8 {
     Kept,
@@ -38,4 +38,4 @@
 /** @brief The payload of a frame if it is whole and of this key. */
 [[nodiscard]] std::optional<std::string> unframeBlock(const cache::BlockKey &key, std::string_view frame);
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/include/burdock/platform/engine.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/engine.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 struct GenerateRequest
 {
@@ -97,4 +97,4 @@
     [[nodiscard]] virtual boost::asio::awaitable<CacheEvents> events(u64 afterSequence) = 0;
 };
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/include/burdock/platform/http_block_store.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/http_block_store.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <burdock/platform/block_store.hpp>
+#include <burdock/clients/block_store.hpp>
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/runtime/random_source.hpp>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 /** @brief A store VM over HTTP; docs/INTERFACES.md has the calls. */
 class HttpBlockStore : public BlockStore
@@ -21,4 +21,4 @@
     runtime::RandomSource &m_random;
 };
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/include/burdock/platform/http_engine.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/http_engine.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <burdock/platform/engine.hpp>
+#include <burdock/clients/engine.hpp>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 /** @brief An engine over HTTP; docs/INTERFACES.md has the calls. */
 class HttpEngine : public Engine
@@ -23,4 +23,4 @@
     Duration m_silence;
 };
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/include/burdock/platform/http_object_store.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/http_object_store.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <burdock/platform/object_store.hpp>
+#include <burdock/clients/object_store.hpp>
 #include <burdock/runtime/http/client.hpp>
 
 #include <atomic>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 /** @brief The object API over HTTP; docs/INTERFACES.md has the calls. */
 class HttpObjectStore : public ObjectStore
@@ -28,4 +28,4 @@
     Duration m_timeout;
 };
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/include/burdock/platform/object_store.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/object_store.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 /** @brief The systems around burdockpaddle, behind interfaces. */
-namespace burdock::platform {
+namespace burdock::clients {
 
 /** @brief Kind and name of an object. */
 struct ObjectId
@@ -67,4 +67,4 @@
 /** @brief Pool under which the platform lists the entry VMs. */
 inline constexpr std::string_view EntryPool = "entry";
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/source/http_block_store.cpp
+++ b/lib/libburdock-clients/source/http_block_store.cpp
@@ -1,9 +1,9 @@
-#include <burdock/platform/http_block_store.hpp>
+#include <burdock/clients/http_block_store.hpp>
 
 #include <algorithm>
 #include <cstring>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 namespace {
 
@@ -89,4 +89,4 @@
     co_return unframeBlock(key, exchange.response.body);
 }
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/source/http_engine.cpp
+++ b/lib/libburdock-clients/source/http_engine.cpp
@@ -1,9 +1,9 @@
-#include <burdock/platform/http_engine.hpp>
-#include <burdock/platform/json_fields.hpp>
+#include <burdock/clients/http_engine.hpp>
+#include <burdock/clients/json_fields.hpp>
 
 #include <boost/json.hpp>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 namespace {
 
@@ -222,4 +222,4 @@
     co_return events;
 }
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- a/lib/libburdock-platform/source/http_object_store.cpp
+++ b/lib/libburdock-clients/source/http_object_store.cpp
@@ -1,10 +1,10 @@
-#include <burdock/platform/http_object_store.hpp>
-#include <burdock/platform/json_fields.hpp>
+#include <burdock/clients/http_object_store.hpp>
+#include <burdock/clients/json_fields.hpp>
 
 #include <boost/json.hpp>
 #include <charconv>
 
-namespace burdock::platform {
+namespace burdock::clients {
 
 namespace {
 
@@ -146,4 +146,4 @@
     co_return list;
 }
 
-} // namespace burdock::platform
+} // namespace burdock::clients
--- /dev/null
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <burdock/gateway/dialect.hpp>
+#include <burdock/gateway/kind_store.hpp>
+#include <burdock/runtime/clock.hpp>
+#include <burdock/runtime/logger.hpp>
+#include <burdock/runtime/metrics.hpp>
+#include <burdock/runtime/random_source.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace burdock::gateway {
+
+/** @brief Settings of one gateway process. */
+struct GatewaySettings
+{
+    std::string name; ///< of the VM
+    std::string zone;
+    runtime::http::Address callers; ///< where callers connect
+    runtime::http::Address readiness; ///< where the balancer asks
+    runtime::http::Address metrics;
+    Duration grace = std::chrono::seconds(8); ///< from SIGTERM to the end
+    Duration revocation = std::chrono::seconds(5); ///< time within which a key that was taken away must be refused
+    double retryShare = 0.2; ///< retries of a service, over all entries, as a share of its requests
+    u32 retrySlack = 50; ///< retries beyond that share, over all entries
+    Duration orderPause = std::chrono::seconds(3); ///< between orders of two holders of a duty
+};
+
+/** @brief What a gateway is built on; all outlive it. */
+struct GatewayParts
+{
+    boost::asio::io_context &context;
+    runtime::Clock &clock; ///< counts the time in which the VM was suspended
+    runtime::RandomSource &random;
+    runtime::Logger &logger;
+    runtime::Metrics &metrics;
+    const Dialect &dialect;
+    KindStore &store;
+};
+
+/**
+ * @brief One entry that sends callers' requests straight to endpoints.
+ *
+ * Runs on one thread, that of its context: its VMs have a fraction of one processor, and tables of one thread need no locks.
+ */
+class Gateway
+{
+public:
+    Gateway(const GatewayParts &parts, const GatewaySettings &settings);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    void start();
+
+    /** @brief Serves what is under way and what still comes, tells the balancer, and stops the context at the end. */
+    void drain();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -0,0 +1,166 @@
+#include "cache_follower.hpp"
+
+#include <burdock/hash/digest.hpp>
+#include <burdock/runtime/http/client.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <algorithm>
+
+namespace burdock::gateway {
+
+namespace {
+
+namespace http = runtime::http;
+using runtime::LogLevel;
+
+constexpr Duration EventWait = std::chrono::milliseconds(1000);
+constexpr Duration EventTimeout = std::chrono::milliseconds(1600);
+constexpr Duration ListTimeout = std::chrono::milliseconds(1000);
+/** Pause between two calls, so that events which come together are answered by one. */
+constexpr Duration GatherTime = std::chrono::milliseconds(60);
+constexpr Duration FailurePause = std::chrono::milliseconds(400);
+/** How long all replicas must have had newer weights before older parts are freed, so that no fetch of them is under way. */
+constexpr Duration SettleTime = std::chrono::milliseconds(4000);
+constexpr Duration FreePeriod = std::chrono::milliseconds(500);
+constexpr std::size_t FreeAtMost = 200;
+constexpr u16 HttpError = 400;
+
+} // namespace
+
+CacheFollower::CacheFollower(const GatewayParts &parts, const GatewaySettings &settings, State &state, std::string store)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_state(state)
+    , m_store(std::move(store))
+{
+}
+
+boost::asio::awaitable<void> CacheFollower::run()
+{
+    bool isKnown = false;
+    while (isConfigured()) {
+        if (!isKnown) {
+            isKnown = co_await readAll();
+        }
+        const bool isFollowed = isKnown && co_await readChanges();
+        if (!isFollowed) {
+            // Parts that may be gone must not be fetched.
+            m_state.parts.noteReset(m_store);
+            isKnown = false;
+            co_await runtime::sleepFor(FailurePause);
+            continue;
+        }
+        co_await freeOutdated();
+        co_await runtime::sleepFor(GatherTime);
+    }
+    m_state.parts.noteReset(m_store);
+}
+
+bool CacheFollower::isConfigured() const
+{
+    const auto &stores = m_state.parts.stores();
+    return std::any_of(stores.begin(), stores.end(), [this](const cache::PartStore &store) { return store.address == m_store; });
+}
+
+boost::asio::awaitable<bool> CacheFollower::readAll()
+{
+    const auto request = m_parts.dialect.cacheListRequest();
+    const auto result = co_await http::exchange(http::parseAddress(m_store), request, ListTimeout);
+    if (result.progress != http::Progress::Answered) {
+        co_return false;
+    }
+    const auto list = m_parts.dialect.readCacheList(result.response.body);
+    if (!list) {
+        co_return false;
+    }
+    m_state.parts.noteReset(m_store);
+    m_epoch = list->epoch;
+    take(*list);
+    m_parts.logger.event(LogLevel::Info, "cache_store_listed",
+                         {{"store", m_store}, {"epoch", m_epoch}, {"parts", u64{list->events.size()}}});
+    co_return true;
+}
+
+boost::asio::awaitable<bool> CacheFollower::readChanges()
+{
+    const auto request = m_parts.dialect.cacheEventsRequest(m_next, EventWait);
+    const auto result = co_await http::exchange(http::parseAddress(m_store), request, EventTimeout);
+    if (result.progress != http::Progress::Answered) {
+        m_parts.logger.event(LogLevel::Warning, "cache_store_lost", {{"store", m_store}});
+        co_return false;
+    }
+    const auto events = m_parts.dialect.readCacheEvents(result.response.body);
+    if (!events || events->epoch != m_epoch || events->hasGap) {
+        m_parts.logger.event(LogLevel::Info, "cache_events_broken",
+                             {{"store", m_store},
+                              {"status", u64{result.response.status}},
+                              {"restarted", events && events->epoch != m_epoch},
+                              {"gap", events && events->hasGap}});
+        co_return false;
+    }
+    take(*events);
+    co_return true;
+}
+
+void CacheFollower::take(const CacheEvents &events)
+{
+    m_next = events.next;
+    for (const auto &event : events.events) {
+        if (event.isStored) {
+            m_state.parts.noteStored(m_store, event.salt, event.part, event.tokens);
+        } else {
+            m_state.parts.noteDropped(m_store, event.salt, event.part);
+        }
+    }
+}
+
+// One entry frees at each store, chosen by hash over the registered entries; a second one would only repeat calls.
+bool CacheFollower::isOwnDuty() const
+{
+    const auto rank = [this](const std::string &entry) {
+        return hash::fast(entry, hash::fast(m_store));
+    };
+    return std::none_of(m_state.entries.begin(), m_state.entries.end(),
+                        [&](const std::string &entry) { return rank(entry) > rank(m_settings.name); });
+}
+
+boost::asio::awaitable<void> CacheFollower::freeOutdated()
+{
+    const auto now = m_parts.clock.now();
+    if (now - m_freedAt < FreePeriod || !isOwnDuty()) {
+        co_return;
+    }
+    m_freedAt = now;
+    for (const auto &[model, wanted] : m_state.weights) {
+        const auto isOld = [&model = model, &wanted = wanted](const auto &entry) {
+            const auto version = entry.second.registration.weightVersions.find(model);
+            return version != entry.second.registration.weightVersions.end() && version->second < wanted.version;
+        };
+        const auto &all = m_state.endpoints.all();
+        if (std::any_of(all.begin(), all.end(), isOld)) {
+            m_settledSince.erase(model);
+            continue;
+        }
+        const auto since = m_settledSince.try_emplace(model, now).first->second;
+        const auto parts = m_state.parts.outdated(m_store, model, wanted.version, FreeAtMost);
+        if (now - since < SettleTime || parts.parts.empty()) {
+            continue;
+        }
+        const auto request = m_parts.dialect.cacheFreeRequest(parts, m_epoch);
+        const auto result = co_await http::exchange(http::parseAddress(m_store), request, ListTimeout);
+        if (result.progress == http::Progress::Answered && result.response.status < HttpError) {
+            for (const auto &[salt, id] : parts.parts) {
+                m_state.parts.noteDropped(m_store, salt, id);
+            }
+        }
+        m_parts.logger.event(LogLevel::Info, "cache_freed",
+                             {{"store", m_store},
+                              {"model", model},
+                              {"older_than", wanted.version},
+                              {"parts", u64{parts.parts.size()}},
+                              {"status", u64{result.progress == http::Progress::Answered ? result.response.status : u16{0}}}});
+        co_return;
+    }
+}
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace burdock::gateway {
+
+/** @brief Follows what one store of kept cache holds, and frees there what no weights need any more. */
+class CacheFollower
+{
+public:
+    CacheFollower(const GatewayParts &parts, const GatewaySettings &settings, State &state, std::string store);
+
+    /** @brief Runs until the store is no longer in the configuration. */
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+private:
+    [[nodiscard]] bool isConfigured() const;
+    [[nodiscard]] boost::asio::awaitable<bool> readAll();
+    [[nodiscard]] boost::asio::awaitable<bool> readChanges();
+    [[nodiscard]] boost::asio::awaitable<void> freeOutdated();
+    [[nodiscard]] bool isOwnDuty() const;
+    void take(const CacheEvents &events);
+
+    const GatewayParts &m_parts;
+    const GatewaySettings &m_settings;
+    State &m_state;
+    std::string m_store;
+    u64 m_epoch = 0;
+    u64 m_next = 0;
+    std::map<std::string, TimePoint, std::less<>> m_settledSince; ///< by model: all replicas have the wanted weights
+    TimePoint m_freedAt{};
+};
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -0,0 +1,508 @@
+#include "call_driver.hpp"
+
+#include <burdock/cache/block_keys.hpp>
+#include <burdock/hash/digest.hpp>
+
+#include <boost/asio/this_coro.hpp>
+
+namespace burdock::gateway {
+
+namespace {
+
+namespace http = runtime::http;
+using endpoints::Outcome;
+using retry::NextStep;
+using runtime::LogLevel;
+
+/** Time to connect to an endpoint; a region's round trips take a few milliseconds. */
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+/** Least time in which an endpoint can be expected to do anything for a request. */
+constexpr Duration LeastUsefulTime = std::chrono::milliseconds(40);
+/** When callers should come back: endpoints are full, none is there, or this gateway doesn't know enough yet. */
+constexpr Duration RetryWhenFull = std::chrono::milliseconds(500);
+constexpr Duration RetryWhenNone = std::chrono::milliseconds(1000);
+constexpr Duration RetryWhenUnsure = std::chrono::milliseconds(700);
+/** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
+constexpr int KeyAgePercent = 85;
+/** Crashes under way at which a request is not run again. */
+constexpr u32 CrashesToRefuse = 3;
+/** Weights' parts are not saved any more, but still fetched, once newer weights were named. */
+constexpr u16 StatusOk = 200;
+constexpr u16 StatusMultipleChoices = 300;
+constexpr u16 StatusServerError = 500;
+
+bool isSuccess(u16 status)
+{
+    return status >= StatusOk && status < StatusMultipleChoices;
+}
+
+u64 homeOf(const CallFacts &facts)
+{
+    if (facts.parts.empty()) {
+        return hash::fast(facts.attemptId);
+    }
+    const std::size_t subject = facts.parts.size() >= 2 ? facts.parts.size() - 2 : 0;
+    return hash::fast(facts.parts[subject].id);
+}
+
+} // namespace
+
+CallDriver::CallDriver(const GatewayParts &parts, const GatewaySettings &settings, State &state, ConnectionPool &pool,
+                       const http::Request &request, http::Reply &reply)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_state(state)
+    , m_pool(pool)
+    , m_request(request)
+    , m_reply(reply)
+{
+}
+
+boost::asio::awaitable<void> CallDriver::run()
+{
+    m_arrived = m_parts.clock.now();
+    m_facts = m_parts.dialect.readCall(m_request.headers);
+    m_routes = m_state.routes;
+    const auto rejection = check();
+    if (rejection) {
+        co_await reject(*rejection);
+        co_return;
+    }
+    ++m_state.underWay;
+    m_reply.watchCaller([this] {
+        m_isGone = true;
+        if (m_connection) {
+            m_connection->cut();
+        }
+    });
+    co_await offerUntilDone();
+    --m_state.underWay;
+}
+
+std::optional<CallDriver::Rejection> CallDriver::check()
+{
+    if (!m_routes) {
+        return Rejection{503, "no_configuration", RetryWhenUnsure};
+    }
+    m_route = m_routes->find(m_request.header("Host"), m_request.path());
+    if (m_route == nullptr) {
+        return Rejection{404, "no_route", {}};
+    }
+    if (m_facts.attemptId.empty()) {
+        return Rejection{400, "no_attempt_id", {}};
+    }
+    if (auto rejection = checkKey()) {
+        return rejection;
+    }
+    const auto patience = m_facts.patience ? std::min(*m_facts.patience, m_route->timeout) : m_route->timeout;
+    m_deadline = m_arrived + patience;
+    if (patience < LeastUsefulTime) {
+        return Rejection{503, "no_time", {}};
+    }
+    const std::string_view customer = m_customer == nullptr ? std::string_view() : m_customer->name;
+    const u64 home = homeOf(m_facts);
+    const auto *service = chooseDestination(*m_route, m_route->isPrompt ? home : hash::fast(m_facts.attemptId));
+    if (service == nullptr) {
+        return Rejection{503, "no_service", RetryWhenNone};
+    }
+    m_service = *service;
+    m_tokens = m_route->isPrompt ? std::max<u64>(1, m_facts.promptTokens + m_facts.outputTokens) : 0;
+    m_fingerprint = hash::fast(m_request.target, hash::fast(customer, hash::fast(m_request.body)));
+    if (m_state.quarantine.crashes(m_fingerprint, m_arrived) >= CrashesToRefuse) {
+        return Rejection{503, "crashes_endpoints", {}};
+    }
+    m_history.kind = m_route->kind;
+    m_history.isResumable = m_route->isResumable;
+    m_history.maxAttempts = std::max<u32>(1, m_route->maxAttempts);
+    m_state.budget(m_service, m_settings).noteRequest();
+    return std::nullopt;
+}
+
+std::optional<CallDriver::Rejection> CallDriver::checkKey()
+{
+    if (m_route->isOpen || m_routes->configuration().customers.empty()) {
+        return std::nullopt;
+    }
+    if (!keyIsCurrent()) {
+        return Rejection{503, "keys_unconfirmed", RetryWhenUnsure};
+    }
+    m_customer = m_routes->customerOf(m_facts.apiKey);
+    if (m_customer == nullptr) {
+        return Rejection{401, "unknown_key", {}};
+    }
+    return std::nullopt;
+}
+
+// Guards against a key that was taken away while this gateway is cut off from the platform: it shows as requests that run long
+// after the revocation. Refusing keys once the configuration is older than the revocation may take holds, as the age counts from
+// before the read that confirmed it, on a clock that counts the time of a suspended VM.
+bool CallDriver::keyIsCurrent() const
+{
+    const auto age = m_parts.clock.now() - m_state.configurationAsOf;
+    return age < m_settings.revocation * KeyAgePercent / 100;
+}
+
+boost::asio::awaitable<void> CallDriver::offerUntilDone()
+{
+    Attempt last;
+    while (true) {
+        const auto now = m_parts.clock.now();
+        const auto choice = m_state.endpoints.choose(needOf(), now);
+        if (choice.reason != endpoints::NoChoice::None) {
+            const auto step = m_history.begun + m_history.declined == 0 ? NextStep::Refuse : retry::lastStep(m_history, last.outcome);
+            if (step == NextStep::Refuse) {
+                const bool isFull = choice.reason == endpoints::NoChoice::NoRoom;
+                const Rejection rejection{503, isFull ? "no_room" : "no_endpoint", isFull ? RetryWhenFull : RetryWhenNone};
+                co_await reject(rejection);
+                co_return;
+            }
+            co_await finish(step, last);
+            co_return;
+        }
+        if (m_customer != nullptr && !keyIsCurrent()) {
+            const Rejection rejection{503, "keys_unconfirmed", RetryWhenUnsure};
+            co_await reject(rejection);
+            co_return;
+        }
+        m_tried.insert(choice.id);
+        last = co_await attempt(choice.id);
+        m_history.isInTime = timeLeft() > LeastUsefulTime && !m_isGone;
+        auto step = retry::nextStep(m_history, last.outcome);
+        if (step == NextStep::TryElsewhere && !m_state.budget(m_service, m_settings).trySpend()) {
+            m_parts.logger.event(LogLevel::Info, "retry_budget_spent", {{"id", m_facts.attemptId}, {"service", m_service}});
+            step = retry::lastStep(m_history, last.outcome);
+        }
+        if (step != NextStep::TryElsewhere) {
+            co_await finish(step, last);
+            co_return;
+        }
+    }
+}
+
+endpoints::Need CallDriver::needOf() const
+{
+    endpoints::Need need;
+    need.service = m_service;
+    need.home = homeOf(m_facts);
+    need.random = hash::fast(m_facts.attemptId);
+    need.tokens = m_tokens;
+    need.model = m_facts.model;
+    need.wantedVersion = m_state.wantedVersion(m_facts.model);
+    need.tried = m_tried;
+    return need;
+}
+
+boost::asio::awaitable<CallDriver::Attempt> CallDriver::attempt(const std::string &id)
+{
+    Attempt attempt;
+    const auto *endpoint = m_state.endpoints.find(id);
+    const auto request = instruct(*endpoint);
+    m_state.endpoints.noteSent(id, m_tokens, m_parts.clock.now());
+    attempt.outcome = co_await exchange(id, request, attempt);
+    m_connection.reset();
+    const auto now = m_parts.clock.now();
+    m_state.endpoints.noteEnd(id, m_tokens, attempt.outcome, now);
+    const bool isUntouched = attempt.outcome == Outcome::Declined || attempt.outcome == Outcome::Unreachable;
+    ++(isUntouched ? m_history.declined : m_history.begun);
+    if (attempt.outcome == Outcome::Broken) {
+        m_state.quarantine.noteCrash(m_fingerprint, now);
+        m_pool.drop(id);
+    }
+    if (attempt.outcome != Outcome::Answered) {
+        m_parts.logger.event(LogLevel::Info, "attempt_failed",
+                             {{"id", m_facts.attemptId},
+                              {"endpoint", id},
+                              {"outcome", toString(attempt.outcome)},
+                              {"status", u64{attempt.answer.status}},
+                              {"kept_connection", m_isKeptConnection},
+                              {"caller_gone", m_isGone},
+                              {"begun", u64{m_history.begun}},
+                              {"declined", u64{m_history.declined}},
+                              {"waited_ms", toMilliseconds(waited())}});
+    }
+    co_return attempt;
+}
+
+boost::asio::awaitable<Outcome> CallDriver::exchange(const std::string &id, const http::Request &request, Attempt &attempt)
+{
+    const bool isConnected = co_await connectTo(id);
+    if (m_isGone) {
+        co_return Outcome::Abandoned;
+    }
+    if (!isConnected) {
+        co_return Outcome::Unreachable;
+    }
+    m_connection->startSend(request);
+    AnswerFacts facts;
+    const bool isAnswered = co_await readOwnHead(id, facts);
+    if (!isAnswered) {
+        const bool isOurs = m_isGone || timeLeft() <= Duration::zero();
+        co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
+    }
+    attempt.answer = m_parts.dialect.forCaller(m_connection->head());
+    attempt.isWrongEndpoint = facts.isWrongEndpoint;
+    learn(id, facts);
+    const u16 status = attempt.answer.status;
+    if (isSuccess(status) && !facts.isSealed && !facts.isDeclined) {
+        // No answer of an endpoint to this request looks like this.
+        co_return Outcome::Broken;
+    }
+    if (m_hasBegun && !isSuccess(status)) {
+        co_return facts.isDeclined ? Outcome::Declined : Outcome::Broken;
+    }
+    if (isSuccess(status) && m_route->kind == routing::CallKind::Stream) {
+        const auto outcome = co_await relayStream(id);
+        if (outcome == Outcome::Answered) {
+            release(id, facts);
+        }
+        co_return outcome;
+    }
+    const bool isWhole = co_await readWhole(id, attempt.answer.body);
+    if (isWhole) {
+        release(id, facts);
+    }
+    if (facts.isDeclined) {
+        co_return Outcome::Declined;
+    }
+    if (!isWhole) {
+        const bool isOurs = m_isGone || timeLeft() <= Duration::zero();
+        co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
+    }
+    co_return status >= StatusServerError ? Outcome::Failed : Outcome::Answered;
+}
+
+boost::asio::awaitable<bool> CallDriver::connectTo(const std::string &id)
+{
+    const auto now = m_parts.clock.now();
+    m_connection = m_pool.take(id, now);
+    m_isKeptConnection = m_connection != nullptr;
+    if (m_isKeptConnection) {
+        co_return true;
+    }
+    const auto *endpoint = m_state.endpoints.find(id);
+    if (endpoint == nullptr) {
+        co_return false;
+    }
+    const auto address = http::parseAddress(endpoint->registration.address);
+    const auto executor = co_await boost::asio::this_coro::executor;
+    m_connection = std::make_unique<http::Connection>(executor, address, http::Reuse::Kept);
+    m_parts.metrics.count("burdock_endpoint_connections_total", {{"service", m_service}});
+    const auto timeout = std::min(ConnectTimeout, timeLeft());
+    co_return co_await m_connection->connect(timeout);
+}
+
+// Reads the head of the answer to this very request. Guards against an answer to an earlier request that comes late, where this
+// one's is expected: it shows as another attempt id. Passing over such answers holds, as each bears the id of its request.
+boost::asio::awaitable<bool> CallDriver::readOwnHead(const std::string &id, AnswerFacts &facts)
+{
+    while (timeLeft() > Duration::zero()) {
+        const bool isRead = co_await m_connection->readHead(timeLeft());
+        if (!isRead) {
+            co_return false;
+        }
+        m_state.endpoints.noteHeard(id, m_parts.clock.now());
+        if (!m_firstByte) {
+            m_firstByte = m_parts.clock.now();
+        }
+        facts = m_parts.dialect.readAnswer(m_connection->head());
+        if (facts.attemptId == m_facts.attemptId) {
+            co_return true;
+        }
+        m_parts.logger.event(LogLevel::Warning, "foreign_answer",
+                             {{"id", m_facts.attemptId}, {"endpoint", id}, {"answer_id", facts.attemptId}});
+        std::string ignored;
+        const bool isWhole = co_await readWhole(id, ignored);
+        if (!isWhole) {
+            co_return false;
+        }
+    }
+    co_return false;
+}
+
+boost::asio::awaitable<bool> CallDriver::readWhole(const std::string &id, std::string &body)
+{
+    while (true) {
+        const auto left = timeLeft();
+        if (left <= Duration::zero()) {
+            co_return false;
+        }
+        const auto piece = co_await m_connection->read(left);
+        if (piece.isBroken) {
+            co_return false;
+        }
+        m_state.endpoints.noteHeard(id, m_parts.clock.now());
+        body += piece.data;
+        if (piece.isEnd) {
+            co_return true;
+        }
+    }
+}
+
+boost::asio::awaitable<Outcome> CallDriver::relayStream(const std::string &id)
+{
+    if (!m_hasBegun) {
+        const auto head = m_parts.dialect.forCaller(m_connection->head());
+        m_hasBegun = true;
+        const bool isTaken = co_await m_reply.begin(head);
+        if (!isTaken) {
+            co_return Outcome::Abandoned;
+        }
+    }
+    while (true) {
+        const auto left = timeLeft();
+        if (left <= Duration::zero()) {
+            co_return Outcome::Abandoned;
+        }
+        const auto piece = co_await m_connection->read(left);
+        if (piece.isBroken) {
+            const bool isOurs = m_isGone || timeLeft() <= Duration::zero();
+            co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
+        }
+        m_state.endpoints.noteHeard(id, m_parts.clock.now());
+        std::string bytes = m_route->isResumable ? m_events.take(piece.data) : piece.data;
+        if (piece.isEnd && m_route->isResumable) {
+            bytes += m_events.takeRest();
+        }
+        if (!bytes.empty()) {
+            const bool isTaken = co_await m_reply.write(bytes);
+            if (!isTaken) {
+                m_isGone = true;
+                co_return Outcome::Abandoned;
+            }
+        }
+        if (piece.isEnd) {
+            const bool isTaken = co_await m_reply.end();
+            co_return isTaken ? Outcome::Answered : Outcome::Abandoned;
+        }
+    }
+}
+
+http::Request CallDriver::instruct(const endpoints::Endpoint &endpoint)
+{
+    Instructions told;
+    told.endpointId = endpoint.registration.id;
+    told.timeLeft = timeLeft();
+    told.customer = m_customer == nullptr ? "" : m_customer->name;
+    told.priority = m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
+    told.isPrompt = m_route->isPrompt;
+    // What was begun and not ended is dropped with the endpoint that broke it off.
+    static_cast<void>(m_events.takeRest());
+    told.resumeAfter = m_events.lastId();
+    if (m_route->isPrompt) {
+        const auto version = endpoint.registration.weightVersions.find(m_facts.model);
+        const u64 held = version == endpoint.registration.weightVersions.end() ? 0 : version->second;
+        const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
+        told.salt = cache::Salt{m_facts.model, held, isIsolated ? m_customer->name : ""}.text();
+        if (held > 0) {
+            told.weightVersion = held;
+            told.parts = m_state.parts.plan(told.salt, m_facts.parts, m_parts.clock.now());
+        }
+    }
+    m_parts.logger.event(LogLevel::Info, "placed",
+                         {{"id", m_facts.attemptId},
+                          {"route", m_route->name},
+                          {"customer", told.customer},
+                          {"endpoint", told.endpointId},
+                          {"running", u64{endpoint.running}},
+                          {"tokens_there", endpoint.tokens},
+                          {"tokens", m_tokens},
+                          {"weights", told.weightVersion.value_or(0)},
+                          {"wanted_weights", m_state.wantedVersion(m_facts.model)},
+                          {"config", m_routes->configuration().version},
+                          {"config_age_ms", toMilliseconds(m_parts.clock.now() - m_state.configurationAsOf)},
+                          {"left_ms", toMilliseconds(told.timeLeft)}});
+    return m_parts.dialect.forEndpoint(m_request, told);
+}
+
+boost::asio::awaitable<void> CallDriver::finish(NextStep step, const Attempt &attempt)
+{
+    if (m_isGone) {
+        count("caller_left");
+        m_parts.logger.event(LogLevel::Info, "caller_left", {{"id", m_facts.attemptId}, {"waited_ms", toMilliseconds(waited())}});
+        co_return;
+    }
+    if (m_hasBegun) {
+        // The connection is cut without the end of the stream, so that the caller can't take the part for the whole.
+        if (attempt.outcome == Outcome::Answered) {
+            count("answered");
+        } else {
+            count("broken_off");
+            m_parts.logger.event(
+                LogLevel::Warning, "stream_broken_off",
+                {{"id", m_facts.attemptId}, {"outcome", toString(attempt.outcome)}, {"waited_ms", toMilliseconds(waited())}});
+        }
+        co_return;
+    }
+    if (step == NextStep::Deliver) {
+        count(isSuccess(attempt.answer.status) ? "answered" : "endpoint_error");
+        co_await m_reply.send(attempt.answer);
+        co_return;
+    }
+    if (step == NextStep::Refuse) {
+        const Rejection rejection{503, "declined", RetryWhenFull};
+        co_await reject(rejection);
+        co_return;
+    }
+    const bool isLate = timeLeft() <= Duration::zero();
+    const Rejection rejection{static_cast<u16>(isLate ? 504 : 502), isLate ? "time_up" : "endpoint_lost", {}};
+    co_await reject(rejection);
+}
+
+boost::asio::awaitable<void> CallDriver::reject(const Rejection &rejection)
+{
+    count(rejection.reason);
+    m_parts.logger.event(LogLevel::Warning, "refused",
+                         {{"id", m_facts.attemptId},
+                          {"route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name)},
+                          {"status", u64{rejection.status}},
+                          {"reason", rejection.reason},
+                          {"service", m_service},
+                          {"tokens", m_tokens},
+                          {"begun", u64{m_history.begun}},
+                          {"declined", u64{m_history.declined}},
+                          {"config", m_routes ? m_routes->configuration().version : 0},
+                          {"config_age_ms", toMilliseconds(m_parts.clock.now() - m_state.configurationAsOf)},
+                          {"waited_ms", toMilliseconds(waited())},
+                          {"retry_after_ms", toMilliseconds(rejection.retryAfter)}});
+    const auto answer = m_parts.dialect.ownAnswer(rejection.status, m_facts.attemptId, rejection.reason, rejection.retryAfter);
+    co_await m_reply.send(answer);
+}
+
+void CallDriver::learn(const std::string &id, const AnswerFacts &facts)
+{
+    if (facts.weightVersion && !m_facts.model.empty()) {
+        m_state.endpoints.noteWeights(id, m_facts.model, *facts.weightVersion);
+    }
+    if (facts.coldLeft) {
+        m_state.endpoints.noteCold(id, *facts.coldLeft, m_parts.clock.now());
+    }
+}
+
+void CallDriver::release(const std::string &id, const AnswerFacts &facts)
+{
+    if (m_connection->isReusable() && !facts.isWrongEndpoint) {
+        m_pool.put(id, std::move(m_connection), facts.keepAlive, m_parts.clock.now());
+    }
+}
+
+Duration CallDriver::timeLeft() const
+{
+    return m_deadline - m_parts.clock.now();
+}
+
+Duration CallDriver::waited() const
+{
+    return m_parts.clock.now() - m_arrived;
+}
+
+void CallDriver::count(std::string_view outcome)
+{
+    const std::string kind(m_route == nullptr ? "none" : toString(m_route->kind));
+    m_parts.metrics.count("burdock_requests_total", {{"kind", kind}, {"outcome", std::string(outcome)}});
+    m_parts.metrics.observe("burdock_request_seconds", waited(), {{"kind", kind}});
+    if (m_firstByte) {
+        m_parts.metrics.observe("burdock_first_byte_seconds", *m_firstByte - m_arrived, {{"kind", kind}});
+    }
+}
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -0,0 +1,429 @@
+#include <burdock/gateway/gateway.hpp>
+
+#include "cache_follower.hpp"
+#include "call_driver.hpp"
+#include "kind_watcher.hpp"
+#include "state.hpp"
+#include "weight_duty.hpp"
+
+#include <burdock/runtime/http/server.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace burdock::gateway {
+
+namespace {
+
+namespace http = runtime::http;
+using runtime::LogLevel;
+
+/** How long a watch waits for changes. Shorter where a promise hangs on hearing of silence. */
+constexpr Duration ConfigurationWait = std::chrono::milliseconds(1500);
+constexpr Duration EndpointWait = std::chrono::milliseconds(1500);
+constexpr Duration EvacuationWait = std::chrono::milliseconds(3000);
+constexpr Duration WeightWait = std::chrono::milliseconds(5000);
+/** How often the list of entries is read. */
+constexpr Duration EntryListPeriod = std::chrono::seconds(5);
+/** How often idle connections are looked through and lines of the log are handed on. */
+constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
+/** Time after SIGTERM in which the balancer takes this entry out, and connections may still come. */
+constexpr Duration LameDuck = std::chrono::milliseconds(3500);
+/** Part of the grace time that is kept for the end itself. */
+constexpr Duration EndMargin = std::chrono::milliseconds(700);
+constexpr Duration DrainPoll = std::chrono::milliseconds(50);
+/** Time for one piece of an answer to be taken by the caller, and for one body to arrive. */
+constexpr Duration CallerIoTimeout = std::chrono::seconds(15);
+constexpr u16 StatusOk = 200;
+constexpr u16 StatusNotFound = 404;
+constexpr u16 StatusUnavailable = 503;
+
+/** @brief Serves one path by a function. */
+class PathHandler : public http::Handler
+{
+public:
+    PathHandler(std::string path, std::function<http::Response()> answer)
+        : m_path(std::move(path))
+        , m_answer(std::move(answer))
+    {
+    }
+
+    boost::asio::awaitable<void> handle(const http::Request &request, http::Reply &reply) override
+    {
+        http::Response response;
+        response.status = StatusNotFound;
+        if (request.path() == m_path) {
+            response = m_answer();
+        }
+        co_await reply.send(response);
+    }
+
+private:
+    std::string m_path;
+    std::function<http::Response()> m_answer;
+};
+
+} // namespace
+
+class Gateway::Impl : public http::Handler
+{
+public:
+    Impl(const GatewayParts &parts, const GatewaySettings &settings)
+        : m_parts(parts)
+        , m_settings(settings)
+        , m_weightDuty(m_parts, m_settings, m_state)
+        , m_readinessHandler(std::string(parts.dialect.readinessPath()), [this] { return readiness(); })
+        , m_metricsHandler("/metrics", [this] { return metrics(); })
+        , m_callers(parts.context, settings.callers, callerLimits({}), *this)
+        , m_readiness(parts.context, settings.readiness, http::ServerLimits{}, m_readinessHandler)
+        , m_metrics(parts.context, settings.metrics, http::ServerLimits{}, m_metricsHandler)
+    {
+        m_watchers.emplace_back(std::make_unique<KindWatcher>(m_parts, ObjectKind::Configuration, ConfigurationWait, configuration()));
+        m_watchers.emplace_back(std::make_unique<KindWatcher>(m_parts, ObjectKind::Endpoints, EndpointWait, endpointHandlers()));
+        m_watchers.emplace_back(std::make_unique<KindWatcher>(m_parts, ObjectKind::Evacuations, EvacuationWait, evacuations()));
+        m_watchers.emplace_back(std::make_unique<KindWatcher>(m_parts, ObjectKind::Weights, WeightWait, weightHandlers()));
+    }
+
+    void start()
+    {
+        for (const auto &watcher : m_watchers) {
+            spawn(watcher->run());
+        }
+        spawn(m_weightDuty.run());
+        spawn(housekeeping());
+        spawn(keepEntryList());
+    }
+
+    void drain()
+    {
+        if (!m_state.isDraining) {
+            m_state.isDraining = true;
+            m_callers.closeAfterAnswers();
+            spawn(drainAndStop());
+        }
+    }
+
+    boost::asio::awaitable<void> handle(const http::Request &request, http::Reply &reply) override
+    {
+        CallDriver driver(m_parts, m_settings, m_state, m_pool, request, reply);
+        co_await driver.run();
+    }
+
+private:
+    void spawn(boost::asio::awaitable<void> work)
+    {
+        boost::asio::co_spawn(m_parts.context, std::move(work), [this](const std::exception_ptr &failure) {
+            if (failure) {
+                reportFailure(failure);
+            }
+        });
+    }
+
+    void reportFailure(const std::exception_ptr &failure)
+    {
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception &error) {
+            m_parts.logger.event(LogLevel::Error, "task_failed", {{"reason", std::string_view(error.what())}});
+        }
+        // A gateway that no longer follows the platform must not go on as if it did.
+        m_parts.context.stop();
+    }
+
+    static http::ServerLimits callerLimits(const routing::CallerLimits &limits)
+    {
+        http::ServerLimits server;
+        server.headerBytes = limits.headerBytes;
+        server.bodyBytes = limits.bodyBytes;
+        server.headerTimeout = limits.headerTimeout;
+        server.idleTimeout = limits.idleTimeout;
+        server.ioTimeout = CallerIoTimeout;
+        return server;
+    }
+
+    [[nodiscard]] bool isReady() const
+    {
+        return m_state.routes && m_state.hasEndpoints && !m_state.isDraining;
+    }
+
+    [[nodiscard]] http::Response readiness() const
+    {
+        http::Response response;
+        response.status = isReady() ? StatusOk : StatusUnavailable;
+        return response;
+    }
+
+    [[nodiscard]] http::Response metrics()
+    {
+        m_parts.metrics.set("burdock_requests_under_way", m_state.underWay);
+        m_parts.metrics.set("burdock_entries", m_state.entryCount);
+        if (m_state.routes) {
+            m_parts.metrics.set("burdock_configuration_version", static_cast<double>(m_state.routes->configuration().version));
+            const auto age = m_parts.clock.now() - m_state.configurationAsOf;
+            m_parts.metrics.set("burdock_configuration_age_seconds", toMilliseconds(age) / 1000.0);
+        }
+        for (const auto &store : m_state.parts.stores()) {
+            m_parts.metrics.set("burdock_kept_tokens", static_cast<double>(m_state.parts.keptTokens(store.address)),
+                                {{"store", store.address}});
+        }
+        http::Response response;
+        response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        response.body = m_parts.metrics.text();
+        return response;
+    }
+
+    KindHandlers configuration()
+    {
+        const auto takeAll = [this](const std::vector<StoredObject> &items) {
+            for (const auto &item : items) {
+                takeConfiguration(item);
+            }
+        };
+        return {takeAll, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
+                [this](TimePoint asOf) {
+                    m_state.configurationAsOf = std::max(m_state.configurationAsOf, asOf);
+                }};
+    }
+
+    void takeConfiguration(const StoredObject &object)
+    {
+        auto read = m_parts.dialect.readConfiguration(object.spec);
+        if (!read) {
+            m_parts.logger.event(LogLevel::Error, "configuration_unreadable", {{"name", object.name}, {"revision", object.revision}});
+            m_parts.metrics.count("burdock_configurations_unreadable_total");
+            return;
+        }
+        const u64 present = m_state.routes ? m_state.routes->configuration().version : 0;
+        // Guards against a configuration that goes back: it shows when an older list is read after a newer one was in force.
+        if (read->version <= present) {
+            return;
+        }
+        m_parts.logger.event(LogLevel::Info, "configuration_taken",
+                             {{"version", read->version},
+                              {"before", present},
+                              {"revision", object.revision},
+                              {"routes", u64{read->routes.size()}},
+                              {"customers", u64{read->customers.size()}}});
+        m_state.routes = std::make_shared<const routing::RouteTable>(std::move(*read));
+        applyServices(m_state.routes->configuration());
+        m_callers.setLimits(callerLimits(m_state.routes->configuration().limits));
+    }
+
+    void applyServices(const routing::Configuration &configuration)
+    {
+        std::vector<cache::PartStore> stores;
+        for (const auto &service : configuration.services) {
+            const u64 cacheTokens = service.engine ? service.engine->cacheTokens : 0;
+            m_state.endpoints.setServiceLimits(service.name, cacheTokens, service.coldPerSecond);
+            if (service.cacheStore && service.cacheStore->isManaged) {
+                stores.push_back({service.cacheStore->address, service.cacheStore->zone, service.cacheStore->cacheTokens});
+            }
+        }
+        m_state.parts.setStores(stores);
+        for (const auto &store : stores) {
+            if (m_followed.insert(store.address).second) {
+                spawn(followStore(store.address));
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> followStore(std::string address)
+    {
+        CacheFollower follower(m_parts, m_settings, m_state, address);
+        co_await follower.run();
+        m_followed.erase(address);
+    }
+
+    KindHandlers endpointHandlers()
+    {
+        const auto takeList = [this](const std::vector<StoredObject> &items) {
+            std::set<std::string, std::less<>> ids;
+            for (const auto &item : items) {
+                ids.insert(item.name);
+                takeEndpoint(item);
+            }
+            m_state.endpoints.keepOnly(ids);
+            m_state.hasEndpoints = true;
+        };
+        const auto takeChanges = [this](const ObjectChanges &changes) {
+            for (const auto &object : changes.changed) {
+                takeEndpoint(object);
+            }
+            for (const auto &id : changes.removed) {
+                m_parts.logger.event(LogLevel::Info, "endpoint_gone", {{"endpoint", id}, {"revision", changes.revision}});
+                m_state.endpoints.remove(id);
+                m_pool.drop(id);
+            }
+        };
+        return {takeList, takeChanges, nullptr};
+    }
+
+    void takeEndpoint(const StoredObject &object)
+    {
+        const auto registration = m_parts.dialect.readRegistration(object.name, object.spec);
+        if (!registration) {
+            m_parts.logger.event(LogLevel::Warning, "endpoint_unreadable", {{"endpoint", object.name}, {"revision", object.revision}});
+            m_state.endpoints.remove(object.name);
+            return;
+        }
+        const auto *known = m_state.endpoints.find(registration->id);
+        const bool isNew = known == nullptr || known->registration.bornMs != registration->bornMs;
+        if (isNew || known->registration.isDraining != registration->isDraining || registration->coldLeft > Duration::zero()) {
+            m_parts.logger.event(LogLevel::Info, "endpoint_seen",
+                                 {{"endpoint", registration->id},
+                                  {"address", registration->address},
+                                  {"zone", registration->zone},
+                                  {"service", registration->service},
+                                  {"draining", registration->isDraining},
+                                  {"cold_ms", toMilliseconds(registration->coldLeft)},
+                                  {"born_ms", registration->bornMs},
+                                  {"revision", object.revision}});
+        }
+        if (isNew) {
+            m_pool.drop(registration->id);
+        }
+        m_state.endpoints.setRegistration(*registration, m_parts.clock.now());
+    }
+
+    KindHandlers evacuations()
+    {
+        const auto takeList = [this](const std::vector<StoredObject> &items) {
+            m_evacuated.clear();
+            for (const auto &item : items) {
+                m_evacuated.insert(item.name);
+            }
+            applyEvacuations();
+        };
+        const auto takeChanges = [this](const ObjectChanges &changes) {
+            for (const auto &object : changes.changed) {
+                m_evacuated.insert(object.name);
+            }
+            for (const auto &name : changes.removed) {
+                m_evacuated.erase(name);
+            }
+            applyEvacuations();
+        };
+        return {takeList, takeChanges, nullptr};
+    }
+
+    void applyEvacuations()
+    {
+        for (const auto &zone : m_evacuated) {
+            m_parts.logger.event(LogLevel::Info, "zone_out", {{"zone", zone}});
+        }
+        m_state.endpoints.setEvacuated(m_evacuated);
+    }
+
+    KindHandlers weightHandlers()
+    {
+        const auto takeAll = [this](const std::vector<StoredObject> &items) {
+            for (const auto &item : items) {
+                takeWeights(item);
+            }
+        };
+        return {takeAll, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); }, nullptr};
+    }
+
+    void takeWeights(const StoredObject &object)
+    {
+        const auto named = m_parts.dialect.readNamedWeights(object.spec);
+        if (!named) {
+            m_parts.logger.event(LogLevel::Error, "weights_unreadable", {{"name", object.name}, {"revision", object.revision}});
+            return;
+        }
+        auto &wanted = m_state.weights[named->model];
+        if (named->version > wanted.version) {
+            wanted = WantedWeights{named->version, m_parts.clock.now()};
+            m_parts.logger.event(LogLevel::Info, "weights_named", {{"model", named->model}, {"version", named->version}});
+        }
+    }
+
+    boost::asio::awaitable<void> housekeeping()
+    {
+        while (true) {
+            co_await runtime::sleepFor(HousekeepingPeriod);
+            m_pool.sweep(m_parts.clock.now());
+            m_parts.logger.flush();
+        }
+    }
+
+    // Keeps this entry in the platform's list of entries and reads it, as sums over all entries are shared among them.
+    boost::asio::awaitable<void> keepEntryList()
+    {
+        bool isRegistered = false;
+        while (!m_state.isDraining) {
+            if (!isRegistered) {
+                const boost::json::value spec{{"zone", m_settings.zone}};
+                const auto result = co_await m_parts.store.write(ObjectKind::Entries, m_settings.name, spec, std::nullopt);
+                isRegistered = result.answer == StoreAnswer::Written || result.answer == StoreAnswer::Conflict;
+            }
+            const auto list = co_await m_parts.store.list(ObjectKind::Entries, Freshness::MayLag);
+            if (list.answer == StoreAnswer::Found) {
+                takeEntries(list);
+            }
+            co_await runtime::sleepFor(EntryListPeriod);
+        }
+    }
+
+    void takeEntries(const ObjectList &list)
+    {
+        m_state.entries.clear();
+        for (const auto &item : list.items) {
+            m_state.entries.push_back(item.name);
+        }
+        m_state.setEntryCount(static_cast<u32>(list.items.size()));
+    }
+
+    boost::asio::awaitable<void> drainAndStop()
+    {
+        m_parts.logger.event(LogLevel::Info, "draining", {{"under_way", u64{m_state.underWay}}});
+        const auto started = m_parts.clock.now();
+        static_cast<void>(co_await m_parts.store.remove(ObjectKind::Entries, m_settings.name));
+        while (true) {
+            co_await runtime::sleepFor(DrainPoll);
+            const auto elapsed = m_parts.clock.now() - started;
+            const bool isDone = elapsed >= LameDuck && m_callers.busyConnections() == 0;
+            if (isDone || elapsed >= m_settings.grace - EndMargin) {
+                break;
+            }
+        }
+        m_parts.logger.event(LogLevel::Info, "drained", {{"cut", u64{m_callers.busyConnections()}}});
+        m_callers.stopListening();
+        m_parts.context.stop();
+    }
+
+    const GatewayParts m_parts;
+    const GatewaySettings m_settings;
+    State m_state;
+    ConnectionPool m_pool;
+    WeightDuty m_weightDuty;
+    std::set<std::string, std::less<>> m_evacuated;
+    std::set<std::string> m_followed;
+    std::vector<std::unique_ptr<KindWatcher>> m_watchers;
+    PathHandler m_readinessHandler;
+    PathHandler m_metricsHandler;
+    http::Server m_callers;
+    http::Server m_readiness;
+    http::Server m_metrics;
+};
+
+Gateway::Gateway(const GatewayParts &parts, const GatewaySettings &settings)
+    : m_impl(std::make_unique<Impl>(parts, settings))
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start()
+{
+    m_impl->start();
+}
+
+void Gateway::drain()
+{
+    m_impl->drain();
+}
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -0,0 +1,54 @@
+#include "state.hpp"
+
+#include <algorithm>
+
+namespace burdock::gateway {
+
+namespace {
+
+/** Time after which a save that no event confirmed is tried again. */
+constexpr Duration SaveAgainAfter = std::chrono::seconds(4);
+/** How long a request that crashed endpoints is remembered, and how many of them. */
+constexpr Duration SuspectMemory = std::chrono::minutes(2);
+constexpr std::size_t SuspectCapacity = 4096;
+/** Part of the retries allowed over all entries that is handed out; entries may join before all know of them. */
+constexpr double BudgetUse = 0.7;
+constexpr double Percent = 100.0;
+
+} // namespace
+
+State::State()
+    : endpoints(endpoints::Policy{})
+    , parts(SaveAgainAfter)
+    , quarantine(SuspectMemory, SuspectCapacity)
+{
+}
+
+retry::RetryBudget &State::budget(const std::string &service, const GatewaySettings &settings)
+{
+    const auto found = budgets.find(service);
+    if (found != budgets.end()) {
+        return found->second;
+    }
+    const auto earned = static_cast<u32>(settings.retryShare * BudgetUse * Percent);
+    const auto reserve = static_cast<u32>(settings.retrySlack * BudgetUse / entryCount);
+    return budgets.emplace(service, retry::RetryBudget(earned, std::max<u32>(1, reserve))).first->second;
+}
+
+void State::setEntryCount(u32 count)
+{
+    if (count == entryCount || count == 0) {
+        return;
+    }
+    entryCount = count;
+    endpoints.setEntryCount(count);
+    budgets.clear();
+}
+
+u64 State::wantedVersion(std::string_view model) const
+{
+    const auto found = weights.find(model);
+    return found == weights.end() ? 0 : found->second.version;
+}
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <burdock/gateway/gateway.hpp>
+#include <burdock/retry/quarantine.hpp>
+#include <burdock/retry/retry_budget.hpp>
+#include <burdock/routing/route_table.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace burdock::gateway {
+
+/** @brief The newest weights of a model, and since when they are known here. */
+struct WantedWeights
+{
+    u64 version = 0;
+    TimePoint knownSince{};
+};
+
+/** @brief What one gateway knows; read and changed on the one thread of its context. */
+struct State
+{
+    State();
+
+    /** @brief The retry budget of a service. */
+    [[nodiscard]] retry::RetryBudget &budget(const std::string &service, const GatewaySettings &settings);
+
+    /** @brief Sets among how many entries sums over all of them are shared. */
+    void setEntryCount(u32 count);
+
+    /** @brief The weights that new requests of a model should get; zero if none were named. */
+    [[nodiscard]] u64 wantedVersion(std::string_view model) const;
+
+    std::shared_ptr<const routing::RouteTable> routes; ///< null until a configuration came; shared with requests under way
+    /** When the configuration was last known to be the newest: the start of the read that showed it. */
+    TimePoint configurationAsOf{};
+    endpoints::EndpointTable endpoints;
+    cache::PartIndex parts;
+    std::map<std::string, WantedWeights, std::less<>> weights;
+    std::map<std::string, retry::RetryBudget, std::less<>> budgets;
+    retry::Quarantine quarantine;
+    std::vector<std::string> entries; ///< names of the entries that registered
+    u32 entryCount = 1;
+    u32 underWay = 0; ///< requests
+    bool hasEndpoints = false; ///< a list of endpoints came
+    bool isDraining = false;
+};
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -0,0 +1,227 @@
+#include "weight_duty.hpp"
+
+#include <burdock/clients/json_fields.hpp>
+#include <burdock/runtime/http/client.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/json.hpp>
+
+namespace burdock::gateway {
+
+namespace {
+
+namespace http = runtime::http;
+using runtime::LogLevel;
+
+/** How often the duty is looked at, with and without something to do. */
+constexpr Duration BusyPeriod = std::chrono::milliseconds(150);
+constexpr Duration IdlePeriod = std::chrono::milliseconds(300);
+/** How often others than the holder read the lease while there is something to do. */
+constexpr Duration LeaseReadPeriod = std::chrono::milliseconds(1000);
+/** Time after which a replica without the ordered weights is ordered again. */
+constexpr Duration OrderAgainAfter = std::chrono::milliseconds(4000);
+/** How often replicas that load weights are asked how far they are. */
+constexpr Duration LookPeriod = std::chrono::milliseconds(400);
+constexpr Duration CallTimeout = std::chrono::milliseconds(800);
+constexpr const char *LeaseName = "weights";
+
+boost::json::value toJson(const weights::LeaseRecord &record)
+{
+    return {{"vm", record.vm}, {"boot", record.boot}, {"token", record.token}, {"beat", record.beat}};
+}
+
+std::optional<weights::LeaseRecord> leaseFrom(const boost::json::value &spec)
+{
+    const auto *object = spec.if_object();
+    if (object == nullptr || clients::textOf(*object, "vm").empty()) {
+        return std::nullopt;
+    }
+    return weights::LeaseRecord{clients::textOf(*object, "vm"), clients::numberOf(*object, "boot"), clients::numberOf(*object, "token"),
+                                clients::numberOf(*object, "beat")};
+}
+
+} // namespace
+
+WeightDuty::WeightDuty(const GatewayParts &parts, const GatewaySettings &settings, State &state)
+    : m_parts(parts)
+    , m_state(state)
+    , m_lease(settings.name, parts.random.word() >> 1, settings.orderPause)
+    , m_holder(settings.name)
+{
+}
+
+boost::asio::awaitable<void> WeightDuty::run()
+{
+    while (true) {
+        if (!isWanted() || m_state.isDraining) {
+            co_await runtime::sleepFor(IdlePeriod);
+            continue;
+        }
+        co_await keepLease();
+        noteHolding();
+        if (m_isHolding) {
+            orderDue();
+        }
+        co_await runtime::sleepFor(BusyPeriod);
+    }
+}
+
+std::vector<weights::ReplicaWeights> WeightDuty::replicasOf(std::string_view model) const
+{
+    std::vector<weights::ReplicaWeights> replicas;
+    for (const auto &[id, endpoint] : m_state.endpoints.all()) {
+        const auto version = endpoint.registration.weightVersions.find(model);
+        const bool isServing = !endpoint.hasLeft && !endpoint.registration.isDraining;
+        if (isServing && version != endpoint.registration.weightVersions.end()) {
+            replicas.push_back({id, version->second, endpoint.tokens + endpoint.othersTokens});
+        }
+    }
+    return replicas;
+}
+
+bool WeightDuty::isWanted() const
+{
+    for (const auto &[model, wanted] : m_state.weights) {
+        for (const auto &replica : replicasOf(model)) {
+            if (replica.version < wanted.version) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+boost::asio::awaitable<void> WeightDuty::keepLease()
+{
+    const auto now = m_parts.clock.now();
+    if (!m_lease.mayAct(now) && now - m_leaseReadAt >= LeaseReadPeriod) {
+        co_await readLease();
+    }
+    const auto write = m_lease.due(m_parts.clock.now());
+    if (write) {
+        co_await writeLease(*write);
+    }
+}
+
+boost::asio::awaitable<void> WeightDuty::readLease()
+{
+    m_leaseReadAt = m_parts.clock.now();
+    const auto list = co_await m_parts.store.list(ObjectKind::Duties, Freshness::Current);
+    if (list.answer != StoreAnswer::Found) {
+        co_return;
+    }
+    std::optional<weights::LeaseRecord> record;
+    u64 revision = 0;
+    for (const auto &item : list.items) {
+        if (item.name == LeaseName) {
+            record = leaseFrom(item.spec);
+            revision = item.revision;
+        }
+    }
+    m_lease.observe(record, revision, m_parts.clock.now());
+}
+
+boost::asio::awaitable<void> WeightDuty::writeLease(const weights::DutyLease::Write &write)
+{
+    const auto started = m_parts.clock.now();
+    const auto spec = toJson(write.record);
+    const auto result = co_await m_parts.store.write(ObjectKind::Duties, LeaseName, spec, write.revision);
+    const auto now = m_parts.clock.now();
+    if (result.answer == StoreAnswer::Written) {
+        m_lease.noteWritten(write.record, result.revision, started, now);
+    } else if (result.present) {
+        m_lease.observe(leaseFrom(result.present->spec), result.present->revision, now);
+    }
+}
+
+void WeightDuty::noteHolding()
+{
+    const bool isHolding = m_lease.mayAct(m_parts.clock.now());
+    if (isHolding != m_isHolding) {
+        m_isHolding = isHolding;
+        m_parts.logger.event(LogLevel::Info, isHolding ? "duty_gained" : "duty_lost", {{"duty", LeaseName}, {"token", m_lease.token()}});
+    }
+}
+
+void WeightDuty::orderDue()
+{
+    const auto now = m_parts.clock.now();
+    const bool looks = now - m_lookedAt >= LookPeriod;
+    for (const auto &[model, wanted] : m_state.weights) {
+        auto &rollout = m_rollouts.try_emplace(model, OrderAgainAfter).first->second;
+        if (looks) {
+            m_lookedAt = now;
+            for (const auto &id : rollout.underWay()) {
+                boost::asio::co_spawn(m_parts.context, look(id), boost::asio::detached);
+            }
+        }
+        for (const auto &id : rollout.due(wanted.version, replicasOf(model), now)) {
+            rollout.noteOrdered(id, wanted.version, now);
+            const auto *endpoint = m_state.endpoints.find(id);
+            boost::asio::co_spawn(m_parts.context, order(id, endpoint->registration.address, model, wanted.version), boost::asio::detached);
+        }
+    }
+}
+
+boost::asio::awaitable<void> WeightDuty::order(std::string id, std::string address, std::string model, u64 version)
+{
+    const auto state = co_await report(id, address);
+    auto &rollout = m_rollouts.at(model);
+    if (!state || state->isBusy) {
+        rollout.noteRefused(id, m_parts.clock.now());
+        co_return;
+    }
+    if (!m_lease.mayAct(m_parts.clock.now())) {
+        rollout.noteRefused(id, m_parts.clock.now());
+        co_return;
+    }
+    const WeightOrder order{model, version, m_holder, m_lease.token(), state->ordersTaken, id};
+    const auto request = m_parts.dialect.orderRequest(order);
+    const auto result = co_await http::exchange(http::parseAddress(address), request, CallTimeout);
+    const auto answer
+        = result.progress == http::Progress::Answered ? m_parts.dialect.readOrderAnswer(result.response.status) : OrderAnswer::Unknown;
+    m_parts.logger.event(LogLevel::Info, "weights_ordered",
+                         {{"endpoint", id},
+                          {"model", model},
+                          {"version", version},
+                          {"token", order.token},
+                          {"orders_taken", order.ordersTaken},
+                          {"status", u64{result.progress == http::Progress::Answered ? result.response.status : u16{0}}}});
+    m_parts.metrics.count("burdock_weight_orders_total");
+    if (answer == OrderAnswer::Refused) {
+        rollout.noteRefused(id, m_parts.clock.now());
+    }
+    if (answer == OrderAnswer::AlreadyHolds) {
+        m_state.endpoints.noteWeights(id, model, version);
+    }
+}
+
+boost::asio::awaitable<std::optional<EngineReport>> WeightDuty::report(const std::string &id, const std::string &address)
+{
+    const auto request = m_parts.dialect.reportRequest();
+    const auto result = co_await http::exchange(http::parseAddress(address), request, CallTimeout);
+    if (result.progress != http::Progress::Answered) {
+        co_return std::nullopt;
+    }
+    auto state = m_parts.dialect.readReport(result.response.body);
+    if (state) {
+        for (const auto &[model, version] : state->weightVersions) {
+            m_state.endpoints.noteWeights(id, model, version);
+        }
+    }
+    co_return state;
+}
+
+boost::asio::awaitable<void> WeightDuty::look(std::string id)
+{
+    const auto *endpoint = m_state.endpoints.find(id);
+    if (endpoint != nullptr) {
+        const std::string address = endpoint->registration.address;
+        static_cast<void>(co_await report(id, address));
+    }
+}
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/weight_duty.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "state.hpp"
+
+#include <burdock/weights/duty_lease.hpp>
+#include <burdock/weights/weight_rollout.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace burdock::gateway {
+
+/** @brief Brings replicas to newly named weights, while this process holds the duty's lease. */
+class WeightDuty
+{
+public:
+    WeightDuty(const GatewayParts &parts, const GatewaySettings &settings, State &state);
+
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+private:
+    [[nodiscard]] std::vector<weights::ReplicaWeights> replicasOf(std::string_view model) const;
+    [[nodiscard]] bool isWanted() const;
+    [[nodiscard]] boost::asio::awaitable<void> keepLease();
+    [[nodiscard]] boost::asio::awaitable<void> readLease();
+    [[nodiscard]] boost::asio::awaitable<void> writeLease(const weights::DutyLease::Write &write);
+    void orderDue();
+    [[nodiscard]] boost::asio::awaitable<void> order(std::string id, std::string address, std::string model, u64 version);
+    [[nodiscard]] boost::asio::awaitable<std::optional<EngineReport>> report(const std::string &id, const std::string &address);
+    [[nodiscard]] boost::asio::awaitable<void> look(std::string id);
+    void noteHolding();
+
+    const GatewayParts &m_parts;
+    State &m_state;
+    weights::DutyLease m_lease;
+    std::map<std::string, weights::WeightRollout, std::less<>> m_rollouts;
+    TimePoint m_leaseReadAt{};
+    TimePoint m_lookedAt{};
+    bool m_isHolding = false;
+    std::string m_holder;
+};
+
+} // namespace burdock::gateway
--- a/lib/libburdock-operator/include/burdock/ops/fleet_status.hpp
+++ b/lib/libburdock-operator/include/burdock/ops/fleet_status.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/platform/object_store.hpp>
+#include <burdock/clients/object_store.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json.hpp>
@@ -23,9 +23,9 @@
 };
 
 /** @brief Asks all listed processes for their status. */
-[[nodiscard]] boost::asio::awaitable<std::vector<ProcessStatus>> askAll(platform::ObjectStore &store);
+[[nodiscard]] boost::asio::awaitable<std::vector<ProcessStatus>> askAll(clients::ObjectStore &store);
 
 /** @brief Waits until all reachable processes hold a version; returns those that don't when time is up. */
-[[nodiscard]] boost::asio::awaitable<std::vector<ProcessStatus>> awaitVersion(platform::ObjectStore &store, u64 version, Duration patience);
+[[nodiscard]] boost::asio::awaitable<std::vector<ProcessStatus>> awaitVersion(clients::ObjectStore &store, u64 version, Duration patience);
 
 } // namespace burdock::ops
--- a/lib/libburdock-operator/include/burdock/ops/rollout.hpp
+++ b/lib/libburdock-operator/include/burdock/ops/rollout.hpp
@@ -44,7 +44,7 @@
 class Rollout
 {
 public:
-    explicit Rollout(platform::ObjectStore &store, const RolloutLayout &layout = {});
+    explicit Rollout(clients::ObjectStore &store, const RolloutLayout &layout = {});
 
     [[nodiscard]] boost::asio::awaitable<AcceptedBundle> accepted();
 
@@ -72,12 +72,12 @@
     [[nodiscard]] boost::asio::awaitable<bool> layDown(const AcceptedBundle &before, const std::string &secretKey,
                                                        schema::CurrentConfig &next);
     [[nodiscard]] boost::asio::awaitable<bool> storeBundle(const std::string &digest, const std::string &bytes);
-    [[nodiscard]] boost::asio::awaitable<bool> storeObject(const platform::ObjectId &id, const std::string &bytes);
+    [[nodiscard]] boost::asio::awaitable<bool> storeObject(const clients::ObjectId &id, const std::string &bytes);
     /** @brief Whose change made the version that `next` would have made. */
     [[nodiscard]] boost::asio::awaitable<Standing> standing(const schema::CurrentConfig &stands, const schema::CurrentConfig &next);
     [[nodiscard]] boost::asio::awaitable<RolloutResult> moveCurrent(const schema::CurrentConfig &next, const AcceptedBundle &before);
 
-    platform::ObjectStore &m_store;
+    clients::ObjectStore &m_store;
     RolloutLayout m_layout;
     serving::ConfigReader m_reader;
 };
--- a/lib/libburdock-operator/source/console.cpp
+++ b/lib/libburdock-operator/source/console.cpp
@@ -77,7 +77,7 @@
 {
 }
 
-platform::ObjectStore &PlatformConsole::store()
+clients::ObjectStore &PlatformConsole::store()
 {
     return m_store;
 }
--- a/lib/libburdock-operator/source/console.hpp
+++ b/lib/libburdock-operator/source/console.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <burdock/clients/http_object_store.hpp>
 #include <burdock/ops/command.hpp>
 #include <burdock/ops/fleet_status.hpp>
 #include <burdock/ops/rollout.hpp>
-#include <burdock/platform/http_object_store.hpp>
 #include <burdock/runtime/worker_pool.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,7 +29,7 @@
 public:
     explicit PlatformConsole(const Options &options);
 
-    [[nodiscard]] platform::ObjectStore &store();
+    [[nodiscard]] clients::ObjectStore &store();
 
     template <typename Result>
     [[nodiscard]] Result wait(boost::asio::awaitable<Result> task)
@@ -38,7 +38,7 @@
     }
 
 private:
-    platform::HttpObjectStore m_store;
+    clients::HttpObjectStore m_store;
     runtime::WorkerPool m_pool;
 };
 
--- a/lib/libburdock-operator/source/fleet_commands.cpp
+++ b/lib/libburdock-operator/source/fleet_commands.cpp
@@ -92,7 +92,7 @@
     for (const auto &zone : accepted.bundle.zones()) {
         u64 running = 0;
         for (const auto &status : statuses) {
-            const bool isEndpointThere = status.vm.zone == zone.name() && status.vm.pool != platform::EntryPool;
+            const bool isEndpointThere = status.vm.zone == zone.name() && status.vm.pool != clients::EntryPool;
             running += isEndpointThere ? status.number("running") : 0;
         }
         rows.push_back({zone.name(), zone.out() ? "out" : "in", std::to_string(running)});
@@ -165,7 +165,7 @@
     PlatformConsole console(options);
     std::vector<std::vector<std::string>> rows;
     for (const auto &status : console.wait(askAll(console.store()))) {
-        if (status.vm.pool == platform::EntryPool) {
+        if (status.vm.pool == clients::EntryPool) {
             continue;
         }
         rows.push_back({status.vm.name, status.vm.zone, status.vm.pool, status.isReachable ? "up" : "unreachable",
@@ -184,7 +184,7 @@
     for (const auto &status : console.wait(askAll(console.store()))) {
         const u64 version = status.number("config_version");
         const bool isBehind = version < accepted.current.version();
-        const bool isEntry = status.vm.pool == platform::EntryPool;
+        const bool isEntry = status.vm.pool == clients::EntryPool;
         const u64 running = isEntry ? status.number("runs") : status.number("running");
         rows.push_back({status.vm.name, isEntry ? "entry" : "endpoint", status.vm.zone, status.isReachable ? "up" : "unreachable",
                         std::to_string(version) + (isBehind ? " (behind)" : ""), std::to_string(running),
--- a/lib/libburdock-operator/source/fleet_status.cpp
+++ b/lib/libburdock-operator/source/fleet_status.cpp
@@ -59,7 +59,7 @@
     return text;
 }
 
-boost::asio::awaitable<std::vector<ProcessStatus>> askAll(platform::ObjectStore &store)
+boost::asio::awaitable<std::vector<ProcessStatus>> askAll(clients::ObjectStore &store)
 {
     std::vector<ProcessStatus> statuses;
     const auto list = co_await store.watchVms(0, std::chrono::milliseconds(100));
@@ -69,7 +69,7 @@
     co_return statuses;
 }
 
-boost::asio::awaitable<std::vector<ProcessStatus>> awaitVersion(platform::ObjectStore &store, u64 version, Duration patience)
+boost::asio::awaitable<std::vector<ProcessStatus>> awaitVersion(clients::ObjectStore &store, u64 version, Duration patience)
 {
     const auto until = std::chrono::steady_clock::now() + patience;
     while (true) {
--- a/lib/libburdock-operator/source/rollout.cpp
+++ b/lib/libburdock-operator/source/rollout.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-Rollout::Rollout(platform::ObjectStore &store, const RolloutLayout &layout)
+Rollout::Rollout(clients::ObjectStore &store, const RolloutLayout &layout)
     : m_store(store)
     , m_layout(layout)
     , m_reader(store)
@@ -133,7 +133,7 @@
 }
 
 // Its name is the digest of its content, so an object that is there already is the right one, whoever wrote it.
-boost::asio::awaitable<bool> Rollout::storeObject(const platform::ObjectId &id, const std::string &bytes)
+boost::asio::awaitable<bool> Rollout::storeObject(const clients::ObjectId &id, const std::string &bytes)
 {
     for (u32 attempt = 0; attempt < WriteTries; ++attempt) {
         const auto written = co_await m_store.create(id, bytes);
--- a/lib/libburdock-runtime/include/burdock/runtime/clock.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/clock.hpp
@@ -19,4 +19,15 @@
     [[nodiscard]] TimePoint now() const override;
 };
 
+/**
+ * @brief The machine's clock since its boot, which also counts the time in which it was suspended.
+ *
+ * Guards against promises kept too long by a VM that was suspended: its steady clock stands still meanwhile.
+ */
+class BootClock : public Clock
+{
+public:
+    [[nodiscard]] TimePoint now() const override;
+};
+
 } // namespace burdock::runtime
--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/runtime/http/message.hpp>
+#include <burdock/runtime/http/connection.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
@@ -14,14 +14,6 @@
     Answered, ///< the head of an answer came
 };
 
-/** @brief A piece of an answer's body. */
-struct Piece
-{
-    std::string data;
-    bool isEnd = false; ///< the body came to its proper end
-    bool isBroken = false; ///< the connection failed before the end
-};
-
 /**
  * @brief One request on a connection of its own.
  *
@@ -34,9 +26,6 @@
 public:
     /** @param ioTimeout longest silence of the peer that is waited for */
     Call(const Address &address, Duration ioTimeout);
-    ~Call();
-    Call(const Call &) = delete;
-    Call &operator=(const Call &) = delete;
 
     /** @brief Connects, sends the request and reads the head of the answer. */
     [[nodiscard]] boost::asio::awaitable<Progress> send(const Request &request);
@@ -48,8 +37,9 @@
     [[nodiscard]] boost::asio::awaitable<Piece> read();
 
 private:
-    class Impl;
-    std::unique_ptr<Impl> m_impl;
+    Address m_address;
+    Duration m_timeout;
+    std::unique_ptr<Connection> m_connection;
 };
 
 /** @brief What came of a request whose whole answer was awaited. */
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 
 namespace burdock::runtime::http {
@@ -26,6 +27,13 @@
 
     /** @brief Ends a streamed answer. Without it the connection is cut, so that the caller can't take a part for the whole. */
     virtual boost::asio::awaitable<bool> end() = 0;
+
+    /**
+     * @brief Has a function called once if the caller closes its connection while the answer is being made.
+     *
+     * Not called any more when the handler has returned.
+     */
+    virtual void watchCaller(std::function<void()> onGone) = 0;
 };
 
 /** @brief Answers requests. Called from several threads, one connection at a time each. */
@@ -42,6 +50,10 @@
     u64 bodyBytes = 4 * 1024 * 1024;
     /** Time for one whole request to arrive, and for one piece of an answer to be taken. */
     Duration ioTimeout = std::chrono::seconds(30);
+    /** Time for the head of a request to arrive once it has begun. */
+    Duration headerTimeout = std::chrono::seconds(30);
+    /** Time that a connection may stand without a request. */
+    Duration idleTimeout = std::chrono::seconds(30);
 };
 
 /** @brief Whether a server takes connections from the start. */
@@ -66,6 +78,12 @@
     /** @brief Begins to take connections; only once, and not after stopListening(). */
     void listen();
 
+    /** @brief Sets the limits for requests that begin from now on. Only on the thread that serves, or before it does. */
+    void setLimits(const ServerLimits &limits);
+
+    /** @brief Goes on serving, and closes each connection after its next answer. */
+    void closeAfterAnswers();
+
     /** @brief Takes no new connections, and no further request on those that are open. */
     void stopListening();
 
--- a/lib/libburdock-runtime/include/burdock/runtime/logger.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/logger.hpp
@@ -3,7 +3,10 @@
 #include <burdock/types.hpp>
 
 #include <initializer_list>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -24,27 +27,49 @@
 /** @brief The level of this name in the settings; Info for an empty one. */
 [[nodiscard]] LogLevel logLevelFrom(std::string_view name);
 
+/** @brief When lines are handed to the system. */
+enum class LogFlush : u8 {
+    EachLine,
+    OnRequest, ///< by flush(), which saves a system call a line
+};
+
 using FieldValue = std::variant<std::string_view, i64, u64, double, bool>;
 using Field = std::pair<std::string_view, FieldValue>;
 
 /**
- * @brief Writes events as JSON lines to standard error.
+ * @brief Writes events as JSON lines to standard output.
  *
- * Events have stable names, listed in docs/OPERATING.md. Never pass a customer's text. Thread-safe.
+ * Events have stable names, listed in docs/OPERATIONS.md. Never pass a customer's text. Never blocks, and bounds the lines of one
+ * event in a second; what was left out is counted in a `log_suppressed` line. Thread-safe.
  */
 class Logger
 {
 public:
-    Logger(LogLevel level, std::string_view process);
+    Logger(LogLevel level, std::string_view process, LogFlush flushing = LogFlush::EachLine);
     ~Logger();
     Logger(const Logger &) = delete;
     Logger &operator=(const Logger &) = delete;
 
     void event(LogLevel level, std::string_view name, std::initializer_list<Field> fields = {});
 
+    /** @brief Writes what waits, as far as the reader takes it. */
+    void flush();
+
 private:
-    std::string_view m_process;
+    struct Rate
+    {
+        i64 second = 0;
+        u32 lines = 0;
+        u64 suppressed = 0;
+    };
+
+    void write(LogLevel level, std::string_view name, std::initializer_list<Field> fields, i64 nowMs);
+    [[nodiscard]] u64 takeSuppressed(LogLevel level, std::string_view name, i64 second, bool &isAllowed);
+
+    std::string m_process;
     std::unique_ptr<spdlog::logger> m_sink;
+    std::mutex m_mutex;
+    std::map<std::string, Rate, std::less<>> m_rates;
 };
 
 } // namespace burdock::runtime
--- /dev/null
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -0,0 +1,230 @@
+#include <burdock/runtime/http/connection.hpp>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sys/socket.h>
+
+namespace burdock::runtime::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+
+constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t PieceBytes = 16 * 1024;
+constexpr u64 MaxBodyBytes = 64ULL * 1024 * 1024;
+constexpr u32 MaxHeaderBytes = 64 * 1024;
+
+/** Time after which unacknowledged bytes mean that the peer is gone, so that a connection to a dark VM ends. */
+constexpr unsigned int UserTimeoutMs = 3000;
+
+void setOptions(Tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    using IntegerOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(IntegerOption(UserTimeoutMs), ignored);
+}
+
+} // namespace
+
+class Connection::Impl : public std::enable_shared_from_this<Connection::Impl>
+{
+public:
+    Impl(const asio::any_io_executor &executor, const Address &address, Reuse reuse)
+        : m_address(address)
+        , m_reuse(reuse)
+        , m_stream(executor)
+    {
+    }
+
+    asio::awaitable<bool> connect(Duration timeout)
+    {
+        boost::system::error_code addressError;
+        const auto ip = asio::ip::make_address(m_address.ip, addressError);
+        if (addressError) {
+            co_return false;
+        }
+        m_stream.expires_after(timeout);
+        const Tcp::endpoint endpoint(ip, m_address.port);
+        const auto [error] = co_await m_stream.async_connect(endpoint, Awaitable);
+        if (error) {
+            co_return false;
+        }
+        setOptions(m_stream.socket());
+        co_return true;
+    }
+
+    void startSend(const Request &request)
+    {
+        m_message.emplace(beast::http::string_to_verb(request.method), request.target, 11);
+        if (m_message->method() == beast::http::verb::unknown) {
+            m_message->method_string(request.method);
+        }
+        for (const auto &[name, value] : request.headers) {
+            m_message->insert(name, value);
+        }
+        if (m_message->find(beast::http::field::host) == m_message->end()) {
+            m_message->set(beast::http::field::host, m_address.ip);
+        }
+        m_message->keep_alive(m_reuse == Reuse::Kept);
+        m_message->body() = request.body;
+        m_message->prepare_payload();
+        m_isSent = false;
+        m_parser.reset();
+        m_stream.expires_never();
+        auto done = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+            self->m_isSent = !error;
+        };
+        beast::http::async_write(m_stream, *m_message, std::move(done));
+    }
+
+    asio::awaitable<bool> readHead(Duration timeout)
+    {
+        m_parser.emplace();
+        m_parser->header_limit(MaxHeaderBytes);
+        m_parser->body_limit(MaxBodyBytes);
+        m_stream.expires_after(timeout);
+        const auto [error, size] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, Awaitable);
+        if (error) {
+            m_parser.reset();
+            co_return false;
+        }
+        takeHead();
+        co_return true;
+    }
+
+    asio::awaitable<Piece> read(Duration timeout)
+    {
+        Piece piece;
+        if (!m_parser) {
+            piece.isBroken = true;
+            co_return piece;
+        }
+        if (m_parser->is_done()) {
+            piece.isEnd = true;
+            co_return piece;
+        }
+        piece.data.resize(PieceBytes);
+        auto &body = m_parser->get().body();
+        body.data = piece.data.data();
+        body.size = piece.data.size();
+        m_stream.expires_after(timeout);
+        const auto [error, size] = co_await beast::http::async_read_some(m_stream, m_buffer, *m_parser, Awaitable);
+        piece.data.resize(piece.data.size() - body.size);
+        piece.isBroken = error && error != beast::http::error::need_buffer;
+        piece.isEnd = !piece.isBroken && m_parser->is_done();
+        co_return piece;
+    }
+
+    [[nodiscard]] const Response &head() const
+    {
+        return m_head;
+    }
+
+    [[nodiscard]] bool isAnswerWhole() const
+    {
+        return m_parser && m_parser->is_done();
+    }
+
+    [[nodiscard]] bool isReusable() const
+    {
+        return m_reuse == Reuse::Kept && m_isSent && isAnswerWhole() && m_parser->get().keep_alive() && m_buffer.size() == 0;
+    }
+
+    [[nodiscard]] bool isQuiet()
+    {
+        auto &socket = m_stream.socket();
+        char byte = 0;
+        const auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    void cut()
+    {
+        boost::system::error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+private:
+    void takeHead()
+    {
+        const auto &message = m_parser->get();
+        m_head.status = static_cast<u16>(message.result_int());
+        m_head.headers.clear();
+        for (const auto &field : message) {
+            m_head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+    }
+
+    Address m_address;
+    Reuse m_reuse;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<beast::http::request<beast::http::string_body>> m_message;
+    bool m_isSent = false;
+    std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
+    Response m_head;
+};
+
+Connection::Connection(const asio::any_io_executor &executor, const Address &address, Reuse reuse)
+    : m_impl(std::make_shared<Impl>(executor, address, reuse))
+{
+}
+
+Connection::~Connection()
+{
+    m_impl->cut();
+}
+
+asio::awaitable<bool> Connection::connect(Duration timeout)
+{
+    return m_impl->connect(timeout);
+}
+
+void Connection::startSend(const Request &request)
+{
+    m_impl->startSend(request);
+}
+
+asio::awaitable<bool> Connection::readHead(Duration timeout)
+{
+    return m_impl->readHead(timeout);
+}
+
+asio::awaitable<Piece> Connection::read(Duration timeout)
+{
+    return m_impl->read(timeout);
+}
+
+const Response &Connection::head() const
+{
+    return m_impl->head();
+}
+
+bool Connection::isAnswerWhole() const
+{
+    return m_impl->isAnswerWhole();
+}
+
+bool Connection::isReusable() const
+{
+    return m_impl->isReusable();
+}
+
+bool Connection::isQuiet()
+{
+    return m_impl->isQuiet();
+}
+
+void Connection::cut()
+{
+    m_impl->cut();
+}
+
+} // namespace burdock::runtime::http
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http.hpp>
 #include <mutex>
 #include <set>
+#include <sys/socket.h>
+#include <tuple>
 
 namespace burdock::runtime::http {
 
@@ -16,6 +18,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t ReadBytes = 8 * 1024;
 constexpr std::size_t DiscardBufferBytes = 64 * 1024;
 constexpr std::size_t DiscardAtMost = 32 * 1024 * 1024;
 constexpr Duration DiscardTime = std::chrono::seconds(2);
@@ -78,13 +81,56 @@
         co_return m_isWhole;
     }
 
+    // Guards against work for callers that have left: it shows as endpoints that go on long after the caller's close, as nothing
+    // reads from the connection while an answer is made. Waiting for it to become readable and looking without taking
+    // holds, since a close makes it readable and a further request stays where it is.
+    void watchCaller(std::function<void()> onGone) override
+    {
+        auto watch = std::make_shared<Watch>();
+        watch->onGone = std::move(onGone);
+        m_watch = watch;
+        m_stream.socket().async_wait(Tcp::socket::wait_read, [watch, this](const boost::system::error_code &error) {
+            if (error || watch->isOver) {
+                return;
+            }
+            if (isClosedByCaller()) {
+                watch->isOver = true;
+                watch->onGone();
+            }
+        });
+    }
+
+    void endWatch()
+    {
+        if (m_watch) {
+            m_watch->isOver = true;
+            boost::system::error_code ignored;
+            m_stream.socket().cancel(ignored);
+            m_watch.reset();
+        }
+    }
+
     [[nodiscard]] bool isWhole() const
     {
         return m_isWhole;
     }
 
 private:
+    struct Watch
+    {
+        std::function<void()> onGone;
+        bool isOver = false;
+    };
+
+    [[nodiscard]] bool isClosedByCaller()
+    {
+        char byte = 0;
+        const auto size = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     beast::tcp_stream &m_stream;
+    std::shared_ptr<Watch> m_watch; // shared with the handler of the wait
     Duration m_timeout;
     bool m_keepAlive;
     bool m_isWhole = false;
@@ -189,6 +235,16 @@
         }
     }
 
+    void setLimits(const ServerLimits &limits)
+    {
+        m_limits = limits;
+    }
+
+    void closeAfterAnswers()
+    {
+        m_closesAfterAnswers = true;
+    }
+
     [[nodiscard]] u16 port() const
     {
         return m_port;
@@ -247,10 +303,17 @@
         beast::http::request_parser<beast::http::string_body> parser;
         parser.header_limit(m_limits.headerBytes);
         parser.body_limit(m_limits.bodyBytes);
-        stream.expires_after(m_limits.ioTimeout);
-        const auto [error, size] = co_await beast::http::async_read(stream, buffer, parser, Awaitable);
+        boost::system::error_code error = co_await awaitBegin(stream, buffer);
+        if (!error) {
+            stream.expires_after(m_limits.headerTimeout);
+            std::tie(error, std::ignore) = co_await beast::http::async_read_header(stream, buffer, parser, Awaitable);
+        }
+        if (!error && !parser.is_done()) {
+            stream.expires_after(m_limits.ioTimeout);
+            std::tie(error, std::ignore) = co_await beast::http::async_read(stream, buffer, parser, Awaitable);
+        }
         if (error) {
-            if (const u16 status = statusFor(error); status != 0) {
+            if (const u16 status = statusFor(error); status != 0 && stream.socket().is_open()) {
                 BeastReply reply(stream, m_limits.ioTimeout, false);
                 const Response problem = malformedRequest(status);
                 co_await reply.send(problem);
@@ -259,14 +322,29 @@
             co_return false;
         }
         ++m_busy;
-        const bool keepAlive = parser.get().keep_alive() && !m_isStopping;
+        const bool keepAlive = parser.get().keep_alive() && !m_isStopping && !m_closesAfterAnswers;
         const auto request = toRequest(parser.release());
         BeastReply reply(stream, m_limits.ioTimeout, keepAlive);
         co_await m_handler.handle(request, reply);
+        reply.endWatch();
         --m_busy;
         co_return keepAlive &&reply.isWhole();
     }
 
+    // Waits for the first byte of the next request.
+    asio::awaitable<boost::system::error_code> awaitBegin(beast::tcp_stream &stream, beast::flat_buffer &buffer) const
+    {
+        if (buffer.size() > 0) {
+            co_return boost::system::error_code();
+        }
+        stream.expires_after(m_limits.idleTimeout);
+        const auto room = buffer.prepare(ReadBytes);
+        const auto [error, size] = co_await stream.async_read_some(room, Awaitable);
+        buffer.commit(size);
+        const bool isIdle = error == beast::error::timeout || error == asio::error::eof;
+        co_return isIdle ? boost::system::error_code(beast::http::error::end_of_stream) : error;
+    }
+
     void track(beast::tcp_stream *stream)
     {
         const std::lock_guard lock(m_mutex);
@@ -285,6 +363,7 @@
     Handler &m_handler;
     u16 m_port = 0;
     std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_closesAfterAnswers{false};
     std::atomic<u32> m_busy{0};
     std::mutex m_mutex;
     std::set<beast::tcp_stream *> m_streams;
@@ -313,6 +392,16 @@
     return m_impl->port();
 }
 
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_impl->setLimits(limits);
+}
+
+void Server::closeAfterAnswers()
+{
+    m_impl->closeAfterAnswers();
+}
+
 void Server::stopListening()
 {
     m_impl->stopListening();
--- a/lib/libburdock-runtime/source/logger.cpp
+++ b/lib/libburdock-runtime/source/logger.cpp
@@ -1,10 +1,12 @@
 #include <burdock/runtime/logger.hpp>
 
+#include "bounded_sink.hpp"
+
 #include <array>
 #include <boost/json.hpp>
 #include <chrono>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace burdock::runtime {
 
@@ -14,6 +16,11 @@
 constexpr std::array<spdlog::level::level_enum, 4> SinkLevels{spdlog::level::debug, spdlog::level::info, spdlog::level::warn,
                                                               spdlog::level::err};
 
+constexpr i64 MillisecondsPerSecond = 1000;
+/** Lines of one event in a second; those of refused and failed requests are warnings, and told more often. */
+constexpr u32 MaxLinesPerSecond = 200;
+constexpr u32 MaxWarningsPerSecond = 1000;
+
 std::size_t indexOf(LogLevel level)
 {
     return static_cast<std::size_t>(level);
@@ -31,33 +38,74 @@
     return LogLevel::Info;
 }
 
-Logger::Logger(LogLevel level, std::string_view process)
+Logger::Logger(LogLevel level, std::string_view process, LogFlush flushing)
     : m_process(process)
-    , m_sink(std::make_unique<spdlog::logger>("burdock", std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+    , m_sink(std::make_unique<spdlog::logger>("burdock", std::make_shared<detail::BoundedSink>(STDOUT_FILENO)))
 {
-    m_sink->set_pattern("%v");
     m_sink->set_level(SinkLevels.at(indexOf(level)));
-    m_sink->flush_on(spdlog::level::debug);
+    m_sink->flush_on(flushing == LogFlush::EachLine ? spdlog::level::debug : spdlog::level::off);
 }
 
-Logger::~Logger() = default;
+Logger::~Logger()
+{
+    m_sink->flush();
+}
 
 void Logger::event(LogLevel level, std::string_view name, std::initializer_list<Field> fields)
 {
-    const auto sinkLevel = SinkLevels.at(indexOf(level));
-    if (!m_sink->should_log(sinkLevel)) {
+    if (!m_sink->should_log(SinkLevels.at(indexOf(level)))) {
         return;
     }
     const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const i64 nowMs = now.time_since_epoch().count();
+    bool isAllowed = true;
+    const u64 suppressed = takeSuppressed(level, name, nowMs / MillisecondsPerSecond, isAllowed);
+    if (suppressed > 0) {
+        write(LogLevel::Warning, "log_suppressed", {{"of", name}, {"lines", suppressed}}, nowMs);
+    }
+    if (isAllowed) {
+        write(level, name, fields, nowMs);
+    }
+}
+
+void Logger::flush()
+{
+    m_sink->flush();
+}
+
+void Logger::write(LogLevel level, std::string_view name, std::initializer_list<Field> fields, i64 nowMs)
+{
     boost::json::object line;
-    line["ts_ms"] = now.time_since_epoch().count();
+    line["ts_ms"] = nowMs;
     line["level"] = LevelNames.at(indexOf(level));
     line["vm"] = m_process;
     line["event"] = name;
     for (const auto &[key, value] : fields) {
         std::visit([&line, key = key](const auto &held) { line[key] = held; }, value);
     }
-    m_sink->log(sinkLevel, "{}", boost::json::serialize(line));
+    m_sink->log(SinkLevels.at(indexOf(level)), "{}", boost::json::serialize(line));
+}
+
+// Counts a line of an event; returns how many were left out in an earlier second and not told yet.
+u64 Logger::takeSuppressed(LogLevel level, std::string_view name, i64 second, bool &isAllowed)
+{
+    const std::lock_guard lock(m_mutex);
+    auto found = m_rates.find(name);
+    if (found == m_rates.end()) {
+        found = m_rates.emplace(std::string(name), Rate{}).first;
+    }
+    auto &rate = found->second;
+    u64 suppressed = 0;
+    if (rate.second != second) {
+        suppressed = rate.suppressed;
+        rate = Rate{second, 0, 0};
+    }
+    const u32 most = level >= LogLevel::Warning ? MaxWarningsPerSecond : MaxLinesPerSecond;
+    isAllowed = ++rate.lines <= most;
+    if (!isAllowed) {
+        ++rate.suppressed;
+    }
+    return suppressed;
 }
 
 } // namespace burdock::runtime
--- a/lib/libburdock-schema/include/burdock/schema/document.hpp
+++ b/lib/libburdock-schema/include/burdock/schema/document.hpp
@@ -46,6 +46,9 @@
 /** @brief Reads a daemon's settings. */
 [[nodiscard]] Checked<DaemonSettings> parseSettings(const std::string &file, std::string_view json);
 
+/** @brief Reads a gateway's settings. */
+[[nodiscard]] Checked<GatewaySettings> parseGatewaySettings(const std::string &file, std::string_view json);
+
 /** @brief Reads a signed bundle; checks its form only, not the signature. */
 [[nodiscard]] Checked<SignedBundle> parseSignedBundle(const std::string &file, std::string_view json);
 
--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -22,6 +22,8 @@
 constexpr u32 MinHeartbeatMs = 20;
 constexpr u32 MaxHeartbeatMs = 60'000;
 constexpr u32 MaxWorkers = 256;
+constexpr double MinGraceSeconds = 1.0;
+constexpr u32 MinBoundMs = 100;
 
 bool isHex(std::string_view text, std::size_t digits)
 {
@@ -158,6 +160,12 @@
     checkPolicy(bundle.policy(), faults);
 }
 
+void checkLogLevel(const std::string &level, FaultList &faults)
+{
+    const Names levels{"", "debug", "info", "warning", "error"};
+    require(levels.count(level) > 0, "$.log_level", "must be debug, info, warning or error", faults);
+}
+
 void checkEntrySettings(const DaemonSettings &settings, FaultList &faults)
 {
     const auto &entry = settings.entry();
@@ -194,8 +202,7 @@
         require(isHex(settings.trusted_signers(i), PublicKeyHexDigits), item("trusted_signers", i), "must be 64 lower-case hex digits",
                 faults);
     }
-    const Names levels{"", "debug", "info", "warning", "error"};
-    require(levels.count(settings.log_level()) > 0, "$.log_level", "must be debug, info, warning or error", faults);
+    checkLogLevel(settings.log_level(), faults);
     switch (settings.role()) {
     case DaemonSettings::ENTRY:
         checkEntrySettings(settings, faults);
@@ -208,6 +215,21 @@
     }
 }
 
+void checkGatewaySettings(const GatewaySettings &settings, FaultList &faults)
+{
+    require(!settings.name().empty(), "$.name", "must not be empty", faults);
+    require(!settings.zone().empty(), "$.zone", "must not be empty", faults);
+    require(isAddress(settings.callers_listen()), "$.callers_listen", "must be IP:port", faults);
+    require(isAddress(settings.readiness_listen()), "$.readiness_listen", "must be IP:port", faults);
+    require(isAddress(settings.metrics_listen()), "$.metrics_listen", "must be IP:port", faults);
+    require(isAddress(settings.platform()), "$.platform", "must be IP:port", faults);
+    checkLogLevel(settings.log_level(), faults);
+    require(settings.grace_seconds() >= MinGraceSeconds, "$.grace_seconds", "must be at least 1", faults);
+    require(settings.revocation_ms() >= MinBoundMs, "$.revocation_ms", "must be at least 100", faults);
+    require(settings.order_pause_ms() >= MinBoundMs, "$.order_pause_ms", "must be at least 100", faults);
+    require(settings.retry_share() >= 0 && settings.retry_share() <= 1, "$.retry_share", "must be from 0 to 1", faults);
+}
+
 template <typename Document>
 Checked<Document> parse(const std::string &file, std::string_view json, const std::function<void(const Document &, FaultList &)> &check)
 {
@@ -254,6 +276,11 @@
     return parse<DaemonSettings>(file, json, checkSettings);
 }
 
+Checked<GatewaySettings> parseGatewaySettings(const std::string &file, std::string_view json)
+{
+    return parse<GatewaySettings>(file, json, checkGatewaySettings);
+}
+
 Checked<SignedBundle> parseSignedBundle(const std::string &file, std::string_view json)
 {
     return parse<SignedBundle>(file, json, [](const SignedBundle &bundle, FaultList &faults) {
--- a/lib/libburdock-serving/include/burdock/serving/config/config_reader.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/config/config_reader.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <burdock/clients/object_store.hpp>
 #include <burdock/config/change_history.hpp>
-#include <burdock/platform/object_store.hpp>
 #include <burdock/serving/config/config_steps.hpp>
 
 #include <string>
@@ -9,14 +9,14 @@
 namespace burdock::serving {
 
 /** @brief Id of the object whose conditional update accepts a configuration. */
-[[nodiscard]] platform::ObjectId currentConfigId();
+[[nodiscard]] clients::ObjectId currentConfigId();
 
 /** @brief Id of the immutable object that holds a whole bundle, or names its parts. */
-[[nodiscard]] platform::ObjectId bundleId(const std::string &digest);
-[[nodiscard]] platform::ObjectId bundlePartId(const std::string &digest);
+[[nodiscard]] clients::ObjectId bundleId(const std::string &digest);
+[[nodiscard]] clients::ObjectId bundlePartId(const std::string &digest);
 
 /** @brief Id of the immutable object that holds changes, named by the step id of the last of them. */
-[[nodiscard]] platform::ObjectId changeSegmentId(const std::string &lastStepId);
+[[nodiscard]] clients::ObjectId changeSegmentId(const std::string &lastStepId);
 
 /** @brief What was read of the accepted configuration; not optional values, see docs/DESIGN.md on coroutines. */
 struct ReadSteps
@@ -35,7 +35,7 @@
 class ConfigReader
 {
 public:
-    explicit ConfigReader(platform::ObjectStore &store);
+    explicit ConfigReader(clients::ObjectStore &store);
 
     /**
      * @brief What leads from a held version to the accepted one; with the whole bundle only if that is needed.
@@ -50,7 +50,7 @@
     /** @brief Changes down to the first that follows a version, or the whole bundle. */
     [[nodiscard]] boost::asio::awaitable<ReadSteps> changesAfter(const schema::CurrentConfig &current, u64 version);
 
-    platform::ObjectStore &m_store;
+    clients::ObjectStore &m_store;
 };
 
 } // namespace burdock::serving
--- a/lib/libburdock-serving/include/burdock/serving/config/platform_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/config/platform_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/platform/object_store.hpp>
+#include <burdock/clients/object_store.hpp>
 #include <burdock/serving/config/config_holder.hpp>
 #include <burdock/serving/config/config_reader.hpp>
 
@@ -12,7 +12,7 @@
 class PlatformWatch
 {
 public:
-    PlatformWatch(Process &process, platform::ObjectStore &store, ConfigHolder &holder);
+    PlatformWatch(Process &process, clients::ObjectStore &store, ConfigHolder &holder);
 
     /**
      * @brief Watches until the process stops, or looks now and then while others watch.
@@ -31,7 +31,7 @@
     [[nodiscard]] boost::asio::awaitable<bool> take(const std::string &currentConfig);
 
     Process &m_process;
-    platform::ObjectStore &m_store;
+    clients::ObjectStore &m_store;
     ConfigReader m_reader;
     ConfigHolder &m_holder;
 };
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/platform/engine.hpp>
+#include <burdock/clients/engine.hpp>
 #include <burdock/runtime/ordered_mutex.hpp>
 #include <burdock/serving/endpoint/admission_gate.hpp>
 #include <burdock/serving/endpoint/kept_cache.hpp>
@@ -14,7 +14,7 @@
 class EngineWatch
 {
 public:
-    EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate, KeptCache &cache);
+    EngineWatch(Process &process, clients::Engine &engine, AdmissionGate &gate, KeptCache &cache);
 
     /** @brief Polls until the process stops. */
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -37,7 +37,7 @@
     void setLoaded(std::vector<std::string> loaded);
 
     Process &m_process;
-    platform::Engine &m_engine;
+    clients::Engine &m_engine;
     AdmissionGate &m_gate;
     KeptCache &m_cache;
     mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex;
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/kept_cache.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/kept_cache.hpp
@@ -2,8 +2,8 @@
 
 #include <burdock/cache/cost_model.hpp>
 #include <burdock/cache/export_queue.hpp>
-#include <burdock/platform/block_store.hpp>
-#include <burdock/platform/engine.hpp>
+#include <burdock/clients/block_store.hpp>
+#include <burdock/clients/engine.hpp>
 #include <burdock/runtime/ordered_mutex.hpp>
 #include <burdock/serving/config/config_holder.hpp>
 
@@ -18,7 +18,7 @@
 struct NamedStore
 {
     std::string name;
-    std::unique_ptr<platform::BlockStore> store;
+    std::unique_ptr<clients::BlockStore> store;
 };
 
 /**
@@ -29,7 +29,7 @@
 class KeptCache
 {
 public:
-    KeptCache(Process &process, ConfigHolder &config, platform::Engine &engine, std::vector<NamedStore> stores);
+    KeptCache(Process &process, ConfigHolder &config, clients::Engine &engine, std::vector<NamedStore> stores);
 
     /**
      * @brief Imports blocks that the engine lacks, if that costs less than computing them again.
@@ -61,7 +61,7 @@
 
     Process &m_process;
     ConfigHolder &m_config;
-    platform::Engine &m_engine;
+    clients::Engine &m_engine;
     std::vector<NamedStore> m_stores;
 
     mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex; // guards what follows
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/once_store.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/once_store.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <burdock/clients/object_store.hpp>
 #include <burdock/link.pb.h>
 #include <burdock/once/once_machine.hpp>
-#include <burdock/platform/object_store.hpp>
 #include <burdock/serving/process.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -17,7 +17,7 @@
     once::Action action = once::Action::Refuse; ///< Run, ReturnRecorded or Refuse
     RefusalReason refusal = RefusalReason::None;
     schema::OnceRecord recorded; ///< if ReturnRecorded
-    platform::ObjectId id;
+    clients::ObjectId id;
     once::Nonce nonce{};
     hash::Digest256 digest{};
     u64 version = 0; ///< of our claim, if Run
@@ -27,7 +27,7 @@
 class OnceStore
 {
 public:
-    OnceStore(Process &process, platform::ObjectStore &store);
+    OnceStore(Process &process, clients::ObjectStore &store);
 
     /** @brief Claims a call for this attempt. */
     [[nodiscard]] boost::asio::awaitable<OnceClaim> claim(const std::string &customer, const schema::ServiceWork &work);
@@ -43,7 +43,7 @@
     [[nodiscard]] boost::asio::awaitable<void> replaceOwn(const OnceClaim &claim, const schema::OnceRecord &record);
 
     Process &m_process;
-    platform::ObjectStore &m_store;
+    clients::ObjectStore &m_store;
 };
 
 } // namespace burdock::serving
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
@@ -10,7 +10,7 @@
 class PromptRunner : public BackEndRunner
 {
 public:
-    PromptRunner(Process &process, platform::Engine &engine, EngineWatch &watch, KeptCache &cache);
+    PromptRunner(Process &process, clients::Engine &engine, EngineWatch &watch, KeptCache &cache);
 
     [[nodiscard]] Refusal check(const schema::RunRequest &request) override;
     [[nodiscard]] boost::asio::awaitable<Conclusion> run(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
@@ -19,13 +19,13 @@
     [[nodiscard]] std::vector<std::string> loaded() const override;
 
 private:
-    [[nodiscard]] boost::asio::awaitable<Conclusion> relay(const platform::GenerateHead &head, platform::Generation &generation,
+    [[nodiscard]] boost::asio::awaitable<Conclusion> relay(const clients::GenerateHead &head, clients::Generation &generation,
                                                            RunOutlet &outlet, TimePoint deadline);
     [[nodiscard]] Conclusion broken(bool mayHaveRun, bool crashed, std::string detail) const;
     [[nodiscard]] boost::asio::awaitable<bool> hasCrashed(std::string bootBefore);
 
     Process &m_process;
-    platform::Engine &m_engine;
+    clients::Engine &m_engine;
     EngineWatch &m_watch;
     KeptCache &m_cache;
 };
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/weight_orders.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/weight_orders.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <burdock/platform/engine.hpp>
-#include <burdock/platform/object_store.hpp>
+#include <burdock/clients/engine.hpp>
+#include <burdock/clients/object_store.hpp>
 #include <burdock/serving/config/config_holder.hpp>
 #include <burdock/serving/endpoint/engine_watch.hpp>
 #include <burdock/weights/load_slots.hpp>
@@ -20,7 +20,7 @@
 class WeightOrders
 {
 public:
-    WeightOrders(Process &process, ConfigHolder &config, platform::ObjectStore &store, platform::Engine &engine, EngineWatch &watch,
+    WeightOrders(Process &process, ConfigHolder &config, clients::ObjectStore &store, clients::Engine &engine, EngineWatch &watch,
                  std::string pool);
 
     /** @brief Takes an incarnation number, then follows the configuration until the process stops. */
@@ -46,12 +46,12 @@
     [[nodiscard]] boost::asio::awaitable<void> load(const Wanted &wanted);
     [[nodiscard]] boost::asio::awaitable<SlotResult> takeSlot(weights::LoadSlots &slots);
     [[nodiscard]] boost::asio::awaitable<void> releaseSlot(weights::LoadSlots &slots);
-    [[nodiscard]] platform::ObjectId slotsId() const;
+    [[nodiscard]] clients::ObjectId slotsId() const;
 
     Process &m_process;
     ConfigHolder &m_config;
-    platform::ObjectStore &m_store;
-    platform::Engine &m_engine;
+    clients::ObjectStore &m_store;
+    clients::Engine &m_engine;
     EngineWatch &m_watch;
     std::string m_pool;
     std::atomic<u64> m_incarnation{0};
--- a/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/fleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <burdock/clients/object_store.hpp>
 #include <burdock/membership/member_table.hpp>
-#include <burdock/platform/object_store.hpp>
 #include <burdock/runtime/link/client.hpp>
 #include <burdock/serving/config/config_holder.hpp>
 #include <burdock/serving/entry/run_table.hpp>
@@ -36,7 +36,7 @@
     ~Fleet() override;
 
     /** @brief Follows the platform's list of VMs until the process stops. */
-    [[nodiscard]] boost::asio::awaitable<void> followVms(platform::ObjectStore &store);
+    [[nodiscard]] boost::asio::awaitable<void> followVms(clients::ObjectStore &store);
 
     /** @brief Opens links to learn the configuration and the list from while the platform is down. */
     void addSeed(const std::string &address);
--- a/lib/libburdock-serving/source/config/config_reader.cpp
+++ b/lib/libburdock-serving/source/config/config_reader.cpp
@@ -34,27 +34,27 @@
 
 } // namespace
 
-platform::ObjectId currentConfigId()
+clients::ObjectId currentConfigId()
 {
     return {"config", "current"};
 }
 
-platform::ObjectId bundleId(const std::string &digest)
+clients::ObjectId bundleId(const std::string &digest)
 {
     return {"bundles", digest};
 }
 
-platform::ObjectId bundlePartId(const std::string &digest)
+clients::ObjectId bundlePartId(const std::string &digest)
 {
     return {"bundle-parts", digest};
 }
 
-platform::ObjectId changeSegmentId(const std::string &lastStepId)
+clients::ObjectId changeSegmentId(const std::string &lastStepId)
 {
     return {"changes", hash::toHex(lastStepId)};
 }
 
-ConfigReader::ConfigReader(platform::ObjectStore &store)
+ConfigReader::ConfigReader(clients::ObjectStore &store)
     : m_store(store)
 {
 }
--- a/lib/libburdock-serving/source/config/platform_watch.cpp
+++ b/lib/libburdock-serving/source/config/platform_watch.cpp
@@ -23,7 +23,7 @@
     return Duration(half + static_cast<i64>(random.word() % static_cast<u64>(base.count() + 1)));
 }
 
-PlatformWatch::PlatformWatch(Process &process, platform::ObjectStore &store, ConfigHolder &holder)
+PlatformWatch::PlatformWatch(Process &process, clients::ObjectStore &store, ConfigHolder &holder)
     : m_process(process)
     , m_store(store)
     , m_reader(store)
@@ -37,7 +37,7 @@
     u64 seen = 0;
     while (true) {
         const bool isWatching = watches() || m_holder.version() == 0;
-        platform::ReadResult result;
+        clients::ReadResult result;
         if (isWatching) {
             result = co_await m_store.watch(id, seen, WatchWait);
         } else {
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -2,7 +2,7 @@
 
 #include "../role_support.hpp"
 
-#include <burdock/platform/http_block_store.hpp>
+#include <burdock/clients/http_block_store.hpp>
 #include <burdock/runtime/sleep.hpp>
 #include <burdock/serving/link_messages.hpp>
 
@@ -33,14 +33,14 @@
 {
     std::vector<NamedStore> stores;
     for (const auto &address : settings.stores()) {
-        stores.push_back({address, std::make_unique<platform::HttpBlockStore>(http::parseAddress(address), BlockTimeout, process.random)});
+        stores.push_back({address, std::make_unique<clients::HttpBlockStore>(http::parseAddress(address), BlockTimeout, process.random)});
     }
     return stores;
 }
 
 } // namespace
 
-EngineSide::EngineSide(Process &process, ConfigHolder &config, platform::ObjectStore &store, AdmissionGate &gate,
+EngineSide::EngineSide(Process &process, ConfigHolder &config, clients::ObjectStore &store, AdmissionGate &gate,
                        const schema::DaemonSettings &settings)
     : engine(http::parseAddress(settings.endpoint().backend()), EngineSilence)
     , cache(process, config, engine, makeStores(process, settings.endpoint()))
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <burdock/platform/http_engine.hpp>
-#include <burdock/platform/http_object_store.hpp>
+#include <burdock/clients/http_engine.hpp>
+#include <burdock/clients/http_object_store.hpp>
 #include <burdock/serving/admin_handler.hpp>
 #include <burdock/serving/config/platform_watch.hpp>
 #include <burdock/serving/endpoint/prompt_runner.hpp>
@@ -17,10 +17,10 @@
 /** @brief What an endpoint process has only beside a model engine. */
 struct EngineSide
 {
-    EngineSide(Process &process, ConfigHolder &config, platform::ObjectStore &store, AdmissionGate &gate,
+    EngineSide(Process &process, ConfigHolder &config, clients::ObjectStore &store, AdmissionGate &gate,
                const schema::DaemonSettings &settings);
 
-    platform::HttpEngine engine;
+    clients::HttpEngine engine;
     KeptCache cache;
     EngineWatch watch;
     WeightOrders orders;
@@ -51,7 +51,7 @@
 
     Process &m_process;
     schema::DaemonSettings m_settings;
-    platform::HttpObjectStore m_store;
+    clients::HttpObjectStore m_store;
     ConfigHolder m_config;
     PlatformWatch m_watch;
     AdmissionGate m_gate;
--- a/lib/libburdock-serving/source/endpoint/engine_watch.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watch.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-EngineWatch::EngineWatch(Process &process, platform::Engine &engine, AdmissionGate &gate, KeptCache &cache)
+EngineWatch::EngineWatch(Process &process, clients::Engine &engine, AdmissionGate &gate, KeptCache &cache)
     : m_process(process)
     , m_engine(engine)
     , m_gate(gate)
--- a/lib/libburdock-serving/source/endpoint/kept_cache.cpp
+++ b/lib/libburdock-serving/source/endpoint/kept_cache.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-KeptCache::KeptCache(Process &process, ConfigHolder &config, platform::Engine &engine, std::vector<NamedStore> stores)
+KeptCache::KeptCache(Process &process, ConfigHolder &config, clients::Engine &engine, std::vector<NamedStore> stores)
     : m_process(process)
     , m_config(config)
     , m_engine(engine)
@@ -165,7 +165,7 @@
     }
     for (const auto *store : storesFor(root)) {
         const auto result = co_await store->store->put(candidate.key, *payload);
-        if (result != platform::PutResult::Kept) {
+        if (result != clients::PutResult::Kept) {
             // Guards against a dead or full store VM: it shows as an error or 507. Passing it over for a while holds because
             // every key has a second place, and none at all only costs recomputation.
             avoidStore(store->name);
--- a/lib/libburdock-serving/source/endpoint/once_store.cpp
+++ b/lib/libburdock-serving/source/endpoint/once_store.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-OnceStore::OnceStore(Process &process, platform::ObjectStore &store)
+OnceStore::OnceStore(Process &process, clients::ObjectStore &store)
     : m_process(process)
     , m_store(store)
 {
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -28,10 +28,10 @@
     return keys;
 }
 
-platform::GenerateRequest toGenerateRequest(const schema::RunRequest &request)
+clients::GenerateRequest toGenerateRequest(const schema::RunRequest &request)
 {
     const auto &prompt = request.prompt();
-    platform::GenerateRequest out;
+    clients::GenerateRequest out;
     out.runId = hash::toHex(request.ref().run_id());
     out.model = prompt.model();
     out.weightVersion = prompt.weight_version();
@@ -54,7 +54,7 @@
 
 } // namespace
 
-PromptRunner::PromptRunner(Process &process, platform::Engine &engine, EngineWatch &watch, KeptCache &cache)
+PromptRunner::PromptRunner(Process &process, clients::Engine &engine, EngineWatch &watch, KeptCache &cache)
     : m_process(process)
     , m_engine(engine)
     , m_watch(watch)
@@ -125,7 +125,7 @@
     co_return conclusion;
 }
 
-boost::asio::awaitable<Conclusion> PromptRunner::relay(const platform::GenerateHead &head, platform::Generation &generation,
+boost::asio::awaitable<Conclusion> PromptRunner::relay(const clients::GenerateHead &head, clients::Generation &generation,
                                                        RunOutlet &outlet, TimePoint deadline)
 {
     while (true) {
@@ -133,11 +133,11 @@
             co_return broken(true, false, "cancelled or out of time");
         }
         auto event = co_await generation.next();
-        if (event.kind == platform::GenerateEventKind::Broken) {
+        if (event.kind == clients::GenerateEventKind::Broken) {
             const bool crashed = co_await hasCrashed(head.bootId);
             co_return broken(true, crashed, "engine broke off");
         }
-        if (event.kind == platform::GenerateEventKind::Done) {
+        if (event.kind == clients::GenerateEventKind::Done) {
             Conclusion conclusion;
             conclusion.end.set_outcome(schema::RunEnd::COMPLETE);
             conclusion.end.set_output_tokens(event.outputTokens);
--- a/lib/libburdock-serving/source/endpoint/weight_orders.cpp
+++ b/lib/libburdock-serving/source/endpoint/weight_orders.cpp
@@ -49,8 +49,8 @@
 
 } // namespace
 
-WeightOrders::WeightOrders(Process &process, ConfigHolder &config, platform::ObjectStore &store, platform::Engine &engine,
-                           EngineWatch &watch, std::string pool)
+WeightOrders::WeightOrders(Process &process, ConfigHolder &config, clients::ObjectStore &store, clients::Engine &engine, EngineWatch &watch,
+                           std::string pool)
     : m_process(process)
     , m_config(config)
     , m_store(store)
@@ -78,7 +78,7 @@
 
 boost::asio::awaitable<void> WeightOrders::takeIncarnation()
 {
-    const platform::ObjectId id{"incarnations", m_process.vmName};
+    const clients::ObjectId id{"incarnations", m_process.vmName};
     while (true) {
         const auto read = co_await m_store.read(id);
         if (read.answer == StoreAnswer::Found || read.answer == StoreAnswer::Absent) {
@@ -132,8 +132,8 @@
         m_process.logger.event(runtime::LogLevel::Info, "weights_ordered",
                                {{"model", std::string_view(wanted.model)},
                                 {"version", std::string_view(wanted.version)},
-                                {"done", result == platform::OrderResult::Done},
-                                {"refused", result == platform::OrderResult::Refused}});
+                                {"done", result == clients::OrderResult::Done},
+                                {"refused", result == clients::OrderResult::Refused}});
         co_await m_watch.look();
     }
     if (slot == SlotResult::Taken) {
@@ -141,7 +141,7 @@
     }
 }
 
-platform::ObjectId WeightOrders::slotsId() const
+clients::ObjectId WeightOrders::slotsId() const
 {
     return {"load-slots", m_pool};
 }
--- a/lib/libburdock-serving/source/entry/entry_role.hpp
+++ b/lib/libburdock-serving/source/entry/entry_role.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/platform/http_object_store.hpp>
+#include <burdock/clients/http_object_store.hpp>
 #include <burdock/serving/admin_handler.hpp>
 #include <burdock/serving/config/platform_watch.hpp>
 #include <burdock/serving/entry/caller_handler.hpp>
@@ -27,7 +27,7 @@
     Process &m_process;
     std::atomic<bool> m_isOpen{false};
     schema::DaemonSettings m_settings;
-    platform::HttpObjectStore m_store;
+    clients::HttpObjectStore m_store;
     ConfigHolder m_config;
     PlatformWatch m_watch;
     RunTable m_runs;
--- a/lib/libburdock-serving/source/entry/fleet.cpp
+++ b/lib/libburdock-serving/source/entry/fleet.cpp
@@ -39,7 +39,7 @@
 
 Fleet::~Fleet() = default;
 
-boost::asio::awaitable<void> Fleet::followVms(platform::ObjectStore &store)
+boost::asio::awaitable<void> Fleet::followVms(clients::ObjectStore &store)
 {
     u64 seen = 0;
     while (true) {
@@ -61,7 +61,7 @@
     std::vector<u64> entryIds;
     std::vector<u64> entryIdsOfZone;
     for (const auto &vm : vms) {
-        if (vm.pool == platform::EntryPool) {
+        if (vm.pool == clients::EntryPool) {
             if (!vm.isLeaving) {
                 entryIds.push_back(hash::fast(vm.name));
                 if (vm.zone == m_process.zone) {
--- /dev/null
+++ b/lib/libburdock/include/burdock/weights/duty_lease.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+#include <optional>
+#include <string>
+
+namespace burdock::weights {
+
+/** @brief The lease of a duty as it stands in the platform's store. */
+struct LeaseRecord
+{
+    std::string vm; ///< that holds it
+    u64 boot = 0; ///< of the holding process
+    u64 token = 0; ///< fencing number, rises with each holder
+    u64 beat = 0; ///< rises with each renewal
+};
+
+/**
+ * @brief Decides when one process may take, renew and act under the lease of a duty. Not thread-safe.
+ *
+ * Needs no synchronized clocks. A holder acts only for a short time after the start of its last acknowledged write; others take
+ * the lease only after the record stood still for longer than that on their own clock, plus the pause that must lie between
+ * two holders. So a holder that was paused, or whose write is carried out late, never acts beside its successor.
+ * The clock must count the time in which the VM was suspended.
+ */
+class DutyLease
+{
+public:
+    /** @param pause shortest time between the acts of two holders */
+    DutyLease(std::string vm, u64 boot, Duration pause);
+
+    /** @brief Takes note of the record's present content; nothing if there is none. */
+    void observe(const std::optional<LeaseRecord> &record, u64 revision, TimePoint now);
+
+    /** @brief A write to try now. */
+    struct Write
+    {
+        LeaseRecord record;
+        std::optional<u64> revision; ///< that the record must still have; none if it must not exist
+    };
+
+    /** @brief The write that takes or renews the lease, if it is time for one. */
+    [[nodiscard]] std::optional<Write> due(TimePoint now) const;
+
+    /** @brief Takes note that a write started at the given time was acknowledged. */
+    void noteWritten(const LeaseRecord &record, u64 revision, TimePoint startedAt, TimePoint now);
+
+    /** @brief True if this process may act under the lease. */
+    [[nodiscard]] bool mayAct(TimePoint now) const;
+
+    [[nodiscard]] u64 token() const;
+
+private:
+    [[nodiscard]] bool isOwn() const;
+
+    std::string m_vm;
+    u64 m_boot;
+    Duration m_pause;
+    std::optional<LeaseRecord> m_record;
+    u64 m_revision = 0;
+    bool m_isObserved = false;
+    TimePoint m_changedAt{};
+    std::optional<TimePoint> m_renewedAt; ///< start of the last acknowledged write of this process
+};
+
+} // namespace burdock::weights
--- /dev/null
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -0,0 +1,221 @@
+#include <burdock/cache/part_index.hpp>
+
+#include <burdock/hash/digest.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace burdock::cache {
+
+namespace {
+
+constexpr char SaltSeparator = '~';
+constexpr char KeySeparator = '\n';
+/** Share of a store that is filled, in percent; the rest covers saves of other entries that are not known yet. */
+constexpr u64 FillPercent = 96;
+/** How many stores are tried for one part. */
+constexpr std::size_t PlacesTried = 3;
+/** How often old saves are swept out. */
+constexpr Duration SweepEvery = std::chrono::seconds(1);
+
+std::string keyOf(std::string_view salt, std::string_view id)
+{
+    std::string key(salt);
+    key += KeySeparator;
+    key += id;
+    return key;
+}
+
+bool anyIsSet(const std::vector<std::string> &addresses)
+{
+    return std::any_of(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); });
+}
+
+} // namespace
+
+std::string Salt::text() const
+{
+    return model + SaltSeparator + std::to_string(version) + SaltSeparator + customer;
+}
+
+std::optional<Salt> parseSalt(std::string_view text)
+{
+    const auto first = text.find(SaltSeparator);
+    const auto second = first == std::string_view::npos ? first : text.find(SaltSeparator, first + 1);
+    if (second == std::string_view::npos) {
+        return std::nullopt;
+    }
+    Salt salt;
+    salt.model = text.substr(0, first);
+    salt.customer = text.substr(second + 1);
+    const auto *end = text.data() + second;
+    const auto [rest, error] = std::from_chars(text.data() + first + 1, end, salt.version);
+    if (error != std::errc() || rest != end) {
+        return std::nullopt;
+    }
+    return salt;
+}
+
+bool PartPlan::fetches() const
+{
+    return anyIsSet(fetchFrom);
+}
+
+bool PartPlan::saves() const
+{
+    return anyIsSet(saveTo);
+}
+
+PartIndex::PartIndex(Duration saveAgainAfter)
+    : m_saveAgainAfter(saveAgainAfter)
+{
+}
+
+void PartIndex::setStores(const std::vector<PartStore> &stores)
+{
+    m_stores = stores;
+    std::erase_if(m_held, [&stores](const auto &entry) {
+        return std::none_of(stores.begin(), stores.end(), [&entry](const PartStore &store) { return store.address == entry.first; });
+    });
+}
+
+const std::vector<PartStore> &PartIndex::stores() const
+{
+    return m_stores;
+}
+
+void PartIndex::noteStored(std::string_view store, std::string_view salt, std::string_view id, u64 tokens)
+{
+    auto &held = m_held[std::string(store)];
+    auto &kept = held.parts[keyOf(salt, id)];
+    held.tokens += tokens - kept;
+    kept = tokens;
+}
+
+void PartIndex::noteDropped(std::string_view store, std::string_view salt, std::string_view id)
+{
+    const auto held = m_held.find(store);
+    if (held == m_held.end()) {
+        return;
+    }
+    const auto part = held->second.parts.find(keyOf(salt, id));
+    if (part != held->second.parts.end()) {
+        held->second.tokens -= part->second;
+        held->second.parts.erase(part);
+    }
+}
+
+void PartIndex::noteReset(std::string_view store)
+{
+    const auto held = m_held.find(store);
+    if (held != m_held.end()) {
+        m_held.erase(held);
+    }
+}
+
+PartPlan PartIndex::plan(std::string_view salt, const std::vector<PromptPart> &parts, TimePoint now)
+{
+    forgetOldSaves(now);
+    PartPlan plan;
+    plan.fetchFrom.resize(parts.size());
+    plan.saveTo.resize(parts.size());
+    bool isPrefixKept = true;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        const auto key = keyOf(salt, parts[i].id);
+        if (const auto *holder = holderOf(key, parts[i].tokens)) {
+            // A part is of use only behind the parts before it.
+            if (isPrefixKept) {
+                plan.fetchFrom[i] = holder->address;
+            }
+            continue;
+        }
+        isPrefixKept = false;
+        if (const auto *place = placeFor(key, parts[i].tokens, now)) {
+            plan.saveTo[i] = place->address;
+            m_saving[key] = now;
+        }
+    }
+    return plan;
+}
+
+PartsToFree PartIndex::outdated(std::string_view store, std::string_view model, u64 version, std::size_t most) const
+{
+    PartsToFree out;
+    out.store = store;
+    const auto held = m_held.find(store);
+    if (held == m_held.end()) {
+        return out;
+    }
+    for (const auto &[key, tokens] : held->second.parts) {
+        const auto end = key.find(KeySeparator);
+        const auto salt = parseSalt(std::string_view(key).substr(0, end));
+        if (salt && salt->model == model && salt->version < version && out.parts.size() < most) {
+            out.parts.emplace_back(key.substr(0, end), key.substr(end + 1));
+        }
+    }
+    return out;
+}
+
+u64 PartIndex::keptTokens(std::string_view store) const
+{
+    const auto held = m_held.find(store);
+    return held == m_held.end() ? 0 : held->second.tokens;
+}
+
+std::vector<const PartStore *> PartIndex::placesOf(const std::string &key) const
+{
+    std::vector<std::pair<double, const PartStore *>> scored;
+    scored.reserve(m_stores.size());
+    for (const auto &store : m_stores) {
+        const u64 word = hash::fast(key, hash::fast(store.address));
+        const double unit = (static_cast<double>(word >> 11) + 0.5) / 9007199254740992.0; // in (0, 1)
+        scored.emplace_back(-static_cast<double>(store.tokens) / std::log(unit), &store);
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    std::vector<const PartStore *> places;
+    for (std::size_t i = 0; i < std::min(PlacesTried, scored.size()); ++i) {
+        places.push_back(scored[i].second);
+    }
+    return places;
+}
+
+const PartStore *PartIndex::holderOf(const std::string &key, u64 tokens) const
+{
+    for (const auto &store : m_stores) {
+        const auto held = m_held.find(store.address);
+        if (held == m_held.end()) {
+            continue;
+        }
+        const auto part = held->second.parts.find(key);
+        if (part != held->second.parts.end() && part->second >= tokens) {
+            return &store;
+        }
+    }
+    return nullptr;
+}
+
+const PartStore *PartIndex::placeFor(const std::string &key, u64 tokens, TimePoint now)
+{
+    const auto saving = m_saving.find(key);
+    if (saving != m_saving.end() && now - saving->second < m_saveAgainAfter) {
+        return nullptr;
+    }
+    for (const auto *store : placesOf(key)) {
+        if (keptTokens(store->address) + tokens <= store->tokens * FillPercent / 100) {
+            return store;
+        }
+    }
+    return nullptr;
+}
+
+void PartIndex::forgetOldSaves(TimePoint now)
+{
+    if (now < m_nextSweep) {
+        return;
+    }
+    m_nextSweep = now + SweepEvery;
+    std::erase_if(m_saving, [&](const auto &entry) { return now - entry.second >= m_saveAgainAfter; });
+}
+
+} // namespace burdock::cache
--- a/main/daemon/source/main.cpp
+++ b/main/daemon/source/main.cpp
@@ -1,3 +1,5 @@
+#include "run_gateway.hpp"
+
 #include <burdock/runtime/link/keys.hpp>
 #include <burdock/runtime/worker_pool.hpp>
 #include <burdock/schema/document.hpp>
@@ -17,21 +19,18 @@
 
 using namespace burdock;
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitBadSettings = 2;
+using daemon::ExitBadSettings;
+using daemon::ExitFailed;
+using daemon::ExitOk;
 constexpr std::size_t SpansKept = 4096;
 
 std::optional<schema::DaemonSettings> readSettings(const std::string &path)
 {
-    const std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": can't be read\n";
+    const auto text = daemon::readFile(path);
+    if (!text) {
         return std::nullopt;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    auto checked = schema::parseSettings(path, text.str());
+    auto checked = schema::parseSettings(path, *text);
     if (checked.document && !runtime::link::areValid({checked.document->links().public_key(), checked.document->links().secret_key()})) {
         checked.faults.push_back({path, "$.links", "public_key and secret_key are not a CURVE key pair"});
         checked.document.reset();
@@ -75,12 +74,28 @@
 
 } // namespace
 
+std::optional<std::string> burdock::daemon::readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("serves prompts and calls as an entry or beside an endpoint\n\n  burdockpaddled --settings=entry.json");
+    gflags::SetUsageMessage("serves prompts and calls as an entry or beside an endpoint, or as a gateway on the users' platform\n\n"
+                            "  burdockpaddled --settings=entry.json\n  burdockpaddled gateway --settings=gateway.json");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    if (argc > 1 && std::string_view(argv[1]) == "gateway") {
+        return daemon::runGateway(FLAGS_settings);
+    }
     const auto settings = readSettings(FLAGS_settings);
     return settings ? serve(*settings) : ExitBadSettings;
 }
--- /dev/null
+++ b/main/daemon/source/run_gateway.cpp
@@ -0,0 +1,98 @@
+#include "run_gateway.hpp"
+
+#include <burdock/gateway/gateway.hpp>
+#include <burdock/platform/http_dialect.hpp>
+#include <burdock/platform/object_api.hpp>
+#include <burdock/schema/document.hpp>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <functional>
+#include <iostream>
+
+namespace burdock::daemon {
+
+namespace {
+
+using runtime::LogLevel;
+namespace http = runtime::http;
+
+std::optional<schema::GatewaySettings> readSettings(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        return std::nullopt;
+    }
+    auto checked = schema::parseGatewaySettings(path, *text);
+    for (const auto &fault : checked.faults) {
+        std::cerr << schema::toString(fault) << "\n";
+    }
+    return std::move(checked.document);
+}
+
+gateway::GatewaySettings toGatewaySettings(const schema::GatewaySettings &read)
+{
+    gateway::GatewaySettings settings;
+    settings.name = read.name();
+    settings.zone = read.zone();
+    settings.callers = http::parseAddress(read.callers_listen());
+    settings.readiness = http::parseAddress(read.readiness_listen());
+    settings.metrics = http::parseAddress(read.metrics_listen());
+    settings.grace = fromMilliseconds(read.grace_seconds() * 1000.0);
+    settings.revocation = std::chrono::milliseconds(read.revocation_ms());
+    settings.retryShare = read.retry_share();
+    settings.retrySlack = read.retry_slack();
+    settings.orderPause = std::chrono::milliseconds(read.order_pause_ms());
+    return settings;
+}
+
+// Settings are read at start only; a change of the file takes effect at the next one, and its signal ends nothing.
+void awaitReload(boost::asio::signal_set &signals, runtime::Logger &logger)
+{
+    signals.async_wait([&signals, &logger](const boost::system::error_code &error, int) {
+        if (!error) {
+            logger.event(LogLevel::Info, "reload", {{"taken", false}});
+            awaitReload(signals, logger);
+        }
+    });
+}
+
+} // namespace
+
+int runGateway(const std::string &settingsPath)
+{
+    const auto read = readSettings(settingsPath);
+    if (!read) {
+        return ExitBadSettings;
+    }
+    boost::asio::io_context context(1);
+    runtime::BootClock clock;
+    runtime::SystemRandom random;
+    runtime::Logger logger(runtime::logLevelFrom(read->log_level()), read->name(), runtime::LogFlush::OnRequest);
+    runtime::Metrics metrics;
+    const platform::HttpDialect dialect;
+    platform::ObjectApi store(http::parseAddress(read->platform()), metrics);
+    const gateway::GatewayParts parts{context, clock, random, logger, metrics, dialect, store};
+    std::optional<gateway::Gateway> served;
+    try {
+        served.emplace(parts, toGatewaySettings(*read));
+    } catch (const std::system_error &error) {
+        logger.event(LogLevel::Error, "start_failed", {{"reason", std::string_view(error.what())}});
+        return ExitFailed;
+    }
+    boost::asio::signal_set endSignals(context, SIGTERM, SIGINT);
+    endSignals.async_wait([&](const boost::system::error_code &error, int) {
+        if (!error) {
+            served->drain();
+        }
+    });
+    boost::asio::signal_set reloadSignals(context, SIGHUP);
+    awaitReload(reloadSignals, logger);
+    served->start();
+    logger.event(LogLevel::Info, "started", {{"platform", read->platform()}, {"zone", read->zone()}});
+    context.run();
+    logger.event(LogLevel::Info, "stopped");
+    return ExitOk;
+}
+
+} // namespace burdock::daemon
--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -57,7 +57,7 @@
     const auto first = schema::sign(ops::toJson(bundle), deployment.signingKey());
     bundle.add_drained_endpoints("two");
     const auto second = schema::sign(ops::toJson(bundle), deployment.signingKey());
-    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    clients::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
     ops::Rollout rollout(store);
     auto one = deployment.spawn(rollout.apply(*first));
     auto two = deployment.spawn(rollout.apply(*second));
@@ -150,7 +150,7 @@
     {
         forged.clear_signature();
     }
-    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    clients::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
     ops::Rollout rollout(store);
     REQUIRE(deployment.spawn(rollout.apply(forged)).get().code == ops::ExitCode::Ok);
     REQUIRE(waitUntil([&] { return deployment.logOf("entry-0").find("config_rejected") != std::string::npos; }));
@@ -166,7 +166,7 @@
 {
     Deployment deployment;
     deployment.start();
-    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    clients::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
     ops::Rollout rollout(store);
     const auto takeZoneOut = [](schema::Bundle &bundle) {
         bundle.mutable_zones(0)->set_out(true);
@@ -230,7 +230,7 @@
 {
     Deployment deployment;
     deployment.start();
-    platform::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
+    clients::HttpObjectStore store(runtime::http::parseAddress(deployment.platform().address()), std::chrono::seconds(1));
     ops::Rollout rollout(store, {4, 25});
     const auto change = [&](u32 round) {
         return deployment
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -77,7 +77,7 @@
     m_platform = std::make_unique<standins::Platform>(m_pool.context(), "127.0.0.1:0");
     m_platformProxy = std::make_unique<standins::FaultProxy>(m_pool.context(), m_platform->address());
     m_operatorStore
-        = std::make_unique<platform::HttpObjectStore>(runtime::http::parseAddress(m_platform->address()), std::chrono::seconds(1));
+        = std::make_unique<clients::HttpObjectStore>(runtime::http::parseAddress(m_platform->address()), std::chrono::seconds(1));
     for (u32 i = 0; i < options.stores; ++i) {
         m_stores.push_back(std::make_unique<standins::Store>(m_pool.context(), "127.0.0.1:0"));
     }
@@ -134,7 +134,7 @@
     Daemon daemon;
     daemon.name = "entry-" + std::to_string(number);
     daemon.zone = zoneName(number % m_options.zones);
-    daemon.pool = platform::EntryPool;
+    daemon.pool = clients::EntryPool;
     daemon.listen = freeAddress();
     daemon.admin = freeAddress();
     json::array seeds;
@@ -249,7 +249,7 @@
             if (!document.contains("config_version") || document.at("config_version").to_number<u64>() < 1) {
                 return false;
             }
-            if (daemon.pool != platform::EntryPool) {
+            if (daemon.pool != clients::EntryPool) {
                 continue;
             }
             if (!document.at("ready").as_bool()) {
--- a/tests/integration/support/deployment.hpp
+++ b/tests/integration/support/deployment.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <burdock/clients/http_object_store.hpp>
 #include <burdock/ops/rollout.hpp>
-#include <burdock/platform/http_object_store.hpp>
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/runtime/link/keys.hpp>
 #include <burdock/runtime/random_source.hpp>
@@ -131,7 +131,7 @@
     std::vector<std::unique_ptr<standins::Store>> m_stores;
     std::map<std::string, std::unique_ptr<standins::FaultProxy>> m_linkProxies;
     std::map<std::string, std::unique_ptr<standins::FaultProxy>> m_backendProxies;
-    std::unique_ptr<platform::HttpObjectStore> m_operatorStore;
+    std::unique_ptr<clients::HttpObjectStore> m_operatorStore;
     schema::Bundle m_bundle;
     std::map<std::string, Daemon> m_daemons;
 };
--- a/tests/standins/source/engine.cpp
+++ b/tests/standins/source/engine.cpp
@@ -1,7 +1,7 @@
 #include <standins/engine.hpp>
 
+#include <burdock/clients/json_fields.hpp>
 #include <burdock/hash/digest.hpp>
-#include <burdock/platform/json_fields.hpp>
 #include <burdock/runtime/sleep.hpp>
 
 #include <algorithm>
@@ -12,8 +12,8 @@
 namespace {
 
 namespace json = boost::json;
-using platform::numberOf;
-using platform::textOf;
+using clients::numberOf;
+using clients::textOf;
 using runtime::http::Request;
 using runtime::http::Response;
 
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -1,5 +1,5 @@
+#include <burdock/clients/block_store.hpp>
 #include <burdock/ops/rollout.hpp>
-#include <burdock/platform/block_store.hpp>
 #include <burdock/runtime/http/message.hpp>
 #include <burdock/runtime/tracer.hpp>
 #include <burdock/schema/change.hpp>
@@ -207,14 +207,14 @@
 {
     const cache::BlockKey key{4};
     const std::string payload = "kept cache";
-    const auto frame = platform::frameBlock(key, payload);
-    CHECK(platform::unframeBlock(key, frame) == payload);
-    CHECK_FALSE(platform::unframeBlock(cache::BlockKey{5}, frame).has_value());
+    const auto frame = clients::frameBlock(key, payload);
+    CHECK(clients::unframeBlock(key, frame) == payload);
+    CHECK_FALSE(clients::unframeBlock(cache::BlockKey{5}, frame).has_value());
     for (std::size_t i = 0; i < frame.size(); ++i) {
-        CHECK_FALSE(platform::unframeBlock(key, std::string_view(frame).substr(0, i)).has_value());
+        CHECK_FALSE(clients::unframeBlock(key, std::string_view(frame).substr(0, i)).has_value());
         auto altered = frame;
         altered[i] = static_cast<char>(altered[i] ^ 1);
-        CHECK_FALSE(platform::unframeBlock(key, altered).has_value());
+        CHECK_FALSE(clients::unframeBlock(key, altered).has_value());
     }
 }
 
