--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -13,6 +13,7 @@
 namespace http = runtime::http;
 using runtime::LogLevel;
 
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 constexpr Duration EventWait = std::chrono::milliseconds(1000);
 constexpr Duration EventTimeout = std::chrono::milliseconds(1600);
 constexpr Duration ListTimeout = std::chrono::milliseconds(1000);
@@ -32,6 +33,7 @@
     , m_settings(settings)
     , m_state(state)
     , m_store(std::move(store))
+    , m_client(http::parseAddress(m_store), ConnectTimeout)
 {
 }
 
@@ -65,7 +67,7 @@
 boost::asio::awaitable<bool> CacheFollower::readAll()
 {
     const auto request = m_parts.dialect.cacheListRequest();
-    const auto result = co_await http::exchange(http::parseAddress(m_store), request, ListTimeout);
+    const auto result = co_await m_client.exchange(request, ListTimeout);
     if (result.progress != http::Progress::Answered) {
         co_return false;
     }
@@ -84,7 +86,7 @@
 boost::asio::awaitable<bool> CacheFollower::readChanges()
 {
     const auto request = m_parts.dialect.cacheEventsRequest(m_next, EventWait);
-    const auto result = co_await http::exchange(http::parseAddress(m_store), request, EventTimeout);
+    const auto result = co_await m_client.exchange(request, EventTimeout);
     if (result.progress != http::Progress::Answered) {
         m_parts.logger.event(LogLevel::Warning, "cache_store_lost", {{"store", m_store}});
         co_return false;
@@ -147,7 +149,7 @@
             continue;
         }
         const auto request = m_parts.dialect.cacheFreeRequest(parts, m_epoch);
-        const auto result = co_await http::exchange(http::parseAddress(m_store), request, ListTimeout);
+        const auto result = co_await m_client.exchange(request, ListTimeout);
         if (result.progress == http::Progress::Answered && result.response.status < HttpError) {
             for (const auto &[salt, id] : parts.parts) {
                 m_state.parts.noteDropped(m_store, salt, id);
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -2,6 +2,8 @@
 
 #include "state.hpp"
 
+#include <burdock/runtime/http/client.hpp>
+
 #include <boost/asio/awaitable.hpp>
 
 namespace burdock::gateway {
@@ -27,6 +29,7 @@
     const GatewaySettings &m_settings;
     State &m_state;
     std::string m_store;
+    runtime::http::KeptClient m_client;
     u64 m_epoch = 0;
     u64 m_next = 0;
     std::map<std::string, TimePoint, std::less<>> m_settledSince; ///< by model: all replicas have the wanted weights
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -424,7 +424,7 @@
     if (m_hasBegun) {
         // The connection is cut without the end of the stream, so that the caller can't take the part for the whole.
         if (attempt.outcome == Outcome::Answered) {
-            count("answered");
+            noteAnswered();
         } else {
             count("broken_off");
             m_parts.logger.event(
@@ -434,7 +434,11 @@
         co_return;
     }
     if (step == NextStep::Deliver) {
-        count(isSuccess(attempt.answer.status) ? "answered" : "endpoint_error");
+        if (isSuccess(attempt.answer.status)) {
+            noteAnswered();
+        } else {
+            count("endpoint_error");
+        }
         co_await m_reply.send(attempt.answer);
         co_return;
     }
@@ -448,6 +452,16 @@
     co_await reject(rejection);
 }
 
+void CallDriver::noteAnswered()
+{
+    count("answered");
+    m_parts.logger.event(LogLevel::Info, "answered",
+                         {{"id", m_facts.attemptId},
+                          {"attempts", u64{m_history.begun + m_history.declined}},
+                          {"first_byte_ms", toMilliseconds(m_firstByte.value_or(m_arrived) - m_arrived)},
+                          {"waited_ms", toMilliseconds(waited())}});
+}
+
 boost::asio::awaitable<void> CallDriver::reject(const Rejection &rejection)
 {
     count(rejection.reason);
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -56,6 +56,7 @@
     [[nodiscard]] bool keyIsCurrent() const;
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] Duration waited() const;
+    void noteAnswered();
     void count(std::string_view outcome);
 
     const GatewayParts &m_parts;
--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -52,4 +52,25 @@
 /** @brief Sends a request and reads the whole answer. */
 [[nodiscard]] boost::asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout);
 
+/**
+ * @brief Exchanges with one server on connections that are kept.
+ *
+ * A connection on which an answer did not come in time is dropped with all idle ones, as what silenced it may have silenced them.
+ * Several exchanges may be under way at once, on one thread.
+ */
+class KeptClient
+{
+public:
+    KeptClient(const Address &address, Duration connectTimeout);
+
+    [[nodiscard]] boost::asio::awaitable<Exchange> exchange(Request request, Duration timeout);
+
+private:
+    [[nodiscard]] std::unique_ptr<Connection> takeIdle();
+
+    Address m_address;
+    Duration m_connectTimeout;
+    std::vector<std::unique_ptr<Connection>> m_idle;
+};
+
 } // namespace burdock::runtime::http
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -38,26 +38,82 @@
     return m_connection->read(m_timeout);
 }
 
-asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout)
+namespace {
+
+// Reads the whole answer to a request that was sent.
+asio::awaitable<Exchange> readAnswer(Connection &connection, Duration timeout)
 {
-    Call call(address, timeout);
     Exchange out;
-    out.progress = co_await call.send(request);
-    if (out.progress != Progress::Answered) {
+    out.progress = Progress::MayBeSent;
+    const bool isAnswered = co_await connection.readHead(timeout);
+    if (!isAnswered) {
         co_return out;
     }
-    out.response = call.head();
+    out.response = connection.head();
     while (true) {
-        const auto piece = co_await call.read();
+        const auto piece = co_await connection.read(timeout);
         out.response.body += piece.data;
         if (piece.isBroken) {
-            out.progress = Progress::MayBeSent;
             co_return out;
         }
         if (piece.isEnd) {
+            out.progress = Progress::Answered;
             co_return out;
         }
     }
 }
 
+} // namespace
+
+asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    Connection connection(executor, address, Reuse::Once);
+    const bool isConnected = co_await connection.connect(timeout);
+    if (!isConnected) {
+        co_return Exchange{};
+    }
+    connection.startSend(request);
+    co_return co_await readAnswer(connection, timeout);
+}
+
+KeptClient::KeptClient(const Address &address, Duration connectTimeout)
+    : m_address(address)
+    , m_connectTimeout(connectTimeout)
+{
+}
+
+asio::awaitable<Exchange> KeptClient::exchange(Request request, Duration timeout)
+{
+    auto connection = takeIdle();
+    if (!connection) {
+        const auto executor = co_await asio::this_coro::executor;
+        connection = std::make_unique<Connection>(executor, m_address, Reuse::Kept);
+        const bool isConnected = co_await connection->connect(m_connectTimeout);
+        if (!isConnected) {
+            co_return Exchange{};
+        }
+    }
+    connection->startSend(request);
+    auto out = co_await readAnswer(*connection, timeout);
+    if (out.progress != Progress::Answered) {
+        m_idle.clear();
+    } else if (connection->isReusable()) {
+        m_idle.push_back(std::move(connection));
+    }
+    co_return out;
+}
+
+std::unique_ptr<Connection> KeptClient::takeIdle()
+{
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (connection->isQuiet()) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace burdock::runtime::http
