Place prompts by what each engine has still to read, over all entries

Cause: each gateway saw only its own load; requests crowded onto the few replicas with new weights and onto slow ones (first byte p50 of 2.2 s there, 0.1 s elsewhere), and everything was let in. Change: gateways tell each other their work over UDP; a prompt goes where its first event is expected soonest (tokens to read, learnt pace, memory guess, older weights at a penalty) and is refused where that is later than its caller wants it.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -20,6 +20,7 @@
     runtime::http::Address callers; ///< where callers connect
     runtime::http::Address readiness; ///< where the balancer asks
     runtime::http::Address metrics;
+    runtime::http::Address loads; ///< where the other entries tell their loads, over UDP
     Duration grace = std::chrono::seconds(8); ///< from SIGTERM to the end
     Duration revocation = std::chrono::seconds(5); ///< time within which a key that was taken away must be refused
     double retryShare = 0.2; ///< retries of a service, over all entries, as a share of its requests
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -24,9 +24,10 @@
 constexpr Duration RetryWhenUnsure = std::chrono::milliseconds(700);
 /** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
 constexpr int KeyAgePercent = 85;
+/** What fetching a kept token costs, in percent of reading it. */
+constexpr u64 FetchPercent = 20;
 /** Crashes under way at which a request is not run again. */
 constexpr u32 CrashesToRefuse = 3;
-/** Weights' parts are not saved any more, but still fetched, once newer weights were named. */
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusMultipleChoices = 300;
 constexpr u16 StatusServerError = 500;
@@ -106,7 +107,7 @@
         return Rejection{503, "no_service", RetryWhenNone};
     }
     m_service = *service;
-    m_tokens = m_route->isPrompt ? std::max<u64>(1, m_facts.promptTokens + m_facts.outputTokens) : 0;
+    m_memory = m_route->isPrompt ? std::max<u64>(1, m_facts.promptTokens + m_facts.outputTokens) : 0;
     m_fingerprint = hash::fast(m_request.target, hash::fast(customer, hash::fast(m_request.body)));
     if (m_state.quarantine.crashes(m_fingerprint, m_arrived) >= CrashesToRefuse) {
         return Rejection{503, "crashes_endpoints", {}};
@@ -147,12 +148,12 @@
     Attempt last;
     while (true) {
         const auto now = m_parts.clock.now();
-        const auto choice = m_state.endpoints.choose(needOf(), now);
-        if (choice.reason != endpoints::NoChoice::None) {
+        m_choice = m_state.endpoints.choose(needOf(), now);
+        if (m_choice.reason != endpoints::NoChoice::None) {
             const auto step = m_history.begun + m_history.declined == 0 ? NextStep::Refuse : retry::lastStep(m_history, last.outcome);
             if (step == NextStep::Refuse) {
-                const bool isFull = choice.reason == endpoints::NoChoice::NoRoom;
-                const Rejection rejection{503, isFull ? "no_room" : "no_endpoint", isFull ? RetryWhenFull : RetryWhenNone};
+                const bool isNone = m_choice.reason == endpoints::NoChoice::NoEndpoint;
+                const Rejection rejection{503, toString(m_choice.reason), isNone ? RetryWhenNone : RetryWhenFull};
                 co_await reject(rejection);
                 co_return;
             }
@@ -164,8 +165,8 @@
             co_await reject(rejection);
             co_return;
         }
-        m_tried.insert(choice.id);
-        last = co_await attempt(choice.id);
+        m_tried.insert(m_choice.id);
+        last = co_await attempt(m_choice.id);
         m_history.isInTime = timeLeft() > LeastUsefulTime && !m_isGone;
         auto step = retry::nextStep(m_history, last.outcome);
         if (step == NextStep::TryElsewhere && !m_state.budget(m_service, m_settings).trySpend()) {
@@ -185,23 +186,67 @@
     need.service = m_service;
     need.home = homeOf(m_facts);
     need.random = hash::fast(m_facts.attemptId);
-    need.tokens = m_tokens;
+    need.memory = m_memory;
+    need.prefill = [this](const endpoints::Endpoint &endpoint) { return prefillAt(endpoint); };
+    need.target = m_route->isPrompt ? m_route->target : Duration::zero();
     need.model = m_facts.model;
     need.wantedVersion = m_state.wantedVersion(m_facts.model);
     need.tried = m_tried;
     return need;
 }
 
+u64 CallDriver::weightVersionOf(const endpoints::Endpoint &endpoint) const
+{
+    const auto version = endpoint.registration.weightVersions.find(m_facts.model);
+    return version == endpoint.registration.weightVersions.end() ? 0 : version->second;
+}
+
+std::string CallDriver::saltFor(u64 weightVersion) const
+{
+    const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
+    return cache::Salt{m_facts.model, weightVersion, isIsolated ? m_customer->name : ""}.text();
+}
+
+// Prompt tokens that an endpoint would have to read, with fetched ones counted by what fetching costs.
+u64 CallDriver::prefillAt(const endpoints::Endpoint &endpoint) const
+{
+    if (m_facts.parts.empty()) {
+        return m_facts.promptTokens;
+    }
+    const auto salt = saltFor(weightVersionOf(endpoint));
+    u64 tokens = m_facts.parts.back().tokens;
+    for (std::size_t i = 0; i + 1 < m_facts.parts.size(); ++i) {
+        const auto &part = m_facts.parts[i];
+        if (endpoint.memory.holds(cache::partKey(salt, part.id))) {
+            continue;
+        }
+        tokens += m_state.parts.holds(salt, part) ? part.tokens * FetchPercent / 100 : part.tokens;
+    }
+    return tokens;
+}
+
+void CallDriver::noteFirstEvent(const std::string &id)
+{
+    if (m_isPrefillPending) {
+        const auto now = m_parts.clock.now();
+        m_isPrefillPending = false;
+        m_state.endpoints.noteFirstEvent(id, m_choice, now - m_sentAt, now);
+    }
+}
+
 boost::asio::awaitable<CallDriver::Attempt> CallDriver::attempt(const std::string &id)
 {
     Attempt attempt;
     const auto *endpoint = m_state.endpoints.find(id);
     const auto request = instruct(*endpoint);
-    m_state.endpoints.noteSent(id, m_tokens, m_parts.clock.now());
+    m_sentAt = m_parts.clock.now();
+    m_isPrefillPending = m_route->isPrompt;
+    m_state.endpoints.noteSent(id, m_choice.work, m_sentAt);
     attempt.outcome = co_await exchange(id, request, attempt);
     m_connection.reset();
     const auto now = m_parts.clock.now();
-    m_state.endpoints.noteEnd(id, m_tokens, attempt.outcome, now);
+    const endpoints::Work left{m_choice.work.memory, m_isPrefillPending ? m_choice.work.prefill : 0};
+    m_state.endpoints.noteEnd(id, left, attempt.outcome, now);
     const bool isUntouched = attempt.outcome == Outcome::Declined || attempt.outcome == Outcome::Unreachable;
     ++(isUntouched ? m_history.declined : m_history.begun);
     if (attempt.outcome == Outcome::Broken) {
@@ -359,6 +404,7 @@
             co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
         }
         m_state.endpoints.noteHeard(id, m_parts.clock.now());
+        noteFirstEvent(id);
         std::string bytes = m_route->isResumable ? m_events.take(piece.data) : piece.data;
         if (piece.isEnd && m_route->isResumable) {
             bytes += m_events.takeRest();
@@ -389,23 +435,27 @@
     static_cast<void>(m_events.takeRest());
     told.resumeAfter = m_events.lastId();
     if (m_route->isPrompt) {
-        const auto version = endpoint.registration.weightVersions.find(m_facts.model);
-        const u64 held = version == endpoint.registration.weightVersions.end() ? 0 : version->second;
-        const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
-        told.salt = cache::Salt{m_facts.model, held, isIsolated ? m_customer->name : ""}.text();
+        const u64 held = weightVersionOf(endpoint);
+        told.salt = saltFor(held);
         if (held > 0) {
             told.weightVersion = held;
             told.parts = m_state.parts.plan(told.salt, m_facts.parts, m_parts.clock.now());
         }
+        for (const auto &part : m_facts.parts) {
+            m_state.endpoints.notePart(told.endpointId, cache::partKey(told.salt, part.id), part.tokens);
+        }
     }
     m_parts.logger.event(LogLevel::Info, "placed",
                          {{"id", m_facts.attemptId},
                           {"route", m_route->name},
                           {"customer", told.customer},
                           {"endpoint", told.endpointId},
-                          {"running", u64{endpoint.running}},
-                          {"tokens_there", endpoint.tokens},
-                          {"tokens", m_tokens},
+                          {"running", u64{m_state.endpoints.loadAt(endpoint).running}},
+                          {"pending", m_state.endpoints.loadAt(endpoint).pending},
+                          {"memory_taken", m_state.endpoints.loadAt(endpoint).memory},
+                          {"memory", m_memory},
+                          {"prefill", m_choice.work.prefill},
+                          {"expected_ms", toMilliseconds(m_choice.expectedDelay)},
                           {"weights", told.weightVersion.value_or(0)},
                           {"wanted_weights", m_state.wantedVersion(m_facts.model)},
                           {"config", m_routes->configuration().version},
@@ -471,7 +521,8 @@
                           {"status", u64{rejection.status}},
                           {"reason", rejection.reason},
                           {"service", m_service},
-                          {"tokens", m_tokens},
+                          {"memory", m_memory},
+                          {"expected_ms", toMilliseconds(m_choice.expectedDelay)},
                           {"begun", u64{m_history.begun}},
                           {"declined", u64{m_history.declined}},
                           {"config", m_routes ? m_routes->configuration().version : 0},
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -41,7 +41,11 @@
     [[nodiscard]] std::optional<Rejection> checkKey();
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
     [[nodiscard]] endpoints::Need needOf() const;
+    [[nodiscard]] u64 prefillAt(const endpoints::Endpoint &endpoint) const;
+    [[nodiscard]] std::string saltFor(u64 weightVersion) const;
+    [[nodiscard]] u64 weightVersionOf(const endpoints::Endpoint &endpoint) const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
+    void noteFirstEvent(const std::string &id);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> exchange(const std::string &id, const runtime::http::Request &request,
                                                                       Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<bool> connectTo(const std::string &id);
@@ -73,7 +77,10 @@
     const routing::Route *m_route = nullptr;
     const routing::Customer *m_customer = nullptr;
     std::string m_service;
-    u64 m_tokens = 0;
+    u64 m_memory = 0; ///< tokens of the prompt with its answer
+    endpoints::Choice m_choice; ///< of the attempt under way
+    TimePoint m_sentAt{};
+    bool m_isPrefillPending = false;
     u64 m_fingerprint = 0;
     std::set<std::string, std::less<>> m_tried;
     retry::AttemptHistory m_history;
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -3,9 +3,11 @@
 #include "cache_follower.hpp"
 #include "call_driver.hpp"
 #include "kind_watcher.hpp"
+#include "load_exchange.hpp"
 #include "state.hpp"
 #include "weight_duty.hpp"
 
+#include <burdock/clients/json_fields.hpp>
 #include <burdock/runtime/http/server.hpp>
 #include <burdock/runtime/sleep.hpp>
 
@@ -27,6 +29,8 @@
 constexpr Duration WeightWait = std::chrono::milliseconds(5000);
 /** How often the list of entries is read. */
 constexpr Duration EntryListPeriod = std::chrono::seconds(5);
+constexpr Duration FirstEntryListPeriod = std::chrono::seconds(1);
+constexpr u32 FirstEntryLists = 4;
 /** How often idle connections are looked through and lines of the log are handed on. */
 constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
 /** Time after SIGTERM in which the balancer takes this entry out, and connections may still come. */
@@ -40,6 +44,13 @@
 constexpr u16 StatusNotFound = 404;
 constexpr u16 StatusUnavailable = 503;
 
+constexpr const char *LoadAddressField = "load_address";
+
+std::string addressText(const http::Address &address)
+{
+    return address.ip + ":" + std::to_string(address.port);
+}
+
 /** @brief Serves one path by a function. */
 class PathHandler : public http::Handler
 {
@@ -74,6 +85,7 @@
         : m_parts(parts)
         , m_settings(settings)
         , m_weightDuty(m_parts, m_settings, m_state)
+        , m_loads(m_parts, m_settings, m_state)
         , m_readinessHandler(std::string(parts.dialect.readinessPath()), [this] { return readiness(); })
         , m_metricsHandler("/metrics", [this] { return metrics(); })
         , m_callers(parts.context, settings.callers, callerLimits({}), *this)
@@ -94,6 +106,8 @@
         spawn(m_weightDuty.run());
         spawn(housekeeping());
         spawn(keepEntryList());
+        spawn(m_loads.send());
+        spawn(m_loads.receive());
     }
 
     void drain()
@@ -345,6 +359,7 @@
         while (true) {
             co_await runtime::sleepFor(HousekeepingPeriod);
             m_pool.sweep(m_parts.clock.now());
+            m_state.endpoints.peers().expire(m_parts.clock.now());
             m_parts.logger.flush();
         }
     }
@@ -353,9 +368,10 @@
     boost::asio::awaitable<void> keepEntryList()
     {
         bool isRegistered = false;
+        u32 reads = 0;
         while (!m_state.isDraining) {
             if (!isRegistered) {
-                const boost::json::value spec{{"zone", m_settings.zone}};
+                const boost::json::value spec{{"zone", m_settings.zone}, {LoadAddressField, addressText(m_settings.loads)}};
                 const auto result = co_await m_parts.store.write(ObjectKind::Entries, m_settings.name, spec, std::nullopt);
                 isRegistered = result.answer == StoreAnswer::Written || result.answer == StoreAnswer::Conflict;
             }
@@ -363,16 +379,25 @@
             if (list.answer == StoreAnswer::Found) {
                 takeEntries(list);
             }
-            co_await runtime::sleepFor(EntryListPeriod);
+            // At the start of all VMs the others register within moments.
+            ++reads;
+            const auto pause = reads <= FirstEntryLists ? FirstEntryListPeriod : EntryListPeriod;
+            co_await runtime::sleepFor(pause);
         }
     }
 
     void takeEntries(const ObjectList &list)
     {
         m_state.entries.clear();
+        std::set<std::string> peers;
         for (const auto &item : list.items) {
             m_state.entries.push_back(item.name);
+            const auto *spec = item.spec.if_object();
+            if (spec != nullptr && item.name != m_settings.name) {
+                peers.insert(clients::textOf(*spec, LoadAddressField));
+            }
         }
+        m_loads.setPeers(peers);
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
     }
 
@@ -399,6 +424,7 @@
     State m_state;
     ConnectionPool m_pool;
     WeightDuty m_weightDuty;
+    LoadExchange m_loads;
     std::set<std::string, std::less<>> m_evacuated;
     std::set<std::string> m_followed;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
--- /dev/null
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -0,0 +1,121 @@
+#include "load_exchange.hpp"
+
+#include <burdock/link.pb.h>
+#include <burdock/runtime/sleep.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace burdock::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using Udp = asio::ip::udp;
+
+constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+/** How often loads are told among a few entries; among more of them, less often, so that the messages a second stay bounded. */
+constexpr Duration ShortestPeriod = std::chrono::milliseconds(40);
+constexpr Duration PeriodPerPeer = std::chrono::milliseconds(6);
+constexpr std::size_t MaxMessageBytes = 8 * 1024;
+
+Udp::endpoint toEndpoint(const runtime::http::Address &address)
+{
+    return {asio::ip::make_address(address.ip), address.port};
+}
+
+} // namespace
+
+LoadExchange::LoadExchange(const GatewayParts &parts, const GatewaySettings &settings, State &state)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_state(state)
+    , m_socket(parts.context, toEndpoint(settings.loads))
+    , m_boot(parts.random.word())
+{
+}
+
+void LoadExchange::setPeers(const std::set<std::string> &addresses)
+{
+    m_peers.clear();
+    for (const auto &text : addresses) {
+        boost::system::error_code error;
+        const auto address = runtime::http::parseAddress(text);
+        const auto ip = asio::ip::make_address(address.ip, error);
+        if (!error && address.port != 0) {
+            m_peers.emplace_back(ip, address.port);
+        }
+    }
+}
+
+asio::awaitable<void> LoadExchange::send()
+{
+    bool wasIdle = false;
+    while (true) {
+        co_await runtime::sleepFor(period());
+        const bool isIdle = m_state.underWay == 0;
+        if (m_peers.empty() || (isIdle && wasIdle)) {
+            continue;
+        }
+        wasIdle = isIdle;
+        const std::string message = nextMessage();
+        for (const auto &peer : m_peers) {
+            // A datagram that finds no room is lost like any other; the next message makes up for it.
+            boost::system::error_code ignored;
+            m_socket.send_to(asio::buffer(message), peer, 0, ignored);
+        }
+    }
+}
+
+asio::awaitable<void> LoadExchange::receive()
+{
+    std::string buffer(MaxMessageBytes, '\0');
+    while (true) {
+        Udp::endpoint sender;
+        const auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(buffer), sender, Awaitable);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!error) {
+            take(std::string_view(buffer.data(), size));
+        }
+    }
+}
+
+std::string LoadExchange::nextMessage()
+{
+    schema::EntryLoad message;
+    message.set_entry(m_settings.name);
+    message.set_boot_id(m_boot);
+    message.set_sequence(++m_sequence);
+    for (const auto &[endpoint, load] : m_state.endpoints.ownLoads()) {
+        auto *work = message.add_work();
+        work->set_endpoint(endpoint);
+        work->set_running(load.running);
+        work->set_memory_tokens(load.memory);
+        work->set_pending_tokens(load.pending);
+    }
+    return message.SerializeAsString();
+}
+
+void LoadExchange::take(std::string_view message)
+{
+    schema::EntryLoad read;
+    if (!read.ParseFromArray(message.data(), static_cast<int>(message.size())) || read.entry() == m_settings.name) {
+        m_parts.metrics.count("burdock_loads_unreadable_total");
+        return;
+    }
+    endpoints::LoadsById loads;
+    for (const auto &work : read.work()) {
+        loads[work.endpoint()] = endpoints::Load{work.running(), work.memory_tokens(), work.pending_tokens()};
+    }
+    m_state.endpoints.peers().take(read.entry(), read.boot_id(), read.sequence(), std::move(loads), m_parts.clock.now());
+}
+
+Duration LoadExchange::period() const
+{
+    return std::max(ShortestPeriod, PeriodPerPeer * static_cast<int>(m_peers.size()));
+}
+
+} // namespace burdock::gateway
--- /dev/null
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <set>
+#include <vector>
+
+namespace burdock::gateway {
+
+/**
+ * @brief Tells the other entries what this one has under way at which endpoint, and hears it from them.
+ *
+ * Over UDP: each message replaces the one before, so a lost one needs no repetition, and a peer that is gone holds up nothing.
+ */
+class LoadExchange
+{
+public:
+    /** @throws std::system_error if the address can't be bound */
+    LoadExchange(const GatewayParts &parts, const GatewaySettings &settings, State &state);
+
+    /** @brief Sets to whom loads are told, as IP:port. */
+    void setPeers(const std::set<std::string> &addresses);
+
+    [[nodiscard]] boost::asio::awaitable<void> send();
+    [[nodiscard]] boost::asio::awaitable<void> receive();
+
+private:
+    [[nodiscard]] std::string nextMessage();
+    void take(std::string_view message);
+    [[nodiscard]] Duration period() const;
+
+    const GatewayParts &m_parts;
+    const GatewaySettings &m_settings;
+    State &m_state;
+    boost::asio::ip::udp::socket m_socket;
+    std::vector<boost::asio::ip::udp::endpoint> m_peers;
+    u64 m_boot;
+    u64 m_sequence = 0;
+};
+
+} // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -76,7 +76,7 @@
         const auto version = endpoint.registration.weightVersions.find(model);
         const bool isServing = !endpoint.hasLeft && !endpoint.registration.isDraining;
         if (isServing && version != endpoint.registration.weightVersions.end()) {
-            replicas.push_back({id, version->second, endpoint.tokens + endpoint.othersTokens});
+            replicas.push_back({id, version->second, m_state.endpoints.loadAt(endpoint).memory});
         }
     }
     return replicas;
--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -223,6 +223,7 @@
     require(isAddress(settings.readiness_listen()), "$.readiness_listen", "must be IP:port", faults);
     require(isAddress(settings.metrics_listen()), "$.metrics_listen", "must be IP:port", faults);
     require(isAddress(settings.platform()), "$.platform", "must be IP:port", faults);
+    require(isAddress(settings.load_listen()), "$.load_listen", "must be IP:port", faults);
     checkLogLevel(settings.log_level(), faults);
     require(settings.grace_seconds() >= MinGraceSeconds, "$.grace_seconds", "must be at least 1", faults);
     require(settings.revocation_ms() >= MinBoundMs, "$.revocation_ms", "must be at least 100", faults);
--- a/lib/libburdock/include/burdock/cache/part_index.hpp
+++ b/lib/libburdock/include/burdock/cache/part_index.hpp
@@ -37,6 +37,9 @@
 /** @brief Reads what Salt::text() wrote; nothing for other texts. */
 [[nodiscard]] std::optional<Salt> parseSalt(std::string_view text);
 
+/** @brief Salt and id in one text; ids of different salts never share one. */
+[[nodiscard]] std::string partKey(std::string_view salt, std::string_view id);
+
 /** @brief One store of kept parts. */
 struct PartStore
 {
@@ -88,6 +91,9 @@
      */
     [[nodiscard]] PartPlan plan(std::string_view salt, const std::vector<PromptPart> &parts, TimePoint now);
 
+    /** @brief Whether any store holds a part whole. */
+    [[nodiscard]] bool holds(std::string_view salt, const PromptPart &part) const;
+
     /** @brief Parts of a model's weights older than the given version, in one store. */
     [[nodiscard]] PartsToFree outdated(std::string_view store, std::string_view model, u64 version, std::size_t most) const;
 
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <burdock/cache/memory_guess.hpp>
+#include <burdock/endpoints/peer_loads.hpp>
 #include <burdock/limits/token_bucket.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/types.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,7 +46,7 @@
 /** @brief Figures of the choice of endpoints. */
 struct Policy
 {
-    /** Share of an engine's memory that this entry and its peers give out, in percent. Above 100, as prompts share parts. */
+    /** Share of an engine's memory that all entries give out, in percent. Above 100, as prompts share parts. */
     u32 roomPercent = 120;
     /** Requests under way at a plain endpoint, in percent of its slots. */
     u32 slotPercent = 150;
@@ -54,21 +57,35 @@
     Duration longestEjection = std::chrono::seconds(8);
     /** Share of failed requests above which an endpoint is left out, of the latest ones. */
     double failureShare = 0.5;
-    /** Length of the homes' order that is looked at for room. */
-    u32 candidates = 6;
+    /** Time to the first event of a prompt at an idle engine of reference pace, and for each prompt token that it reads. */
+    Duration baseDelay = std::chrono::milliseconds(50);
+    double delayPerTokenMs = 0.012;
+    /** Delay at an engine with older weights than wanted that counts as equal to none at one with the wanted ones. */
+    Duration oldWeightsPenalty = std::chrono::milliseconds(120);
+    /** Longest expected delay with which a prompt is let in, in percent of the time in which callers want its first event. */
+    u32 admitPercent = 100;
 };
 
+/** @brief Work that a request means to an endpoint. */
+struct Work
+{
+    u64 memory = 0; ///< tokens of the prompt and its answer; zero for a call of a plain service
+    u64 prefill = 0; ///< prompt tokens that the engine has to read
+};
+
+struct Endpoint;
+
 /** @brief A request that needs an endpoint. */
 struct Need
 {
     std::string_view service;
-    u64 home = 0; ///< see cache::homeHash(); equal for prompts that share their parts
+    u64 home = 0; ///< equal for prompts that share their parts; breaks ties always the same way
     u64 random = 0;
-    u64 tokens = 0; ///< memory of a prompt with its answer; zero for a call of a plain service
+    u64 memory = 0; ///< tokens of a prompt with its answer; zero for a call of a plain service
+    std::function<u64(const Endpoint &)> prefill; ///< prompt tokens that an engine would have to read; for prompts
     std::string_view model;
-    u64 wantedVersion = 0; ///< newest weights of the model; endpoints with older ones come last
-    u32 priority = 0;
-    bool isProbe = false; ///< may be sent to an endpoint that is suspected
+    u64 wantedVersion = 0; ///< newest weights of the model
+    Duration target{}; ///< in which the caller wants the first event; zero for no bound
     std::set<std::string, std::less<>> tried;
 };
 
@@ -77,30 +94,36 @@
     None,
     NoEndpoint, ///< none is known, or none that takes work
     NoRoom, ///< all are full
+    TooSlow, ///< all would take longer than the caller wants
 };
 
+[[nodiscard]] std::string_view toString(NoChoice reason);
+
 struct Choice
 {
     std::string id;
     NoChoice reason = NoChoice::None;
+    Work work;
+    Duration expectedDelay{}; ///< to the first event; for prompts
 };
 
 /** @brief One endpoint with what was learnt of it. */
 struct Endpoint
 {
     Registration registration;
-    u32 running = 0; ///< requests of this entry under way
-    u64 tokens = 0; ///< their memory
-    u32 othersRunning = 0; ///< as told by the other entries
-    u64 othersTokens = 0;
+    u64 hash = 0; ///< of its id
+    Load own; ///< of this entry
     TimePoint lastHeard{};
     std::optional<TimePoint> waitingSince; ///< first send after it was last heard
     TimePoint ejectedUntil{};
     Duration lastEjection{};
     double failureShare = 0; ///< moving average
     u32 samples = 0;
+    double slowness = 1; ///< moving average of delays, against those expected at reference pace
+    TimePoint slownessAt{};
     TimePoint coldUntil{};
     std::optional<limits::TokenBucket> coldBucket;
+    cache::MemoryGuess memory;
     bool hasLeft = false; ///< gone from the list, kept while requests are under way
 };
 
@@ -129,9 +152,26 @@
 
     [[nodiscard]] Choice choose(const Need &need, TimePoint now);
 
-    void noteSent(std::string_view id, u64 tokens, TimePoint now);
+    void noteSent(std::string_view id, const Work &work, TimePoint now);
     void noteHeard(std::string_view id, TimePoint now);
-    void noteEnd(std::string_view id, u64 tokens, Outcome outcome, TimePoint now);
+
+    /** @brief Takes note of the first event of a prompt, so that its prompt is read. */
+    void noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, TimePoint now);
+
+    /** @param left work of the request that was not taken off by noteFirstEvent() */
+    void noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now);
+
+    /** @brief Takes note of a part that a prompt brings into an engine's memory. */
+    void notePart(std::string_view id, const std::string &key, u64 tokens);
+
+    /** @brief What the other entries say of their work. */
+    [[nodiscard]] PeerLoads &peers();
+
+    /** @brief The work of this entry, for the others. */
+    [[nodiscard]] LoadsById ownLoads() const;
+
+    /** @brief Work at an endpoint, of all entries. */
+    [[nodiscard]] Load loadAt(const Endpoint &endpoint) const;
 
     /** @brief Takes over the weights that an endpoint named in an answer. */
     void noteWeights(std::string_view id, std::string_view model, u64 version);
@@ -150,11 +190,25 @@
     };
     using Endpoints = std::map<std::string, Endpoint, std::less<>>;
 
+    /** @brief An endpoint that may be chosen. */
+    struct Candidate
+    {
+        Endpoint *endpoint = nullptr;
+        u64 prefill = 0;
+        Duration delay{};
+        Duration score{}; ///< delay with penalties
+        u64 rank = 0; ///< among equals
+    };
+
     [[nodiscard]] bool isEligible(const Endpoint &endpoint, const Need &need, TimePoint now) const;
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
-    [[nodiscard]] bool hasRoom(const Endpoint &endpoint, const Need &need) const;
+    [[nodiscard]] bool hasMemory(const Endpoint &endpoint, const Need &need) const;
     [[nodiscard]] bool bearsMore(Endpoint &endpoint, TimePoint now);
-    [[nodiscard]] placement::EndpointView viewOf(const Endpoint &endpoint, const Need &need) const;
+    [[nodiscard]] Choice choosePlain(const Need &need, TimePoint now);
+    [[nodiscard]] Choice choosePrompt(const Need &need, TimePoint now);
+    [[nodiscard]] Candidate candidateOf(Endpoint &endpoint, const Need &need, TimePoint now) const;
+    [[nodiscard]] Duration delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const;
+    [[nodiscard]] Duration referenceDelay(u64 tokens) const;
     [[nodiscard]] const ServiceLimits &limitsOf(const std::string &service) const;
     void eject(Endpoint &endpoint, TimePoint now) const;
     void dropIfDone(Endpoints::iterator endpoint);
@@ -164,7 +218,7 @@
     Endpoints m_endpoints;
     std::set<std::string, std::less<>> m_evacuated;
     std::map<std::string, ServiceLimits, std::less<>> m_limits;
-    placement::HomePolicy m_homes;
+    PeerLoads m_peers;
     placement::LeastLoadedPolicy m_leastLoaded;
 };
 
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -19,14 +19,6 @@
 /** How often old saves are swept out. */
 constexpr Duration SweepEvery = std::chrono::seconds(1);
 
-std::string keyOf(std::string_view salt, std::string_view id)
-{
-    std::string key(salt);
-    key += KeySeparator;
-    key += id;
-    return key;
-}
-
 bool anyIsSet(const std::vector<std::string> &addresses)
 {
     return std::any_of(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); });
@@ -39,6 +31,14 @@
     return model + SaltSeparator + std::to_string(version) + SaltSeparator + customer;
 }
 
+std::string partKey(std::string_view salt, std::string_view id)
+{
+    std::string key(salt);
+    key += KeySeparator;
+    key += id;
+    return key;
+}
+
 std::optional<Salt> parseSalt(std::string_view text)
 {
     const auto first = text.find(SaltSeparator);
@@ -88,7 +88,7 @@
 void PartIndex::noteStored(std::string_view store, std::string_view salt, std::string_view id, u64 tokens)
 {
     auto &held = m_held[std::string(store)];
-    auto &kept = held.parts[keyOf(salt, id)];
+    auto &kept = held.parts[partKey(salt, id)];
     held.tokens += tokens - kept;
     kept = tokens;
 }
@@ -99,7 +99,7 @@
     if (held == m_held.end()) {
         return;
     }
-    const auto part = held->second.parts.find(keyOf(salt, id));
+    const auto part = held->second.parts.find(partKey(salt, id));
     if (part != held->second.parts.end()) {
         held->second.tokens -= part->second;
         held->second.parts.erase(part);
@@ -122,7 +122,7 @@
     plan.saveTo.resize(parts.size());
     bool isPrefixKept = true;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        const auto key = keyOf(salt, parts[i].id);
+        const auto key = partKey(salt, parts[i].id);
         if (const auto *holder = holderOf(key, parts[i].tokens)) {
             // A part is of use only behind the parts before it.
             if (isPrefixKept) {
@@ -139,6 +139,11 @@
     return plan;
 }
 
+bool PartIndex::holds(std::string_view salt, const PromptPart &part) const
+{
+    return holderOf(partKey(salt, part.id), part.tokens) != nullptr;
+}
+
 PartsToFree PartIndex::outdated(std::string_view store, std::string_view model, u64 version, std::size_t most) const
 {
     PartsToFree out;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <tuple>
 
 namespace burdock::endpoints {
 
@@ -15,14 +17,28 @@
 constexpr double LatestWeight = 0.2;
 /** Requests before the average says anything. */
 constexpr u32 EnoughSamples = 5;
-/** Load of a home, in percent of the mean, from which requests go to the next one. */
-constexpr u32 BoundPercent = 150;
-/** Tokens of room that count as one unit of load in placement. */
-constexpr u64 TokensPerLoadUnit = 256;
+/** Weight of the latest delay in an engine's slowness, and the time after which half of what was learnt is forgotten. */
+constexpr double LatestDelayWeight = 0.08;
+constexpr Duration SlownessHalfLife = std::chrono::seconds(4);
+constexpr double LeastSlowness = 0.3;
+constexpr double MostSlowness = 20;
+/** How long the others' reports count. */
+constexpr Duration PeerReportsCount = std::chrono::milliseconds(1500);
+/** Share of an engine's memory that kept parts are guessed to take, in percent; the rest is taken by prompts under way. */
+constexpr u64 KeptPercent = 50;
+
+constexpr std::array<std::string_view, 4> NoChoiceNames{"none", "no_endpoint", "no_room", "too_slow"};
 
 bool isEnd(const Endpoint &endpoint)
 {
-    return endpoint.hasLeft && endpoint.running == 0;
+    return endpoint.hasLeft && endpoint.own.running == 0;
+}
+
+// What was learnt of an engine's pace fades, so that one which was slow for a time is tried again.
+double slownessNow(const Endpoint &endpoint, TimePoint now)
+{
+    const double halfLives = toMilliseconds(now - endpoint.slownessAt) / toMilliseconds(SlownessHalfLife);
+    return 1 + (endpoint.slowness - 1) * std::exp2(-halfLives);
 }
 
 } // namespace
@@ -32,9 +48,14 @@
     return OutcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
+std::string_view toString(NoChoice reason)
+{
+    return NoChoiceNames.at(static_cast<std::size_t>(reason));
+}
+
 EndpointTable::EndpointTable(const Policy &policy)
     : m_policy(policy)
-    , m_homes(placement::HomePolicyOptions{placement::LoadBound::Bounded, placement::HintUse::Ignore, BoundPercent})
+    , m_peers(PeerReportsCount)
 {
 }
 
@@ -54,6 +75,7 @@
         auto &known = endpoint.registration.weightVersions[model];
         known = std::max(known, version);
     }
+    endpoint.hash = hash::fast(registration.id);
     endpoint.hasLeft = false;
     if (registration.coldLeft > Duration::zero()) {
         endpoint.coldUntil = std::max(endpoint.coldUntil, now + registration.coldLeft);
@@ -93,61 +115,140 @@
 }
 
 Choice EndpointTable::choose(const Need &need, TimePoint now)
+{
+    return need.memory == 0 ? choosePlain(need, now) : choosePrompt(need, now);
+}
+
+Choice EndpointTable::choosePlain(const Need &need, TimePoint now)
 {
     std::vector<placement::EndpointView> views;
     std::vector<Endpoint *> behind;
     for (auto &[id, endpoint] : m_endpoints) {
         if (isEligible(endpoint, need, now)) {
-            views.push_back(viewOf(endpoint, need));
+            placement::EndpointView view;
+            view.id = endpoint.hash;
+            view.load = loadAt(endpoint).running;
+            view.limit = std::max<u32>(1, endpoint.registration.slots);
+            views.push_back(view);
             behind.push_back(&endpoint);
         }
     }
-    if (views.empty()) {
-        return {{}, NoChoice::NoEndpoint};
-    }
-    const placement::PlacementPolicy &policy = need.tokens > 0 ? static_cast<const placement::PlacementPolicy &>(m_homes) : m_leastLoaded;
-    const auto order = policy.order({need.home, 0, need.random}, views, static_cast<u32>(views.size()));
-    for (const u32 index : order) {
+    Choice choice;
+    choice.reason = views.empty() ? NoChoice::NoEndpoint : NoChoice::NoRoom;
+    for (const u32 index : m_leastLoaded.order({need.home, 0, need.random}, views, static_cast<u32>(views.size()))) {
         auto &endpoint = *behind[index];
-        if (hasRoom(endpoint, need) && bearsMore(endpoint, now)) {
-            return {endpoint.registration.id, NoChoice::None};
+        const u64 most = std::max<u64>(1, u64{endpoint.registration.slots} * m_policy.slotPercent / 100);
+        if (loadAt(endpoint).running < most && bearsMore(endpoint, now)) {
+            choice.id = endpoint.registration.id;
+            choice.reason = NoChoice::None;
+            return choice;
+        }
+    }
+    return choice;
+}
+
+// Where load is worst, prompts that wait behind others come too late, and so do those behind them. Counting what each engine
+// has still to read, over all entries, and letting in only what can begin in time keeps those in time that are let in.
+Choice EndpointTable::choosePrompt(const Need &need, TimePoint now)
+{
+    std::vector<Candidate> candidates;
+    bool isAnyEligible = false;
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (isEligible(endpoint, need, now)) {
+            isAnyEligible = true;
+            if (hasMemory(endpoint, need)) {
+                candidates.push_back(candidateOf(endpoint, need, now));
+            }
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tie(left.score, left.rank) < std::tie(right.score, right.rank);
+    });
+    Choice choice;
+    choice.reason = isAnyEligible ? NoChoice::NoRoom : NoChoice::NoEndpoint;
+    const auto longest = need.target * m_policy.admitPercent / 100;
+    for (const auto &candidate : candidates) {
+        if (need.target > Duration::zero() && candidate.delay > longest) {
+            choice.reason = NoChoice::TooSlow;
+            choice.expectedDelay = candidate.delay;
+            continue;
         }
+        if (bearsMore(*candidate.endpoint, now)) {
+            return {candidate.endpoint->registration.id, NoChoice::None, Work{need.memory, candidate.prefill}, candidate.delay};
+        }
+    }
+    return choice;
+}
+
+EndpointTable::Candidate EndpointTable::candidateOf(Endpoint &endpoint, const Need &need, TimePoint now) const
+{
+    Candidate candidate;
+    candidate.endpoint = &endpoint;
+    candidate.prefill = need.prefill(endpoint);
+    candidate.delay = delayAt(endpoint, loadAt(endpoint).pending + candidate.prefill, now);
+    candidate.score = candidate.delay;
+    const auto version = endpoint.registration.weightVersions.find(need.model);
+    if (version != endpoint.registration.weightVersions.end() && version->second < need.wantedVersion) {
+        candidate.score += m_policy.oldWeightsPenalty;
     }
-    return {{}, NoChoice::NoRoom};
+    candidate.rank = hash::fast(endpoint.registration.id, need.home);
+    return candidate;
+}
+
+Duration EndpointTable::delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const
+{
+    return fromMilliseconds(toMilliseconds(referenceDelay(tokens)) * slownessNow(endpoint, now));
 }
 
-void EndpointTable::noteSent(std::string_view id, u64 tokens, TimePoint now)
+Duration EndpointTable::referenceDelay(u64 tokens) const
+{
+    return m_policy.baseDelay + fromMilliseconds(static_cast<double>(tokens) * m_policy.delayPerTokenMs);
+}
+
+void EndpointTable::noteSent(std::string_view id, const Work &work, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
         return;
     }
     auto &endpoint = found->second;
-    ++endpoint.running;
-    endpoint.tokens += tokens;
+    endpoint.own += Load{1, work.memory, work.prefill};
     if (!endpoint.waitingSince) {
         endpoint.waitingSince = now;
     }
 }
 
+void EndpointTable::noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    auto &endpoint = found->second;
+    endpoint.own -= Load{0, 0, choice.work.prefill};
+    const double expectedAtReference = toMilliseconds(choice.expectedDelay) / slownessNow(endpoint, now);
+    const double seen = std::clamp(toMilliseconds(delay) / std::max(1.0, expectedAtReference), LeastSlowness, MostSlowness);
+    endpoint.slowness = slownessNow(endpoint, now) + LatestDelayWeight * (seen - slownessNow(endpoint, now));
+    endpoint.slownessAt = now;
+}
+
 void EndpointTable::noteHeard(std::string_view id, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found != m_endpoints.end()) {
         found->second.lastHeard = now;
-        found->second.waitingSince = found->second.running > 0 ? std::optional(now) : std::nullopt;
+        found->second.waitingSince = found->second.own.running > 0 ? std::optional(now) : std::nullopt;
     }
 }
 
-void EndpointTable::noteEnd(std::string_view id, u64 tokens, Outcome outcome, TimePoint now)
+void EndpointTable::noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
         return;
     }
     auto &endpoint = found->second;
-    endpoint.running -= std::min<u32>(1, endpoint.running);
-    endpoint.tokens -= std::min(tokens, endpoint.tokens);
+    endpoint.own -= Load{1, left.memory, left.prefill};
     const bool isFailure = outcome == Outcome::Failed || outcome == Outcome::Broken || outcome == Outcome::Unreachable;
     if (outcome == Outcome::Answered || isFailure || outcome == Outcome::Declined) {
         const double sample = isFailure ? 1.0 : 0.0;
@@ -157,9 +258,9 @@
     if (outcome == Outcome::Answered) {
         endpoint.lastEjection = Duration::zero();
     }
-    const bool fellSilent = endpoint.running == 0 && isSilent(endpoint, now);
+    const bool fellSilent = endpoint.own.running == 0 && isSilent(endpoint, now);
     const bool failsOften = endpoint.samples >= EnoughSamples && endpoint.failureShare > m_policy.failureShare;
-    if (endpoint.running == 0) {
+    if (endpoint.own.running == 0) {
         endpoint.waitingSince.reset();
     }
     if (outcome == Outcome::Unreachable || fellSilent || failsOften) {
@@ -168,6 +269,38 @@
     dropIfDone(found);
 }
 
+void EndpointTable::notePart(std::string_view id, const std::string &key, u64 tokens)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end()) {
+        const u64 capacity = limitsOf(found->second.registration.service).cacheTokens * KeptPercent / 100 / m_entries;
+        found->second.memory.note(key, tokens, capacity);
+    }
+}
+
+PeerLoads &EndpointTable::peers()
+{
+    return m_peers;
+}
+
+LoadsById EndpointTable::ownLoads() const
+{
+    LoadsById loads;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.own.running > 0) {
+            loads[endpoint.hash] = endpoint.own;
+        }
+    }
+    return loads;
+}
+
+Load EndpointTable::loadAt(const Endpoint &endpoint) const
+{
+    Load load = m_peers.at(endpoint.hash);
+    load += endpoint.own;
+    return load;
+}
+
 void EndpointTable::noteWeights(std::string_view id, std::string_view model, u64 version)
 {
     const auto found = m_endpoints.find(id);
@@ -215,16 +348,12 @@
     return endpoint.waitingSince && now - *endpoint.waitingSince > m_policy.silenceLimit;
 }
 
-bool EndpointTable::hasRoom(const Endpoint &endpoint, const Need &need) const
+bool EndpointTable::hasMemory(const Endpoint &endpoint, const Need &need) const
 {
-    if (need.tokens == 0) {
-        const u64 most = std::max<u64>(1, u64{endpoint.registration.slots} * m_policy.slotPercent / 100);
-        return endpoint.running + endpoint.othersRunning < most;
-    }
     const u64 memory = limitsOf(endpoint.registration.service).cacheTokens * m_policy.roomPercent / 100;
-    const u64 taken = endpoint.tokens + endpoint.othersTokens;
+    const u64 taken = loadAt(endpoint).memory;
     // A prompt over the whole room is let in alone, or it could never run.
-    return memory == 0 || taken == 0 || taken + need.tokens <= memory;
+    return memory == 0 || taken == 0 || taken + need.memory <= memory;
 }
 
 bool EndpointTable::bearsMore(Endpoint &endpoint, TimePoint now)
@@ -240,23 +369,6 @@
     return endpoint.coldBucket->tryTake(1.0, now);
 }
 
-placement::EndpointView EndpointTable::viewOf(const Endpoint &endpoint, const Need &need) const
-{
-    placement::EndpointView view;
-    const auto &registration = endpoint.registration;
-    view.id = hash::fast(registration.id);
-    if (need.tokens == 0) {
-        view.load = endpoint.running + endpoint.othersRunning;
-        view.limit = std::max<u32>(1, registration.slots);
-        return view;
-    }
-    view.load = static_cast<u32>((endpoint.tokens + endpoint.othersTokens) / TokensPerLoadUnit);
-    view.limit = static_cast<u32>(std::max<u64>(1, limitsOf(registration.service).cacheTokens / TokensPerLoadUnit / 2));
-    const auto version = registration.weightVersions.find(need.model);
-    view.isLastResort = version != registration.weightVersions.end() && version->second < need.wantedVersion;
-    return view;
-}
-
 const EndpointTable::ServiceLimits &EndpointTable::limitsOf(const std::string &service) const
 {
     static const ServiceLimits s_none;
--- a/lib/libburdock/source/weights/duty_lease.cpp
+++ b/lib/libburdock/source/weights/duty_lease.cpp
@@ -5,11 +5,11 @@
 namespace {
 
 /** Parts of the pause after which a holder renews, and for which it acts after a renewal. */
-constexpr int RenewalsPerPause = 3;
-constexpr int ActsPerPause = 2;
+constexpr int RenewalsPerPause = 12;
+constexpr int ActsPerPause = 5;
 
 /** Covers the time between a change of the record and its sight here. */
-constexpr Duration ObservationMargin = std::chrono::milliseconds(500);
+constexpr Duration ObservationMargin = std::chrono::milliseconds(300);
 
 } // namespace
 
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -38,6 +38,7 @@
     settings.callers = http::parseAddress(read.callers_listen());
     settings.readiness = http::parseAddress(read.readiness_listen());
     settings.metrics = http::parseAddress(read.metrics_listen());
+    settings.loads = http::parseAddress(read.load_listen());
     settings.grace = fromMilliseconds(read.grace_seconds() * 1000.0);
     settings.revocation = std::chrono::milliseconds(read.revocation_ms());
     settings.retryShare = read.retry_share();
