Leave out endpoints that decline, keep weights from going back, look for a lost store sooner

Cause: replicas that load weights declined 130 requests in two seconds, as they were tried again at once; a lagging report set a replica's weights back, so that it was ordered twice; a gateway cut from the store until 26.6 s read it again only at 28.3 s.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -22,10 +22,8 @@
 constexpr Duration RetryWhenFull = std::chrono::milliseconds(500);
 constexpr Duration RetryWhenNone = std::chrono::milliseconds(1000);
 constexpr Duration RetryWhenUnsure = std::chrono::milliseconds(700);
-/** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
-constexpr int KeyAgePercent = 85;
 /** What fetching a kept token costs, in percent of reading it. */
-constexpr u64 FetchPercent = 20;
+constexpr u64 FetchPercent = 60;
 /** Crashes under way at which a request is not run again. */
 constexpr u32 CrashesToRefuse = 3;
 constexpr u16 StatusOk = 200;
@@ -124,7 +122,7 @@
     if (m_route->isOpen || m_routes->configuration().customers.empty()) {
         return std::nullopt;
     }
-    if (!keyIsCurrent()) {
+    if (!m_state.keysAreCurrent(m_parts.clock.now(), m_settings)) {
         return Rejection{503, "keys_unconfirmed", RetryWhenUnsure};
     }
     m_customer = m_routes->customerOf(m_facts.apiKey);
@@ -134,15 +132,6 @@
     return std::nullopt;
 }
 
-// Guards against a key that was taken away while this gateway is cut off from the platform: it shows as requests that run long
-// after the revocation. Refusing keys once the configuration is older than the revocation may take holds, as the age counts from
-// before the read that confirmed it, on a clock that counts the time of a suspended VM.
-bool CallDriver::keyIsCurrent() const
-{
-    const auto age = m_parts.clock.now() - m_state.configurationAsOf;
-    return age < m_settings.revocation * KeyAgePercent / 100;
-}
-
 boost::asio::awaitable<void> CallDriver::offerUntilDone()
 {
     Attempt last;
@@ -160,7 +149,7 @@
             co_await finish(step, last);
             co_return;
         }
-        if (m_customer != nullptr && !keyIsCurrent()) {
+        if (m_customer != nullptr && !m_state.keysAreCurrent(m_parts.clock.now(), m_settings)) {
             const Rejection rejection{503, "keys_unconfirmed", RetryWhenUnsure};
             co_await reject(rejection);
             co_return;
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -57,7 +57,6 @@
     [[nodiscard]] boost::asio::awaitable<void> reject(const Rejection &rejection);
     void learn(const std::string &id, const AnswerFacts &facts);
     void release(const std::string &id, const AnswerFacts &facts);
-    [[nodiscard]] bool keyIsCurrent() const;
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] Duration waited() const;
     void noteAnswered();
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -159,7 +159,7 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return m_state.routes && m_state.hasEndpoints && !m_state.isDraining;
+        return m_state.routes && m_state.hasEndpoints && !m_state.isDraining && m_state.keysAreCurrent(m_parts.clock.now(), m_settings);
     }
 
     [[nodiscard]] http::Response readiness() const
--- a/lib/libburdock-gateway/source/kind_watcher.cpp
+++ b/lib/libburdock-gateway/source/kind_watcher.cpp
@@ -13,7 +13,7 @@
 
 /** Pause after a failed call; doubles with each further one. */
 constexpr Duration FirstPause = std::chrono::milliseconds(100);
-constexpr Duration LongestPause = std::chrono::milliseconds(800);
+constexpr Duration LongestPause = std::chrono::milliseconds(250);
 constexpr u32 MostDoublings = 3;
 /** Failures in a row after which the whole list is read again. */
 constexpr u32 FailuresToRelist = 8;
@@ -66,7 +66,9 @@
 {
     while (m_failures < FailuresToRelist) {
         const auto started = m_parts.clock.now();
-        const auto changes = co_await m_parts.store.watch(m_kind, m_revision, m_wait);
+        // After a failure the answer matters, not the wait.
+        const auto wait = m_failures > 0 ? Duration::zero() : m_wait;
+        const auto changes = co_await m_parts.store.watch(m_kind, m_revision, wait);
         if (changes.answer == StoreAnswer::Absent) {
             m_parts.logger.event(runtime::LogLevel::Info, "history_gone", {{"kind", toString(m_kind)}, {"revision", m_revision}});
             co_return;
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t SuspectCapacity = 4096;
 /** Part of the retries allowed over all entries that is handed out; entries may join before all know of them. */
 constexpr double BudgetUse = 0.7;
+/** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
+constexpr int KeyAgePercent = 85;
 constexpr double Percent = 100.0;
 
 } // namespace
@@ -45,6 +47,14 @@
     budgets.clear();
 }
 
+// Guards against a key that was taken away while this gateway is cut off from the platform: it shows as requests that run long
+// after the revocation. Refusing keys once the configuration is older than the revocation may take holds, as the age counts from
+// before the read that confirmed it, on a clock that counts the time of a suspended VM.
+bool State::keysAreCurrent(TimePoint now, const GatewaySettings &settings) const
+{
+    return now - configurationAsOf < settings.revocation * KeyAgePercent / 100;
+}
+
 u64 State::wantedVersion(std::string_view model) const
 {
     const auto found = weights.find(model);
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -29,6 +29,9 @@
     /** @brief Sets among how many entries sums over all of them are shared. */
     void setEntryCount(u32 count);
 
+    /** @brief Whether keys of the configuration may be relied on. */
+    [[nodiscard]] bool keysAreCurrent(TimePoint now, const GatewaySettings &settings) const;
+
     /** @brief The weights that new requests of a model should get; zero if none were named. */
     [[nodiscard]] u64 wantedVersion(std::string_view model) const;
 
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -55,6 +55,8 @@
     /** First time for which an endpoint that failed is left out; doubles with each further one. */
     Duration firstEjection = std::chrono::milliseconds(500);
     Duration longestEjection = std::chrono::seconds(8);
+    /** Time for which an endpoint that declined a request is left out: it is full, or loads weights. */
+    Duration declinePause = std::chrono::milliseconds(250);
     /** Share of failed requests above which an endpoint is left out, of the latest ones. */
     double failureShare = 0.5;
     /** Time to the first event of a prompt at an idle engine of reference pace, and for each prompt token that it reads. */
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -266,6 +266,9 @@
     if (outcome == Outcome::Unreachable || fellSilent || failsOften) {
         eject(endpoint, now);
     }
+    if (outcome == Outcome::Declined) {
+        endpoint.ejectedUntil = std::max(endpoint.ejectedUntil, now + m_policy.declinePause);
+    }
     dropIfDone(found);
 }
 
@@ -305,7 +308,9 @@
 {
     const auto found = m_endpoints.find(id);
     if (found != m_endpoints.end()) {
-        found->second.registration.weightVersions[std::string(model)] = version;
+        // Weights never go back while an endpoint runs, but its reports lag behind its answers.
+        auto &known = found->second.registration.weightVersions[std::string(model)];
+        known = std::max(known, version);
     }
 }
 
