--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -25,6 +25,7 @@
     Duration revocation = std::chrono::seconds(5); ///< time within which a key that was taken away must be refused
     double retryShare = 0.2; ///< retries of a service, over all entries, as a share of its requests
     u32 retrySlack = 50; ///< retries beyond that share, over all entries
+    Duration weightBound = std::chrono::seconds(12); ///< after which requests must not begin on weights older than named
     Duration orderPause = std::chrono::seconds(3); ///< between orders of two holders of a duty
 };
 
--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -136,7 +136,7 @@
     for (const auto &[model, wanted] : m_state.weights) {
         const auto isOld = [&model = model, &wanted = wanted](const auto &entry) {
             const auto version = entry.second.registration.weightVersions.find(model);
-            return version != entry.second.registration.weightVersions.end() && version->second < wanted.version;
+            return version != entry.second.registration.weightVersions.end() && version->second < wanted.wanted();
         };
         const auto &all = m_state.endpoints.all();
         if (std::any_of(all.begin(), all.end(), isOld)) {
@@ -144,7 +144,7 @@
             continue;
         }
         const auto since = m_settledSince.try_emplace(model, now).first->second;
-        const auto parts = m_state.parts.outdated(m_store, model, wanted.version, FreeAtMost);
+        const auto parts = m_state.parts.outdated(m_store, model, wanted.wanted(), FreeAtMost);
         if (now - since < SettleTime || parts.parts.empty()) {
             continue;
         }
@@ -158,7 +158,7 @@
         m_parts.logger.event(LogLevel::Info, "cache_freed",
                              {{"store", m_store},
                               {"model", model},
-                              {"older_than", wanted.version},
+                              {"older_than", wanted.wanted()},
                               {"parts", u64{parts.parts.size()}},
                               {"status", u64{result.progress == http::Progress::Answered ? result.response.status : u16{0}}}});
         co_return;
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -22,6 +22,8 @@
 constexpr Duration RetryWhenFull = std::chrono::milliseconds(500);
 constexpr Duration RetryWhenNone = std::chrono::milliseconds(1000);
 constexpr Duration RetryWhenUnsure = std::chrono::milliseconds(700);
+/** When callers should come back that another gateway can serve at once. */
+constexpr Duration RetryElsewhere = std::chrono::milliseconds(20);
 /** What fetching a kept token costs, in percent of reading it. */
 constexpr u64 FetchPercent = 60;
 /** Crashes under way at which a request is not run again. */
@@ -80,6 +82,9 @@
 
 std::optional<CallDriver::Rejection> CallDriver::check()
 {
+    if (m_state.isDraining && m_arrived > m_state.lastCallUntil) {
+        return Rejection{503, "leaving", RetryElsewhere};
+    }
     if (!m_routes) {
         return Rejection{503, "no_configuration", RetryWhenUnsure};
     }
@@ -180,6 +185,7 @@
     need.target = m_route->isPrompt ? m_route->target : Duration::zero();
     need.model = m_facts.model;
     need.wantedVersion = m_state.wantedVersion(m_facts.model);
+    need.oldestVersion = m_state.oldestVersion(m_facts.model, m_parts.clock.now(), m_settings);
     need.tried = m_tried;
     return need;
 }
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -26,7 +26,7 @@
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(1500);
 constexpr Duration EndpointWait = std::chrono::milliseconds(1500);
 constexpr Duration EvacuationWait = std::chrono::milliseconds(3000);
-constexpr Duration WeightWait = std::chrono::milliseconds(5000);
+constexpr Duration WeightWait = std::chrono::milliseconds(1500);
 /** How often the list of entries is read. */
 constexpr Duration EntryListPeriod = std::chrono::seconds(5);
 constexpr Duration FirstEntryListPeriod = std::chrono::seconds(1);
@@ -44,6 +44,8 @@
 constexpr u16 StatusNotFound = 404;
 constexpr u16 StatusUnavailable = 503;
 
+/** Age of weights that were named before the process started. */
+constexpr Duration AssumedAgeAtStart = std::chrono::seconds(5);
 constexpr const char *LoadAddressField = "load_address";
 
 std::string addressText(const http::Address &address)
@@ -114,6 +116,7 @@
     {
         if (!m_state.isDraining) {
             m_state.isDraining = true;
+            m_state.lastCallUntil = m_parts.clock.now() + LameDuck;
             m_callers.closeAfterAnswers();
             spawn(drainAndStop());
         }
@@ -337,7 +340,12 @@
                 takeWeights(item);
             }
         };
-        return {takeAll, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); }, nullptr};
+        const auto takeList = [this, takeAll](const std::vector<StoredObject> &items) {
+            takeAll(items);
+            m_hasWeights = true;
+        };
+        return {takeList, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
+                [this](TimePoint asOf) { m_weightsAsOf = std::max(m_weightsAsOf, asOf); }};
     }
 
     void takeWeights(const StoredObject &object)
@@ -347,9 +355,10 @@
             m_parts.logger.event(LogLevel::Error, "weights_unreadable", {{"name", object.name}, {"revision", object.revision}});
             return;
         }
-        auto &wanted = m_state.weights[named->model];
-        if (named->version > wanted.version) {
-            wanted = WantedWeights{named->version, m_parts.clock.now()};
+        // Counted from when it was known last that nothing newer was named, as a process that was frozen or cut off hears late.
+        // What was named before this process ran has been so for some time; how long, nobody says.
+        const auto since = m_hasWeights ? m_weightsAsOf : m_parts.clock.now() - AssumedAgeAtStart;
+        if (m_state.weights[named->model].note(named->version, since)) {
             m_parts.logger.event(LogLevel::Info, "weights_named", {{"model", named->model}, {"version", named->version}});
         }
     }
@@ -425,6 +434,8 @@
     ConnectionPool m_pool;
     WeightDuty m_weightDuty;
     LoadExchange m_loads;
+    bool m_hasWeights = false; ///< the list of named weights came
+    TimePoint m_weightsAsOf{}; ///< all weights that were named before are known
     std::set<std::string, std::less<>> m_evacuated;
     std::set<std::string> m_followed;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -15,6 +15,8 @@
 constexpr double BudgetUse = 0.7;
 /** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
 constexpr int KeyAgePercent = 85;
+/** Part of the time for new weights after which older ones are not used any more, in percent. */
+constexpr int WeightBoundPercent = 92;
 constexpr double Percent = 100.0;
 
 } // namespace
@@ -58,7 +60,13 @@
 u64 State::wantedVersion(std::string_view model) const
 {
     const auto found = weights.find(model);
-    return found == weights.end() ? 0 : found->second.version;
+    return found == weights.end() ? 0 : found->second.wanted();
+}
+
+u64 State::oldestVersion(std::string_view model, TimePoint now, const GatewaySettings &settings) const
+{
+    const auto found = weights.find(model);
+    return found == weights.end() ? 0 : found->second.oldestAllowed(settings.weightBound * WeightBoundPercent / 100, now);
 }
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -4,6 +4,7 @@
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/retry/retry_budget.hpp>
 #include <burdock/routing/route_table.hpp>
+#include <burdock/weights/named_weights.hpp>
 
 #include <map>
 #include <memory>
@@ -11,13 +12,6 @@
 
 namespace burdock::gateway {
 
-/** @brief The newest weights of a model, and since when they are known here. */
-struct WantedWeights
-{
-    u64 version = 0;
-    TimePoint knownSince{};
-};
-
 /** @brief What one gateway knows; read and changed on the one thread of its context. */
 struct State
 {
@@ -35,12 +29,15 @@
     /** @brief The weights that new requests of a model should get; zero if none were named. */
     [[nodiscard]] u64 wantedVersion(std::string_view model) const;
 
+    /** @brief The oldest weights of a model on which requests may begin now. */
+    [[nodiscard]] u64 oldestVersion(std::string_view model, TimePoint now, const GatewaySettings &settings) const;
+
     std::shared_ptr<const routing::RouteTable> routes; ///< null until a configuration came; shared with requests under way
     /** When the configuration was last known to be the newest: the start of the read that showed it. */
     TimePoint configurationAsOf{};
     endpoints::EndpointTable endpoints;
     cache::PartIndex parts;
-    std::map<std::string, WantedWeights, std::less<>> weights;
+    std::map<std::string, weights::NamedWeights, std::less<>> weights;
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
     retry::Quarantine quarantine;
     std::vector<std::string> entries; ///< names of the entries that registered
@@ -48,6 +45,7 @@
     u32 underWay = 0; ///< requests
     bool hasEndpoints = false; ///< a list of endpoints came
     bool isDraining = false;
+    TimePoint lastCallUntil{}; ///< while draining: requests that come later may not end in time
 };
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -17,14 +17,14 @@
 using runtime::LogLevel;
 
 /** How often the duty is looked at, with and without something to do. */
-constexpr Duration BusyPeriod = std::chrono::milliseconds(150);
+constexpr Duration BusyPeriod = std::chrono::milliseconds(100);
 constexpr Duration IdlePeriod = std::chrono::milliseconds(300);
 /** How often others than the holder read the lease while there is something to do. */
-constexpr Duration LeaseReadPeriod = std::chrono::milliseconds(1000);
+constexpr Duration LeaseReadPeriod = std::chrono::milliseconds(400);
 /** Time after which a replica without the ordered weights is ordered again. */
 constexpr Duration OrderAgainAfter = std::chrono::milliseconds(4000);
 /** How often replicas that load weights are asked how far they are. */
-constexpr Duration LookPeriod = std::chrono::milliseconds(400);
+constexpr Duration LookPeriod = std::chrono::milliseconds(150);
 constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 constexpr const char *LeaseName = "weights";
 
@@ -86,7 +86,7 @@
 {
     for (const auto &[model, wanted] : m_state.weights) {
         for (const auto &replica : replicasOf(model)) {
-            if (replica.version < wanted.version) {
+            if (replica.version < wanted.wanted()) {
                 return true;
             }
         }
@@ -158,10 +158,10 @@
                 boost::asio::co_spawn(m_parts.context, look(id), boost::asio::detached);
             }
         }
-        for (const auto &id : rollout.due(wanted.version, replicasOf(model), now)) {
-            rollout.noteOrdered(id, wanted.version, now);
+        for (const auto &id : rollout.due(wanted.wanted(), replicasOf(model), now)) {
+            rollout.noteOrdered(id, wanted.wanted(), now);
             const auto *endpoint = m_state.endpoints.find(id);
-            boost::asio::co_spawn(m_parts.context, order(id, endpoint->registration.address, model, wanted.version), boost::asio::detached);
+            boost::asio::co_spawn(m_parts.context, order(id, endpoint->registration.address, model, wanted.wanted()), boost::asio::detached);
         }
     }
 }
--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -227,6 +227,7 @@
     checkLogLevel(settings.log_level(), faults);
     require(settings.grace_seconds() >= MinGraceSeconds, "$.grace_seconds", "must be at least 1", faults);
     require(settings.revocation_ms() >= MinBoundMs, "$.revocation_ms", "must be at least 100", faults);
+    require(settings.weights_ms() >= MinBoundMs, "$.weights_ms", "must be at least 100", faults);
     require(settings.order_pause_ms() >= MinBoundMs, "$.order_pause_ms", "must be at least 100", faults);
     require(settings.retry_share() >= 0 && settings.retry_share() <= 1, "$.retry_share", "must be from 0 to 1", faults);
 }
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -87,6 +87,7 @@
     std::function<u64(const Endpoint &)> prefill; ///< prompt tokens that an engine would have to read; for prompts
     std::string_view model;
     u64 wantedVersion = 0; ///< newest weights of the model
+    u64 oldestVersion = 0; ///< endpoints with older weights must not begin the request
     Duration target{}; ///< in which the caller wants the first event; zero for no bound
     std::set<std::string, std::less<>> tried;
 };
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -342,7 +342,9 @@
     if (m_evacuated.count(registration.zone) > 0 || need.tried.count(registration.id) > 0) {
         return false;
     }
-    return now >= endpoint.ejectedUntil && !isSilent(endpoint, now);
+    const auto version = registration.weightVersions.find(need.model);
+    const bool isOutdated = version != registration.weightVersions.end() && version->second < need.oldestVersion;
+    return now >= endpoint.ejectedUntil && !isOutdated && !isSilent(endpoint, now);
 }
 
 // Guards against an endpoint that went dark with its connections open: it shows as silence while requests are under way, on all
--- /dev/null
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -0,0 +1,40 @@
+#include <burdock/weights/named_weights.hpp>
+
+namespace burdock::weights {
+
+namespace {
+
+/** Versions that are remembered; the oldest bind no one any more. */
+constexpr std::size_t MaxRemembered = 16;
+
+} // namespace
+
+bool NamedWeights::note(u64 version, TimePoint since)
+{
+    if (version <= wanted()) {
+        return false;
+    }
+    m_named.push_back({version, since});
+    if (m_named.size() > MaxRemembered) {
+        m_named.erase(m_named.begin());
+    }
+    return true;
+}
+
+u64 NamedWeights::wanted() const
+{
+    return m_named.empty() ? 0 : m_named.back().version;
+}
+
+u64 NamedWeights::oldestAllowed(Duration bound, TimePoint now) const
+{
+    u64 oldest = 0;
+    for (const auto &named : m_named) {
+        if (now - named.since >= bound) {
+            oldest = named.version;
+        }
+    }
+    return oldest;
+}
+
+} // namespace burdock::weights
--- a/lib/libburdock/source/weights/weight_rollout.cpp
+++ b/lib/libburdock/source/weights/weight_rollout.cpp
@@ -1,6 +1,7 @@
 #include <burdock/weights/weight_rollout.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace burdock::weights {
 
@@ -8,6 +9,8 @@
 
 /** Share of the replicas that load at once, in percent. */
 constexpr std::size_t AtOncePercent = 19;
+/** Replicas that may always load at once, if as many others serve on. */
+constexpr std::size_t AlwaysAtOnce = 2;
 /** Pause before a replica that refused an order is asked again. */
 constexpr Duration RefusedPause = std::chrono::milliseconds(400);
 
@@ -33,7 +36,10 @@
             old.push_back(replica);
         }
     }
-    std::stable_sort(old.begin(), old.end(), [](const auto &left, const auto &right) { return left.load < right.load; });
+    // The oldest first, as they are the next that no request may begin on.
+    std::stable_sort(old.begin(), old.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.version, left.load) < std::tie(right.version, right.load);
+    });
     const auto loading = static_cast<std::size_t>(
         std::count_if(m_orders.begin(), m_orders.end(), [](const auto &entry) { return !entry.second.isRefused; }));
     const std::size_t most = atOnce(replicas.size());
@@ -72,7 +78,8 @@
 
 std::size_t WeightRollout::atOnce(std::size_t replicas)
 {
-    return std::max<std::size_t>(1, replicas * AtOncePercent / 100);
+    const std::size_t most = std::max<std::size_t>(1, replicas / 2);
+    return std::min(most, std::max(AlwaysAtOnce, replicas * AtOncePercent / 100));
 }
 
 } // namespace burdock::weights
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -43,6 +43,7 @@
     settings.revocation = std::chrono::milliseconds(read.revocation_ms());
     settings.retryShare = read.retry_share();
     settings.retrySlack = read.retry_slack();
+    settings.weightBound = std::chrono::milliseconds(read.weights_ms());
     settings.orderPause = std::chrono::milliseconds(read.order_pause_ms());
     return settings;
 }
