Order the next replicas while others load weights

Cause: a replica ends its runs for up to two seconds before it loads for 1.3 s, and its slot was taken all the while.

--- a/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
@@ -66,6 +66,7 @@
 {
     bool isBusy = false; ///< an order is being carried out
     u64 ordersTaken = 0;
+    u64 running = 0; ///< requests
     std::map<std::string, u64, std::less<>> weightVersions;
 };
 
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -155,7 +155,7 @@
         if (looks) {
             m_lookedAt = now;
             for (const auto &id : rollout.underWay()) {
-                boost::asio::co_spawn(m_parts.context, look(id), boost::asio::detached);
+                boost::asio::co_spawn(m_parts.context, look(id, model), boost::asio::detached);
             }
         }
         for (const auto &id : rollout.due(wanted.wanted(), replicasOf(model), now)) {
@@ -215,12 +215,16 @@
     co_return state;
 }
 
-boost::asio::awaitable<void> WeightDuty::look(std::string id)
+boost::asio::awaitable<void> WeightDuty::look(std::string id, std::string model)
 {
     const auto *endpoint = m_state.endpoints.find(id);
-    if (endpoint != nullptr) {
-        const std::string address = endpoint->registration.address;
-        static_cast<void>(co_await report(id, address));
+    if (endpoint == nullptr) {
+        co_return;
+    }
+    const std::string address = endpoint->registration.address;
+    const auto state = co_await report(id, address);
+    if (state && state->isBusy && state->running == 0) {
+        m_rollouts.at(model).noteLoading(id);
     }
 }
 
--- a/lib/libburdock-gateway/source/weight_duty.hpp
+++ b/lib/libburdock-gateway/source/weight_duty.hpp
@@ -26,7 +26,7 @@
     void orderDue();
     [[nodiscard]] boost::asio::awaitable<void> order(std::string id, std::string address, std::string model, u64 version);
     [[nodiscard]] boost::asio::awaitable<std::optional<EngineReport>> report(const std::string &id, const std::string &address);
-    [[nodiscard]] boost::asio::awaitable<void> look(std::string id);
+    [[nodiscard]] boost::asio::awaitable<void> look(std::string id, std::string model);
     void noteHolding();
 
     const GatewayParts &m_parts;
--- a/lib/libburdock/include/burdock/weights/weight_rollout.hpp
+++ b/lib/libburdock/include/burdock/weights/weight_rollout.hpp
@@ -33,6 +33,9 @@
 
     void noteOrdered(std::string_view id, u64 version, TimePoint now);
 
+    /** @brief Takes note that a replica has ended its runs and loads. */
+    void noteLoading(std::string_view id);
+
     /** @brief Takes note that an order came to nothing; the replica may be ordered again after a moment. */
     void noteRefused(std::string_view id, TimePoint now);
 
@@ -42,12 +45,16 @@
     /** @brief How many replicas of so many load at once. */
     [[nodiscard]] static std::size_t atOnce(std::size_t replicas);
 
+    /** @brief How many replicas of so many are under order at once; those beyond atOnce() end their runs meanwhile. */
+    [[nodiscard]] static std::size_t underOrderAtOnce(std::size_t replicas);
+
 private:
     struct Order
     {
         u64 version = 0;
         TimePoint since{};
         bool isRefused = false;
+        bool isLoading = false;
     };
 
     Duration m_askAgainAfter;
--- a/lib/libburdock/source/weights/weight_rollout.cpp
+++ b/lib/libburdock/source/weights/weight_rollout.cpp
@@ -40,12 +40,18 @@
     std::stable_sort(old.begin(), old.end(), [](const auto &left, const auto &right) {
         return std::tie(left.version, left.load) < std::tie(right.version, right.load);
     });
-    const auto loading = static_cast<std::size_t>(
-        std::count_if(m_orders.begin(), m_orders.end(), [](const auto &entry) { return !entry.second.isRefused; }));
-    const std::size_t most = atOnce(replicas.size());
+    const std::size_t most = underOrderAtOnce(replicas.size());
+    const std::size_t mostWaiting = atOnce(replicas.size());
+    std::size_t loading = 0;
+    std::size_t waiting = 0;
+    for (const auto &[id, order] : m_orders) {
+        loading += order.isLoading && !order.isRefused ? 1 : 0;
+        waiting += order.isLoading || order.isRefused ? 0 : 1;
+    }
     std::vector<std::string> ids;
     for (const auto &replica : old) {
-        if (loading + ids.size() >= most) {
+        const bool hasRoom = loading + waiting + ids.size() < most && waiting + ids.size() < mostWaiting;
+        if (!hasRoom) {
             break;
         }
         ids.push_back(replica.id);
@@ -55,7 +61,15 @@
 
 void WeightRollout::noteOrdered(std::string_view id, u64 version, TimePoint now)
 {
-    m_orders[std::string(id)] = Order{version, now, false};
+    m_orders[std::string(id)] = Order{version, now, false, false};
+}
+
+void WeightRollout::noteLoading(std::string_view id)
+{
+    const auto order = m_orders.find(id);
+    if (order != m_orders.end()) {
+        order->second.isLoading = true;
+    }
 }
 
 void WeightRollout::noteRefused(std::string_view id, TimePoint now)
@@ -82,4 +96,11 @@
     return std::min(most, std::max(AlwaysAtOnce, replicas * AtOncePercent / 100));
 }
 
+std::size_t WeightRollout::underOrderAtOnce(std::size_t replicas)
+{
+    const std::size_t most = std::max<std::size_t>(1, replicas / 2);
+    const std::size_t loading = atOnce(replicas);
+    return std::min(most, loading + (loading + 1) / 2);
+}
+
 } // namespace burdock::weights
