--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -30,7 +30,8 @@
 
 boost::json::value toJson(const weights::LeaseRecord &record)
 {
-    return {{"vm", record.vm}, {"boot", record.boot}, {"token", record.token}, {"beat", record.beat}};
+    boost::json::array subjects(record.subjects.begin(), record.subjects.end());
+    return {{"vm", record.vm}, {"boot", record.boot}, {"token", record.token}, {"beat", record.beat}, {"subjects", std::move(subjects)}};
 }
 
 std::optional<weights::LeaseRecord> leaseFrom(const boost::json::value &spec)
@@ -39,8 +40,14 @@
     if (object == nullptr || clients::textOf(*object, "vm").empty()) {
         return std::nullopt;
     }
-    return weights::LeaseRecord{clients::textOf(*object, "vm"), clients::numberOf(*object, "boot"), clients::numberOf(*object, "token"),
-                                clients::numberOf(*object, "beat")};
+    weights::LeaseRecord record{clients::textOf(*object, "vm"), clients::numberOf(*object, "boot"), clients::numberOf(*object, "token"),
+                                clients::numberOf(*object, "beat"), {}};
+    for (const auto &subject : clients::arrayOf(*object, "subjects")) {
+        if (const auto *text = subject.if_string()) {
+            record.subjects.emplace(*text);
+        }
+    }
+    return record;
 }
 
 } // namespace
@@ -60,10 +67,12 @@
             co_await runtime::sleepFor(IdlePeriod);
             continue;
         }
-        co_await keepLease();
+        const auto due = dueOrders();
+        co_await keepLease(due);
         noteHolding();
         if (m_isHolding) {
-            orderDue();
+            lookAtOrdered();
+            giveOrders(due);
         }
         co_await runtime::sleepFor(BusyPeriod);
     }
@@ -94,13 +103,17 @@
     return false;
 }
 
-boost::asio::awaitable<void> WeightDuty::keepLease()
+boost::asio::awaitable<void> WeightDuty::keepLease(const std::vector<DueOrder> &due)
 {
+    std::vector<std::string> subjects;
+    for (const auto &order : due) {
+        subjects.push_back(order.endpoint);
+    }
     const auto now = m_parts.clock.now();
     if (!m_lease.mayAct(now) && now - m_leaseReadAt >= LeaseReadPeriod) {
         co_await readLease();
     }
-    const auto write = m_lease.due(m_parts.clock.now());
+    const auto write = m_lease.due(subjects, m_parts.clock.now());
     if (write) {
         co_await writeLease(*write);
     }
@@ -146,22 +159,47 @@
     }
 }
 
-void WeightDuty::orderDue()
+std::vector<WeightDuty::DueOrder> WeightDuty::dueOrders()
 {
     const auto now = m_parts.clock.now();
-    const bool looks = now - m_lookedAt >= LookPeriod;
-    for (const auto &[model, wanted] : m_state.weights) {
+    std::vector<DueOrder> orders;
+    for (const auto &[model, named] : m_state.weights) {
         auto &rollout = m_rollouts.try_emplace(model, OrderAgainAfter).first->second;
-        if (looks) {
-            m_lookedAt = now;
-            for (const auto &id : rollout.underWay()) {
-                boost::asio::co_spawn(m_parts.context, look(id, model), boost::asio::detached);
+        auto replicas = replicasOf(model);
+        for (const auto &id : rollout.due(named.wanted(), replicas, now)) {
+            if (!m_lease.isBlocked(id, now)) {
+                orders.push_back({id, model, named.wanted()});
             }
         }
-        for (const auto &id : rollout.due(wanted.wanted(), replicasOf(model), now)) {
-            rollout.noteOrdered(id, wanted.wanted(), now);
-            const auto *endpoint = m_state.endpoints.find(id);
-            boost::asio::co_spawn(m_parts.context, order(id, endpoint->registration.address, model, wanted.wanted()), boost::asio::detached);
+    }
+    return orders;
+}
+
+void WeightDuty::giveOrders(const std::vector<DueOrder> &due)
+{
+    const auto now = m_parts.clock.now();
+    for (const auto &order : due) {
+        const auto *endpoint = m_state.endpoints.find(order.endpoint);
+        if (endpoint == nullptr || !m_lease.mayActOn(order.endpoint, now)) {
+            continue;
+        }
+        m_lease.noteAct(order.endpoint, now);
+        m_rollouts.at(order.model).noteOrdered(order.endpoint, order.version, now);
+        auto work = this->order(order.endpoint, endpoint->registration.address, order.model, order.version);
+        boost::asio::co_spawn(m_parts.context, std::move(work), boost::asio::detached);
+    }
+}
+
+void WeightDuty::lookAtOrdered()
+{
+    const auto now = m_parts.clock.now();
+    if (now - m_lookedAt < LookPeriod) {
+        return;
+    }
+    m_lookedAt = now;
+    for (const auto &[model, rollout] : m_rollouts) {
+        for (const auto &id : rollout.underWay()) {
+            boost::asio::co_spawn(m_parts.context, look(id, model), boost::asio::detached);
         }
     }
 }
@@ -174,7 +212,7 @@
         rollout.noteRefused(id, m_parts.clock.now());
         co_return;
     }
-    if (!m_lease.mayAct(m_parts.clock.now())) {
+    if (!m_lease.mayActOn(id, m_parts.clock.now())) {
         rollout.noteRefused(id, m_parts.clock.now());
         co_return;
     }
--- a/lib/libburdock-gateway/source/weight_duty.hpp
+++ b/lib/libburdock-gateway/source/weight_duty.hpp
@@ -18,12 +18,22 @@
     [[nodiscard]] boost::asio::awaitable<void> run();
 
 private:
+    /** @brief An order that it is time for. */
+    struct DueOrder
+    {
+        std::string endpoint;
+        std::string model;
+        u64 version = 0;
+    };
+
     [[nodiscard]] std::vector<weights::ReplicaWeights> replicasOf(std::string_view model) const;
     [[nodiscard]] bool isWanted() const;
-    [[nodiscard]] boost::asio::awaitable<void> keepLease();
+    [[nodiscard]] boost::asio::awaitable<void> keepLease(const std::vector<DueOrder> &due);
     [[nodiscard]] boost::asio::awaitable<void> readLease();
     [[nodiscard]] boost::asio::awaitable<void> writeLease(const weights::DutyLease::Write &write);
-    void orderDue();
+    [[nodiscard]] std::vector<DueOrder> dueOrders();
+    void giveOrders(const std::vector<DueOrder> &due);
+    void lookAtOrdered();
     [[nodiscard]] boost::asio::awaitable<void> order(std::string id, std::string address, std::string model, u64 version);
     [[nodiscard]] boost::asio::awaitable<std::optional<EngineReport>> report(const std::string &id, const std::string &address);
     [[nodiscard]] boost::asio::awaitable<void> look(std::string id, std::string model);
--- a/lib/libburdock/include/burdock/weights/duty_lease.hpp
+++ b/lib/libburdock/include/burdock/weights/duty_lease.hpp
@@ -2,8 +2,11 @@
 
 #include <burdock/types.hpp>
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace burdock::weights {
 
@@ -14,14 +17,16 @@
     u64 boot = 0; ///< of the holding process
     u64 token = 0; ///< fencing number, rises with each holder
     u64 beat = 0; ///< rises with each renewal
+    std::set<std::string> subjects; ///< on which its holder acts or acted a short while ago
 };
 
 /**
  * @brief Decides when one process may take, renew and act under the lease of a duty. Not thread-safe.
  *
- * Needs no synchronized clocks. A holder acts only for a short time after the start of its last acknowledged write; others take
- * the lease only after the record stood still for longer than that on their own clock, plus the pause that must lie between
- * two holders. So a holder that was paused, or whose write is carried out late, never acts beside its successor.
+ * Needs no synchronized clocks. A holder acts only for a short time after the start of its last acknowledged write, and only on
+ * subjects that this write named. Others take the lease once the record stood still for longer than that on their own clock; the
+ * subjects that it named they leave alone for the pause that must lie between the acts of two holders. So a holder that was
+ * paused, or whose write is carried out late, never acts beside its successor, and its loss holds up little.
  * The clock must count the time in which the VM was suspended.
  */
 class DutyLease
@@ -40,19 +45,32 @@
         std::optional<u64> revision; ///< that the record must still have; none if it must not exist
     };
 
-    /** @brief The write that takes or renews the lease, if it is time for one. */
-    [[nodiscard]] std::optional<Write> due(TimePoint now) const;
+    /**
+     * @brief The write that takes or renews the lease, if it is time for one.
+     * @param subjects on which this process means to act next
+     */
+    [[nodiscard]] std::optional<Write> due(const std::vector<std::string> &subjects, TimePoint now) const;
 
     /** @brief Takes note that a write started at the given time was acknowledged. */
     void noteWritten(const LeaseRecord &record, u64 revision, TimePoint startedAt, TimePoint now);
 
-    /** @brief True if this process may act under the lease. */
+    /** @brief True if this process holds the lease and may act under it. */
     [[nodiscard]] bool mayAct(TimePoint now) const;
 
+    /** @brief True if this process may act on one subject. */
+    [[nodiscard]] bool mayActOn(const std::string &subject, TimePoint now) const;
+
+    /** @brief True while a predecessor may have acted on a subject a short while ago. */
+    [[nodiscard]] bool isBlocked(const std::string &subject, TimePoint now) const;
+
+    /** @brief Takes note that this process acted on a subject. */
+    void noteAct(const std::string &subject, TimePoint now);
+
     [[nodiscard]] u64 token() const;
 
 private:
     [[nodiscard]] bool isOwn() const;
+    [[nodiscard]] std::set<std::string> recentSubjects(TimePoint now) const;
 
     std::string m_vm;
     u64 m_boot;
@@ -62,6 +80,8 @@
     bool m_isObserved = false;
     TimePoint m_changedAt{};
     std::optional<TimePoint> m_renewedAt; ///< start of the last acknowledged write of this process
+    std::map<std::string, TimePoint> m_acts; ///< of this process
+    std::map<std::string, TimePoint> m_blockedUntil; ///< by subject of a predecessor
 };
 
 } // namespace burdock::weights
--- a/lib/libburdock/source/weights/duty_lease.cpp
+++ b/lib/libburdock/source/weights/duty_lease.cpp
@@ -1,5 +1,7 @@
 #include <burdock/weights/duty_lease.hpp>
 
+#include <algorithm>
+
 namespace burdock::weights {
 
 namespace {
@@ -8,8 +10,8 @@
 constexpr int RenewalsPerPause = 12;
 constexpr int ActsPerPause = 5;
 
-/** Covers the time between a change of the record and its sight here. */
-constexpr Duration ObservationMargin = std::chrono::milliseconds(300);
+/** Covers a renewal that is answered slowly, and the time between a change of the record and its sight here. */
+constexpr Duration ObservationMargin = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -31,23 +33,26 @@
     m_changedAt = now;
 }
 
-std::optional<DutyLease::Write> DutyLease::due(TimePoint now) const
+std::optional<DutyLease::Write> DutyLease::due(const std::vector<std::string> &subjects, TimePoint now) const
 {
     if (!m_isObserved) {
         return std::nullopt;
     }
+    LeaseRecord next = m_record.value_or(LeaseRecord{m_vm, m_boot, 1, 0, {}});
+    ++next.beat;
+    next.subjects = recentSubjects(now);
+    next.subjects.insert(subjects.begin(), subjects.end());
     if (!m_record) {
-        return Write{LeaseRecord{m_vm, m_boot, 1, 1}, std::nullopt};
+        return Write{next, std::nullopt};
     }
-    LeaseRecord next = *m_record;
-    ++next.beat;
     if (isOwn()) {
         const bool isFresh = m_renewedAt && now - *m_renewedAt < m_pause / RenewalsPerPause;
-        return isFresh ? std::nullopt : std::optional(Write{next, m_revision});
+        const bool isCovered = std::includes(m_record->subjects.begin(), m_record->subjects.end(), next.subjects.begin(), next.subjects.end());
+        return isFresh && isCovered ? std::nullopt : std::optional(Write{next, m_revision});
     }
     // The same VM started again: its earlier process is gone, so there is nobody to wait for.
     const bool isSameVm = m_record->vm == m_vm;
-    if (!isSameVm && now - m_changedAt < m_pause + m_pause / ActsPerPause + ObservationMargin) {
+    if (!isSameVm && now - m_changedAt < m_pause / ActsPerPause + ObservationMargin) {
         return std::nullopt;
     }
     next.vm = m_vm;
@@ -58,6 +63,12 @@
 
 void DutyLease::noteWritten(const LeaseRecord &record, u64 revision, TimePoint startedAt, TimePoint now)
 {
+    const bool isTakenOver = m_record && !isOwn() && m_record->vm != m_vm;
+    if (isTakenOver) {
+        for (const auto &subject : m_record->subjects) {
+            m_blockedUntil[subject] = now + m_pause;
+        }
+    }
     observe(record, revision, now);
     m_renewedAt = startedAt;
 }
@@ -67,6 +78,33 @@
     return m_record && isOwn() && m_renewedAt && now - *m_renewedAt < m_pause / ActsPerPause;
 }
 
+bool DutyLease::mayActOn(const std::string &subject, TimePoint now) const
+{
+    return mayAct(now) && m_record->subjects.count(subject) > 0 && !isBlocked(subject, now);
+}
+
+bool DutyLease::isBlocked(const std::string &subject, TimePoint now) const
+{
+    const auto blocked = m_blockedUntil.find(subject);
+    return blocked != m_blockedUntil.end() && now < blocked->second;
+}
+
+void DutyLease::noteAct(const std::string &subject, TimePoint now)
+{
+    m_acts[subject] = now;
+}
+
+std::set<std::string> DutyLease::recentSubjects(TimePoint now) const
+{
+    std::set<std::string> subjects;
+    for (const auto &[subject, at] : m_acts) {
+        if (now - at < m_pause) {
+            subjects.insert(subject);
+        }
+    }
+    return subjects;
+}
+
 u64 DutyLease::token() const
 {
     return m_record ? m_record->token : 0;
