--- a/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
@@ -38,6 +38,7 @@
     std::string salt;
     std::optional<u64> weightVersion; ///< weights that the salt stands for; others must not run the request
     cache::PartPlan parts;
+    std::optional<u64> fetchUntilMs; ///< on the endpoints' clock; fetches that last longer are thrown away
     std::string resumeAfter; ///< last event that the caller has; empty for a new stream
 };
 
@@ -104,6 +105,7 @@
     u64 epoch = 0; ///< changes when the store restarts
     u64 next = 0; ///< position for the next call
     bool hasGap = false;
+    std::optional<u64> clockMs; ///< of the store and the endpoints
     std::vector<CacheEvent> events;
 };
 
--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -20,8 +20,6 @@
 /** Pause between two calls, so that events which come together are answered by one. */
 constexpr Duration GatherTime = std::chrono::milliseconds(60);
 constexpr Duration FailurePause = std::chrono::milliseconds(400);
-/** How long all replicas must have had newer weights before older parts are freed, so that no fetch of them is under way. */
-constexpr Duration SettleTime = std::chrono::milliseconds(4000);
 constexpr Duration FreePeriod = std::chrono::milliseconds(500);
 constexpr std::size_t FreeAtMost = 200;
 constexpr u16 HttpError = 400;
@@ -107,6 +105,9 @@
 void CacheFollower::take(const CacheEvents &events)
 {
     m_next = events.next;
+    if (events.clockMs) {
+        m_state.noteEndpointClock(*events.clockMs, m_parts.clock.now());
+    }
     for (const auto &event : events.events) {
         if (event.isStored) {
             m_state.parts.noteStored(m_store, event.salt, event.part, event.tokens);
@@ -133,19 +134,10 @@
         co_return;
     }
     m_freedAt = now;
-    for (const auto &[model, wanted] : m_state.weights) {
-        const auto isOld = [&model = model, &wanted = wanted](const auto &entry) {
-            const auto version = entry.second.registration.weightVersions.find(model);
-            return version != entry.second.registration.weightVersions.end() && version->second < wanted.wanted();
-        };
-        const auto &all = m_state.endpoints.all();
-        if (std::any_of(all.begin(), all.end(), isOld)) {
-            m_settledSince.erase(model);
-            continue;
-        }
-        const auto since = m_settledSince.try_emplace(model, now).first->second;
-        const auto parts = m_state.parts.outdated(m_store, model, wanted.wanted(), FreeAtMost);
-        if (now - since < SettleTime || parts.parts.empty()) {
+    for (const auto &[model, named] : m_state.weights) {
+        const auto mayFree = [&](u64 version, std::string_view part) { return m_state.retirement.mayFree(named, version, part, now); };
+        const auto parts = m_state.parts.freeable(m_store, model, mayFree, FreeAtMost);
+        if (parts.parts.empty()) {
             continue;
         }
         const auto request = m_parts.dialect.cacheFreeRequest(parts, m_epoch);
@@ -158,7 +150,7 @@
         m_parts.logger.event(LogLevel::Info, "cache_freed",
                              {{"store", m_store},
                               {"model", model},
-                              {"older_than", wanted.wanted()},
+                              {"older_than", m_state.wantedVersion(model)},
                               {"parts", u64{parts.parts.size()}},
                               {"status", u64{result.progress == http::Progress::Answered ? result.response.status : u16{0}}}});
         co_return;
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -32,7 +32,6 @@
     runtime::http::KeptClient m_client;
     u64 m_epoch = 0;
     u64 m_next = 0;
-    std::map<std::string, TimePoint, std::less<>> m_settledSince; ///< by model: all replicas have the wanted weights
     TimePoint m_freedAt{};
 };
 
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -26,6 +26,9 @@
 constexpr Duration RetryElsewhere = std::chrono::milliseconds(20);
 /** What fetching a kept token costs, in percent of reading it. */
 constexpr u64 FetchPercent = 60;
+/** Time for a fetch: some twenty times what reading the tokens would take, as reading them again keeps others waiting too. */
+constexpr Duration FetchPatiencePerToken = std::chrono::microseconds(250);
+constexpr Duration ShortestFetch = std::chrono::milliseconds(150);
 /** Crashes under way at which a request is not run again. */
 constexpr u32 CrashesToRefuse = 3;
 constexpr u16 StatusOk = 200;
@@ -418,6 +421,21 @@
     }
 }
 
+void CallDriver::planParts(u64 weightVersion, Instructions &told)
+{
+    const auto now = m_parts.clock.now();
+    const auto &named = m_state.weights[m_facts.model];
+    const u64 shared = m_facts.parts.empty() ? 0 : m_facts.promptTokens - std::min(m_facts.promptTokens, m_facts.parts.back().tokens);
+    const auto patience = std::clamp(FetchPatiencePerToken * static_cast<i64>(shared), ShortestFetch, m_state.retirement.policy().fetch);
+    told.fetchUntilMs = m_state.endpointClockMs(now + patience);
+    cache::PartIndex::PlanRules rules;
+    rules.maySave = weightVersion >= named.wanted();
+    rules.mayFetch = [&](std::string_view part) {
+        return told.fetchUntilMs && m_state.retirement.mayFetch(named, weightVersion, part, m_state.weightsAsOf, now);
+    };
+    told.parts = m_state.parts.plan(told.salt, m_facts.parts, rules, now);
+}
+
 http::Request CallDriver::instruct(const endpoints::Endpoint &endpoint)
 {
     Instructions told;
@@ -434,7 +452,7 @@
         told.salt = saltFor(held);
         if (held > 0) {
             told.weightVersion = held;
-            told.parts = m_state.parts.plan(told.salt, m_facts.parts, m_parts.clock.now());
+            planParts(held, told);
         }
         for (const auto &part : m_facts.parts) {
             m_state.endpoints.notePart(told.endpointId, cache::partKey(told.salt, part.id), part.tokens);
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -52,6 +52,7 @@
     [[nodiscard]] boost::asio::awaitable<bool> readOwnHead(const std::string &id, AnswerFacts &facts);
     [[nodiscard]] boost::asio::awaitable<bool> readWhole(const std::string &id, std::string &body);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> relayStream(const std::string &id);
+    void planParts(u64 weightVersion, Instructions &told);
     [[nodiscard]] runtime::http::Request instruct(const endpoints::Endpoint &endpoint);
     [[nodiscard]] boost::asio::awaitable<void> finish(retry::NextStep step, const Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<void> reject(const Rejection &rejection);
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -26,7 +26,7 @@
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(1500);
 constexpr Duration EndpointWait = std::chrono::milliseconds(1500);
 constexpr Duration EvacuationWait = std::chrono::milliseconds(3000);
-constexpr Duration WeightWait = std::chrono::milliseconds(1500);
+constexpr Duration WeightWait = std::chrono::milliseconds(1200);
 /** How often the list of entries is read. */
 constexpr Duration EntryListPeriod = std::chrono::seconds(5);
 constexpr Duration FirstEntryListPeriod = std::chrono::seconds(1);
@@ -345,7 +345,7 @@
             m_hasWeights = true;
         };
         return {takeList, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
-                [this](TimePoint asOf) { m_weightsAsOf = std::max(m_weightsAsOf, asOf); }};
+                [this](TimePoint asOf) { m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf); }};
     }
 
     void takeWeights(const StoredObject &object)
@@ -357,8 +357,9 @@
         }
         // Counted from when it was known last that nothing newer was named, as a process that was frozen or cut off hears late.
         // What was named before this process ran has been so for some time; how long, nobody says.
-        const auto since = m_hasWeights ? m_weightsAsOf : m_parts.clock.now() - AssumedAgeAtStart;
-        if (m_state.weights[named->model].note(named->version, since)) {
+        const auto now = m_parts.clock.now();
+        const auto notBefore = m_hasWeights ? m_state.weightsAsOf : now - AssumedAgeAtStart;
+        if (m_state.weights[named->model].note(named->version, notBefore, now)) {
             m_parts.logger.event(LogLevel::Info, "weights_named", {{"model", named->model}, {"version", named->version}});
         }
     }
@@ -435,7 +436,6 @@
     WeightDuty m_weightDuty;
     LoadExchange m_loads;
     bool m_hasWeights = false; ///< the list of named weights came
-    TimePoint m_weightsAsOf{}; ///< all weights that were named before are known
     std::set<std::string, std::less<>> m_evacuated;
     std::set<std::string> m_followed;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -1,6 +1,7 @@
 #include "state.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace burdock::gateway {
 
@@ -19,11 +20,20 @@
 constexpr int WeightBoundPercent = 92;
 constexpr double Percent = 100.0;
 
+/** Differences of an estimate of the endpoints' clock that come from the way of an answer. */
+constexpr i64 MostClockNoiseMs = 1500;
+
+i64 toWholeMs(TimePoint time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
 } // namespace
 
 State::State()
     : endpoints(endpoints::Policy{})
     , parts(SaveAgainAfter)
+    , retirement(cache::RetirementPolicy{})
     , quarantine(SuspectMemory, SuspectCapacity)
 {
 }
@@ -57,6 +67,22 @@
     return now - configurationAsOf < settings.revocation * KeyAgePercent / 100;
 }
 
+std::optional<u64> State::endpointClockMs(TimePoint time) const
+{
+    if (!endpointClockAheadMs) {
+        return std::nullopt;
+    }
+    return static_cast<u64>(toWholeMs(time) + *endpointClockAheadMs);
+}
+
+void State::noteEndpointClock(u64 clockMs, TimePoint now)
+{
+    const i64 ahead = static_cast<i64>(clockMs) - toWholeMs(now);
+    const bool isJump = endpointClockAheadMs && std::abs(ahead - *endpointClockAheadMs) > MostClockNoiseMs;
+    // An answer tells the time at which it was sent, so the latest estimate of all is the nearest; unless the clock was set.
+    endpointClockAheadMs = endpointClockAheadMs && !isJump ? std::max(*endpointClockAheadMs, ahead) : ahead;
+}
+
 u64 State::wantedVersion(std::string_view model) const
 {
     const auto found = weights.find(model);
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/cache/part_retirement.hpp>
 #include <burdock/gateway/gateway.hpp>
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/retry/retry_budget.hpp>
@@ -32,12 +33,22 @@
     /** @brief The oldest weights of a model on which requests may begin now. */
     [[nodiscard]] u64 oldestVersion(std::string_view model, TimePoint now, const GatewaySettings &settings) const;
 
+    /** @brief A time on the endpoints' clock, if that is known. */
+    [[nodiscard]] std::optional<u64> endpointClockMs(TimePoint time) const;
+
+    /** @brief Takes note of what the endpoints' clock showed before the given time. */
+    void noteEndpointClock(u64 clockMs, TimePoint now);
+
     std::shared_ptr<const routing::RouteTable> routes; ///< null until a configuration came; shared with requests under way
     /** When the configuration was last known to be the newest: the start of the read that showed it. */
     TimePoint configurationAsOf{};
     endpoints::EndpointTable endpoints;
     cache::PartIndex parts;
+    cache::PartRetirement retirement;
     std::map<std::string, weights::NamedWeights, std::less<>> weights;
+    TimePoint weightsAsOf{}; ///< all weights that were named before are known
+    /** What the endpoints' clock is ahead of this process's, in ms; at most, so that times told by it are not too late. */
+    std::optional<i64> endpointClockAheadMs;
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
     retry::Quarantine quarantine;
     std::vector<std::string> entries; ///< names of the entries that registered
--- a/lib/libburdock/include/burdock/cache/part_index.hpp
+++ b/lib/libburdock/include/burdock/cache/part_index.hpp
@@ -2,6 +2,7 @@
 
 #include <burdock/types.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -85,17 +86,25 @@
     /** @brief Forgets what a store holds: it restarted, or its events have a gap. */
     void noteReset(std::string_view store);
 
+    /** @brief What may be done with the parts of one prompt. */
+    struct PlanRules
+    {
+        std::function<bool(std::string_view)> mayFetch; ///< by id
+        bool maySave = true;
+    };
+
     /**
      * @brief Plans fetches and saves of the shared parts of a prompt.
      * @param parts all parts in order; the last one belongs to the request alone and is left out
      */
-    [[nodiscard]] PartPlan plan(std::string_view salt, const std::vector<PromptPart> &parts, TimePoint now);
+    [[nodiscard]] PartPlan plan(std::string_view salt, const std::vector<PromptPart> &parts, const PlanRules &rules, TimePoint now);
 
     /** @brief Whether any store holds a part whole. */
     [[nodiscard]] bool holds(std::string_view salt, const PromptPart &part) const;
 
-    /** @brief Parts of a model's weights older than the given version, in one store. */
-    [[nodiscard]] PartsToFree outdated(std::string_view store, std::string_view model, u64 version, std::size_t most) const;
+    /** @brief Parts of a model in one store that may be freed, by version of the weights and id. */
+    [[nodiscard]] PartsToFree freeable(std::string_view store, std::string_view model,
+                                       const std::function<bool(u64, std::string_view)> &mayFree, std::size_t most) const;
 
     /** @brief Tokens known to be kept in a store. */
     [[nodiscard]] u64 keptTokens(std::string_view store) const;
--- /dev/null
+++ b/lib/libburdock/include/burdock/cache/part_retirement.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <burdock/weights/named_weights.hpp>
+
+#include <string_view>
+
+namespace burdock::cache {
+
+/** @brief Times of the retirement of kept parts. */
+struct RetirementPolicy
+{
+    /** Time from the naming of newer weights to the retirement of the first parts, and the time over which the others follow. */
+    Duration first = std::chrono::milliseconds(1500);
+    Duration spread = std::chrono::milliseconds(6000);
+    /** Oldest knowledge of named weights with which an entry still has parts fetched. */
+    Duration knowledge = std::chrono::milliseconds(2200);
+    /** Longest time from the sending of a request to the end of its fetch. */
+    Duration fetch = std::chrono::milliseconds(2000);
+    /** Covers clocks that run apart, and calls that are under way. */
+    Duration margin = std::chrono::milliseconds(300);
+};
+
+/**
+ * @brief Decides until when parts of older weights are fetched, and from when they are freed.
+ *
+ * Guards against a part that is freed under a fetch: it shows as a prompt that runs on memory which was given to another one.
+ * Entries agree on the time of each part's retirement without talking, as it follows from the naming of newer weights and the part's
+ * id. An entry that may not have heard of a naming has nothing fetched, and a part is freed only when whoever may still
+ * have had it fetched has surely seen the fetch end. Parts retire one after the other, as replicas move to the newer weights
+ * one after the other too, and need the room.
+ */
+class PartRetirement
+{
+public:
+    explicit PartRetirement(const RetirementPolicy &policy);
+
+    /** @param asOf all weights that were named before are known */
+    [[nodiscard]] bool mayFetch(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint asOf,
+                                TimePoint now) const;
+
+    [[nodiscard]] bool mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint now) const;
+
+    [[nodiscard]] const RetirementPolicy &policy() const;
+
+private:
+    [[nodiscard]] Duration ageAtRetirement(std::string_view part) const;
+
+    RetirementPolicy m_policy;
+};
+
+} // namespace burdock::cache
--- a/lib/libburdock/include/burdock/weights/named_weights.hpp
+++ b/lib/libburdock/include/burdock/weights/named_weights.hpp
@@ -14,9 +14,11 @@
 public:
     /**
      * @brief Takes note of a named version; versions that are not newer than the newest are ignored.
+     * @param notBefore it was certainly not named before
+     * @param heard     when it was heard of, so that it was certainly named by then
      * @return true if it is the newest
      */
-    bool note(u64 version, TimePoint since);
+    bool note(u64 version, TimePoint notBefore, TimePoint heard);
 
     /** @brief The newest version; zero if none was named. */
     [[nodiscard]] u64 wanted() const;
@@ -24,13 +26,18 @@
     /** @brief The oldest version on which requests may still begin, if newer ones must be in force after the given time. */
     [[nodiscard]] u64 oldestAllowed(Duration bound, TimePoint now) const;
 
-private:
+    /** @brief A version, and between which times it was named. */
     struct Named
     {
         u64 version = 0;
-        TimePoint since{};
+        TimePoint notBefore{};
+        TimePoint heard{};
     };
 
+    /** @brief The first version that was named after the given one, or null. */
+    [[nodiscard]] const Named *successorOf(u64 version) const;
+
+private:
     std::vector<Named> m_named; // oldest first
 };
 
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -114,7 +114,7 @@
     }
 }
 
-PartPlan PartIndex::plan(std::string_view salt, const std::vector<PromptPart> &parts, TimePoint now)
+PartPlan PartIndex::plan(std::string_view salt, const std::vector<PromptPart> &parts, const PlanRules &rules, TimePoint now)
 {
     forgetOldSaves(now);
     PartPlan plan;
@@ -125,12 +125,16 @@
         const auto key = partKey(salt, parts[i].id);
         if (const auto *holder = holderOf(key, parts[i].tokens)) {
             // A part is of use only behind the parts before it.
+            isPrefixKept = isPrefixKept && rules.mayFetch(parts[i].id);
             if (isPrefixKept) {
                 plan.fetchFrom[i] = holder->address;
             }
             continue;
         }
         isPrefixKept = false;
+        if (!rules.maySave) {
+            continue;
+        }
         if (const auto *place = placeFor(key, parts[i].tokens, now)) {
             plan.saveTo[i] = place->address;
             m_saving[key] = now;
@@ -144,7 +148,8 @@
     return holderOf(partKey(salt, part.id), part.tokens) != nullptr;
 }
 
-PartsToFree PartIndex::outdated(std::string_view store, std::string_view model, u64 version, std::size_t most) const
+PartsToFree PartIndex::freeable(std::string_view store, std::string_view model,
+                                const std::function<bool(u64, std::string_view)> &mayFree, std::size_t most) const
 {
     PartsToFree out;
     out.store = store;
@@ -155,7 +160,10 @@
     for (const auto &[key, tokens] : held->second.parts) {
         const auto end = key.find(KeySeparator);
         const auto salt = parseSalt(std::string_view(key).substr(0, end));
-        if (salt && salt->model == model && salt->version < version && out.parts.size() < most) {
+        if (out.parts.size() >= most) {
+            break;
+        }
+        if (salt && salt->model == model && mayFree(salt->version, std::string_view(key).substr(end + 1))) {
             out.parts.emplace_back(key.substr(0, end), key.substr(end + 1));
         }
     }
--- /dev/null
+++ b/lib/libburdock/source/cache/part_retirement.cpp
@@ -0,0 +1,47 @@
+#include <burdock/cache/part_retirement.hpp>
+
+#include <burdock/hash/digest.hpp>
+
+namespace burdock::cache {
+
+namespace {
+
+constexpr u64 Steps = 1000;
+
+} // namespace
+
+PartRetirement::PartRetirement(const RetirementPolicy &policy)
+    : m_policy(policy)
+{
+}
+
+bool PartRetirement::mayFetch(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint asOf, TimePoint now) const
+{
+    if (now - asOf > m_policy.knowledge) {
+        return false;
+    }
+    const auto *successor = named.successorOf(version);
+    return successor == nullptr || now < successor->notBefore + ageAtRetirement(part);
+}
+
+bool PartRetirement::mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint now) const
+{
+    const auto *successor = named.successorOf(version);
+    if (successor == nullptr) {
+        return false;
+    }
+    const auto lastFetchEnds = std::max(ageAtRetirement(part), m_policy.knowledge) + m_policy.fetch;
+    return now >= successor->heard + lastFetchEnds + m_policy.margin;
+}
+
+const RetirementPolicy &PartRetirement::policy() const
+{
+    return m_policy;
+}
+
+Duration PartRetirement::ageAtRetirement(std::string_view part) const
+{
+    return m_policy.first + m_policy.spread * static_cast<i64>(hash::fast(part) % Steps) / static_cast<i64>(Steps);
+}
+
+} // namespace burdock::cache
--- a/lib/libburdock/source/weights/named_weights.cpp
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -9,12 +9,12 @@
 
 } // namespace
 
-bool NamedWeights::note(u64 version, TimePoint since)
+bool NamedWeights::note(u64 version, TimePoint notBefore, TimePoint heard)
 {
     if (version <= wanted()) {
         return false;
     }
-    m_named.push_back({version, since});
+    m_named.push_back({version, notBefore, heard});
     if (m_named.size() > MaxRemembered) {
         m_named.erase(m_named.begin());
     }
@@ -30,11 +30,21 @@
 {
     u64 oldest = 0;
     for (const auto &named : m_named) {
-        if (now - named.since >= bound) {
+        if (now - named.notBefore >= bound) {
             oldest = named.version;
         }
     }
     return oldest;
 }
 
+const NamedWeights::Named *NamedWeights::successorOf(u64 version) const
+{
+    for (const auto &named : m_named) {
+        if (named.version > version) {
+            return &named;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace burdock::weights
