--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -27,7 +27,7 @@
 /** What fetching a kept token costs, in percent of reading it. */
 constexpr u64 FetchPercent = 60;
 /** Time for a fetch: some twenty times what reading the tokens would take, as reading them again keeps others waiting too. */
-constexpr Duration FetchPatiencePerToken = std::chrono::microseconds(250);
+constexpr Duration FetchPatiencePerToken = std::chrono::microseconds(450);
 constexpr Duration ShortestFetch = std::chrono::milliseconds(150);
 /** Crashes under way at which a request is not run again. */
 constexpr u32 CrashesToRefuse = 3;
--- a/lib/libburdock/include/burdock/cache/part_retirement.hpp
+++ b/lib/libburdock/include/burdock/cache/part_retirement.hpp
@@ -10,12 +10,12 @@
 struct RetirementPolicy
 {
     /** Time from the naming of newer weights to the retirement of the first parts, and the time over which the others follow. */
-    Duration first = std::chrono::milliseconds(1500);
-    Duration spread = std::chrono::milliseconds(6000);
+    Duration first = std::chrono::milliseconds(9000);
+    Duration spread = std::chrono::milliseconds(4000);
     /** Oldest knowledge of named weights with which an entry still has parts fetched. */
     Duration knowledge = std::chrono::milliseconds(2200);
     /** Longest time from the sending of a request to the end of its fetch. */
-    Duration fetch = std::chrono::milliseconds(2000);
+    Duration fetch = std::chrono::milliseconds(3500);
     /** Covers clocks that run apart, and calls that are under way. */
     Duration margin = std::chrono::milliseconds(300);
 };
