Fetch kept parts on while the platform is away; free what all entries know to be retired

Cause: parts could be fetched only with weights confirmed 2.2 s ago, so that nothing was fetched while the platform's store was away. Change: entries tell each other which weights they know of; old parts are freed once all know, or after 25 s without.

--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -127,6 +127,23 @@
                         [&](const std::string &entry) { return rank(entry) > rank(m_settings.name); });
 }
 
+// Since when all entries, at each look, knew of the newest weights of a model.
+std::optional<TimePoint> CacheFollower::noteKnownToAll(const std::string &model, u64 version)
+{
+    auto others = m_state.entries;
+    std::erase(others, m_settings.name);
+    auto &known = m_knownToAll[model];
+    const bool isKnown = m_state.endpoints.peers().allKnow(others, model, version);
+    if (!isKnown || known.version != version) {
+        known.version = version;
+        known.since.reset();
+    }
+    if (isKnown && !known.since) {
+        known.since = m_parts.clock.now();
+    }
+    return known.since;
+}
+
 boost::asio::awaitable<void> CacheFollower::freeOutdated()
 {
     const auto now = m_parts.clock.now();
@@ -135,7 +152,10 @@
     }
     m_freedAt = now;
     for (const auto &[model, named] : m_state.weights) {
-        const auto mayFree = [&](u64 version, std::string_view part) { return m_state.retirement.mayFree(named, version, part, now); };
+        const auto knownToAll = noteKnownToAll(model, named.wanted());
+        const auto mayFree = [&](u64 version, std::string_view part) {
+            return m_state.retirement.mayFree(named, version, part, knownToAll, now);
+        };
         const auto parts = m_state.parts.freeable(m_store, model, mayFree, FreeAtMost);
         if (parts.parts.empty()) {
             continue;
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -23,6 +23,7 @@
     [[nodiscard]] boost::asio::awaitable<bool> readChanges();
     [[nodiscard]] boost::asio::awaitable<void> freeOutdated();
     [[nodiscard]] bool isOwnDuty() const;
+    [[nodiscard]] std::optional<TimePoint> noteKnownToAll(const std::string &model, u64 version);
     void take(const CacheEvents &events);
 
     const GatewayParts &m_parts;
@@ -32,6 +33,12 @@
     runtime::http::KeptClient m_client;
     u64 m_epoch = 0;
     u64 m_next = 0;
+    struct Known
+    {
+        u64 version = 0;
+        std::optional<TimePoint> since;
+    };
+    std::map<std::string, Known, std::less<>> m_knownToAll; ///< by model
     TimePoint m_freedAt{};
 };
 
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -17,6 +17,7 @@
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 /** How often loads are told among a few entries; among more of them, less often, so that the messages a second stay bounded. */
 constexpr Duration ShortestPeriod = std::chrono::milliseconds(40);
+constexpr Duration IdlePeriod = std::chrono::milliseconds(400);
 constexpr Duration PeriodPerPeer = std::chrono::milliseconds(6);
 constexpr std::size_t MaxMessageBytes = 8 * 1024;
 
@@ -51,14 +52,9 @@
 
 asio::awaitable<void> LoadExchange::send()
 {
-    bool wasIdle = false;
     while (true) {
-        co_await runtime::sleepFor(period());
-        const bool isIdle = m_state.underWay == 0;
-        if (m_peers.empty() || (isIdle && wasIdle)) {
-            continue;
-        }
-        wasIdle = isIdle;
+        // What this entry knows is told also while it has nothing under way.
+        co_await runtime::sleepFor(m_state.underWay == 0 ? std::max(IdlePeriod, period()) : period());
         const std::string message = nextMessage();
         for (const auto &peer : m_peers) {
             // A datagram that finds no room is lost like any other; the next message makes up for it.
@@ -96,6 +92,9 @@
         work->set_memory_tokens(load.memory);
         work->set_pending_tokens(load.pending);
     }
+    for (const auto &[model, named] : m_state.weights) {
+        (*message.mutable_named_weights())[model] = named.wanted();
+    }
     return message.SerializeAsString();
 }
 
@@ -106,11 +105,16 @@
         m_parts.metrics.count("burdock_loads_unreadable_total");
         return;
     }
-    endpoints::LoadsById loads;
+    endpoints::PeerLoads::Report report;
+    report.boot = read.boot_id();
+    report.sequence = read.sequence();
     for (const auto &work : read.work()) {
-        loads[work.endpoint()] = endpoints::Load{work.running(), work.memory_tokens(), work.pending_tokens()};
+        report.loads[work.endpoint()] = endpoints::Load{work.running(), work.memory_tokens(), work.pending_tokens()};
+    }
+    for (const auto &[model, version] : read.named_weights()) {
+        report.namedWeights[model] = version;
     }
-    m_state.endpoints.peers().take(read.entry(), read.boot_id(), read.sequence(), std::move(loads), m_parts.clock.now());
+    m_state.endpoints.peers().take(read.entry(), std::move(report), m_parts.clock.now());
 }
 
 Duration LoadExchange::period() const
--- a/lib/libburdock/include/burdock/cache/part_retirement.hpp
+++ b/lib/libburdock/include/burdock/cache/part_retirement.hpp
@@ -2,6 +2,7 @@
 
 #include <burdock/weights/named_weights.hpp>
 
+#include <optional>
 #include <string_view>
 
 namespace burdock::cache {
@@ -12,8 +13,8 @@
     /** Time from the naming of newer weights to the retirement of the first parts, and the time over which the others follow. */
     Duration first = std::chrono::milliseconds(9000);
     Duration spread = std::chrono::milliseconds(4000);
-    /** Oldest knowledge of named weights with which an entry still has parts fetched. */
-    Duration knowledge = std::chrono::milliseconds(2200);
+    /** Oldest knowledge of named weights with which an entry still has parts fetched; outages of the platform last less, mostly. */
+    Duration knowledge = std::chrono::seconds(25);
     /** Longest time from the sending of a request to the end of its fetch. */
     Duration fetch = std::chrono::milliseconds(3500);
     /** Covers clocks that run apart, and calls that are under way. */
@@ -24,9 +25,9 @@
  * @brief Decides until when parts of older weights are fetched, and from when they are freed.
  *
  * Guards against a part that is freed under a fetch: it shows as a prompt that runs on memory which was given to another one.
- * Entries agree on the time of each part's retirement without talking, as it follows from the naming of newer weights and the part's
- * id. An entry that may not have heard of a naming has nothing fetched, and a part is freed only when whoever may still
- * have had it fetched has surely seen the fetch end. Parts retire one after the other, as replicas move to the newer weights
+ * The time of each part's retirement follows from the naming of newer weights and the part's id. It is freed only when whoever may
+ * still have had it fetched has surely seen the fetch end: all entries have said that they know of the naming, or an
+ * entry that does not know has nothing fetched any more. Parts retire one after the other, as replicas move to the newer weights
  * one after the other too, and need the room.
  */
 class PartRetirement
@@ -38,7 +39,9 @@
     [[nodiscard]] bool mayFetch(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint asOf,
                                 TimePoint now) const;
 
-    [[nodiscard]] bool mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint now) const;
+    /** @param knownToAll since when all entries are known to know of the successor; nothing if some may not */
+    [[nodiscard]] bool mayFree(const weights::NamedWeights &named, u64 version, std::string_view part,
+                               std::optional<TimePoint> knownToAll, TimePoint now) const;
 
     [[nodiscard]] const RetirementPolicy &policy() const;
 
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace burdock::endpoints {
 
@@ -34,8 +35,19 @@
     /** @param validFor how long a report counts */
     explicit PeerLoads(Duration validFor);
 
-    /** @param sequence rises with each report of one start of an entry; older ones are ignored */
-    void take(const std::string &peer, u64 boot, u64 sequence, LoadsById loads, TimePoint now);
+    /** @brief What one entry said. */
+    struct Report
+    {
+        u64 boot = 0; ///< differs for each start of the entry
+        u64 sequence = 0; ///< rises with each report of one start; older ones are ignored
+        LoadsById loads;
+        std::map<std::string, u64, std::less<>> namedWeights; ///< newest that it knows of, by model
+    };
+
+    void take(const std::string &peer, Report report, TimePoint now);
+
+    /** @brief Whether all of these entries said lately that they know of weights of a model, or of newer ones. */
+    [[nodiscard]] bool allKnow(const std::vector<std::string> &entries, std::string_view model, u64 version) const;
 
     /** @brief Forgets reports that count no longer. */
     void expire(TimePoint now);
@@ -46,18 +58,16 @@
     [[nodiscard]] std::size_t peers() const;
 
 private:
-    struct Report
+    struct Held
     {
-        u64 boot = 0;
-        u64 sequence = 0;
+        Report report;
         TimePoint at{};
-        LoadsById loads;
     };
 
     void subtract(const LoadsById &loads);
 
     Duration m_validFor;
-    std::map<std::string, Report, std::less<>> m_reports;
+    std::map<std::string, Held, std::less<>> m_reports;
     LoadsById m_sums;
 };
 
--- a/lib/libburdock/source/cache/part_retirement.cpp
+++ b/lib/libburdock/source/cache/part_retirement.cpp
@@ -2,6 +2,8 @@
 
 #include <burdock/hash/digest.hpp>
 
+#include <algorithm>
+
 namespace burdock::cache {
 
 namespace {
@@ -24,14 +26,16 @@
     return successor == nullptr || now < successor->notBefore + ageAtRetirement(part);
 }
 
-bool PartRetirement::mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, TimePoint now) const
+bool PartRetirement::mayFree(const weights::NamedWeights &named, u64 version, std::string_view part,
+                             std::optional<TimePoint> knownToAll, TimePoint now) const
 {
     const auto *successor = named.successorOf(version);
     if (successor == nullptr) {
         return false;
     }
-    const auto lastFetchEnds = std::max(ageAtRetirement(part), m_policy.knowledge) + m_policy.fetch;
-    return now >= successor->heard + lastFetchEnds + m_policy.margin;
+    const auto retired = successor->heard + ageAtRetirement(part);
+    const auto known = std::min(knownToAll.value_or(TimePoint::max()), successor->heard + m_policy.knowledge);
+    return now >= std::max(retired, known) + m_policy.fetch + m_policy.margin;
 }
 
 const RetirementPolicy &PartRetirement::policy() const
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -25,18 +25,31 @@
 {
 }
 
-void PeerLoads::take(const std::string &peer, u64 boot, u64 sequence, LoadsById loads, TimePoint now)
+void PeerLoads::take(const std::string &peer, Report report, TimePoint now)
 {
-    auto &report = m_reports[peer];
-    const bool isOld = report.boot == boot && sequence <= report.sequence;
+    auto &held = m_reports[peer];
+    const bool isOld = held.report.boot == report.boot && report.sequence <= held.report.sequence;
     if (isOld) {
         return;
     }
-    subtract(report.loads);
-    for (const auto &[endpoint, load] : loads) {
+    subtract(held.report.loads);
+    for (const auto &[endpoint, load] : report.loads) {
         m_sums[endpoint] += load;
     }
-    report = Report{boot, sequence, now, std::move(loads)};
+    held = Held{std::move(report), now};
+}
+
+bool PeerLoads::allKnow(const std::vector<std::string> &entries, std::string_view model, u64 version) const
+{
+    return std::all_of(entries.begin(), entries.end(), [&](const std::string &entry) {
+        const auto held = m_reports.find(entry);
+        if (held == m_reports.end()) {
+            return false;
+        }
+        const auto &named = held->second.report.namedWeights;
+        const auto known = named.find(model);
+        return known != named.end() && known->second >= version;
+    });
 }
 
 void PeerLoads::expire(TimePoint now)
@@ -46,7 +59,7 @@
             ++report;
             continue;
         }
-        subtract(report->second.loads);
+        subtract(report->second.report.loads);
         report = m_reports.erase(report);
     }
 }
