--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -26,12 +26,22 @@
 /** How often replicas that load weights are asked how far they are. */
 constexpr Duration LookPeriod = std::chrono::milliseconds(150);
 constexpr Duration CallTimeout = std::chrono::milliseconds(800);
+/** Reads of the record at the start; there is none before the first weights are named. */
+constexpr u32 NamingTimeTries = 3;
+/** Age from which it no longer matters when weights were named. */
+constexpr Duration LongestNamingAge = std::chrono::minutes(10);
+/** How far the times of day of two VMs may lie apart. */
+constexpr Duration ClockDisagreement = std::chrono::milliseconds(2500);
 constexpr const char *LeaseName = "weights";
 
 boost::json::value toJson(const weights::LeaseRecord &record)
 {
+    boost::json::object named;
+    for (const auto &[model, naming] : record.named) {
+        named[model] = {{"version", naming.version}, {"unix_ms", naming.unixMs}};
+    }
     boost::json::array subjects(record.subjects.begin(), record.subjects.end());
-    return {{"vm", record.vm}, {"boot", record.boot}, {"token", record.token}, {"beat", record.beat}, {"subjects", std::move(subjects)}};
+    return {{"vm", record.vm}, {"boot", record.boot}, {"token", record.token}, {"beat", record.beat}, {"subjects", std::move(subjects)}, {"named", std::move(named)}};
 }
 
 std::optional<weights::LeaseRecord> leaseFrom(const boost::json::value &spec)
@@ -41,15 +51,26 @@
         return std::nullopt;
     }
     weights::LeaseRecord record{clients::textOf(*object, "vm"), clients::numberOf(*object, "boot"), clients::numberOf(*object, "token"),
-                                clients::numberOf(*object, "beat"), {}};
+                                clients::numberOf(*object, "beat"), {}, {}};
     for (const auto &subject : clients::arrayOf(*object, "subjects")) {
         if (const auto *text = subject.if_string()) {
             record.subjects.emplace(*text);
         }
     }
+    for (const auto &[model, value] : clients::objectOf(*object, "named")) {
+        if (const auto *naming = value.if_object()) {
+            record.named[std::string(model)] = {clients::numberOf(*naming, "version"), clients::numberOf(*naming, "unix_ms")};
+        }
+    }
     return record;
 }
 
+u64 unixMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<u64>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 } // namespace
 
 WeightDuty::WeightDuty(const GatewayParts &parts, const GatewaySettings &settings, State &state)
@@ -62,6 +83,7 @@
 
 boost::asio::awaitable<void> WeightDuty::run()
 {
+    co_await learnNamingTimes();
     while (true) {
         if (!isWanted() || m_state.isDraining) {
             co_await runtime::sleepFor(IdlePeriod);
@@ -78,6 +100,24 @@
     }
 }
 
+// A process that starts while replicas load weights learns since when these were named from the record of the duty.
+boost::asio::awaitable<void> WeightDuty::learnNamingTimes()
+{
+    for (u32 tries = 0; tries < NamingTimeTries && m_lease.record() == nullptr; ++tries) {
+        co_await readLease();
+        co_await runtime::sleepFor(IdlePeriod);
+    }
+    if (m_lease.record() == nullptr) {
+        co_return;
+    }
+    const u64 wallNow = unixMs();
+    for (const auto &[model, naming] : m_lease.record()->named) {
+        const u64 ageMs = wallNow > naming.unixMs ? wallNow - naming.unixMs : 0;
+        const auto age = std::min<Duration>(std::chrono::milliseconds(ageMs), LongestNamingAge) + ClockDisagreement;
+        m_state.weights[model].noteEarlier(naming.version, m_parts.clock.now() - age);
+    }
+}
+
 std::vector<weights::ReplicaWeights> WeightDuty::replicasOf(std::string_view model) const
 {
     std::vector<weights::ReplicaWeights> replicas;
@@ -164,6 +204,7 @@
     const auto now = m_parts.clock.now();
     std::vector<DueOrder> orders;
     for (const auto &[model, named] : m_state.weights) {
+        m_lease.setNamed(model, {named.wanted(), unixMs()});
         auto &rollout = m_rollouts.try_emplace(model, OrderAgainAfter).first->second;
         auto replicas = replicasOf(model);
         for (const auto &id : rollout.due(named.wanted(), replicas, now)) {
--- a/lib/libburdock-gateway/source/weight_duty.hpp
+++ b/lib/libburdock-gateway/source/weight_duty.hpp
@@ -27,6 +27,7 @@
     };
 
     [[nodiscard]] std::vector<weights::ReplicaWeights> replicasOf(std::string_view model) const;
+    [[nodiscard]] boost::asio::awaitable<void> learnNamingTimes();
     [[nodiscard]] bool isWanted() const;
     [[nodiscard]] boost::asio::awaitable<void> keepLease(const std::vector<DueOrder> &due);
     [[nodiscard]] boost::asio::awaitable<void> readLease();
--- a/lib/libburdock/include/burdock/weights/named_weights.hpp
+++ b/lib/libburdock/include/burdock/weights/named_weights.hpp
@@ -20,6 +20,9 @@
      */
     bool note(u64 version, TimePoint notBefore, TimePoint heard);
 
+    /** @brief Takes note that a version was named earlier than was known. */
+    void noteEarlier(u64 version, TimePoint notBefore);
+
     /** @brief The newest version; zero if none was named. */
     [[nodiscard]] u64 wanted() const;
 
--- a/lib/libburdock/source/weights/duty_lease.cpp
+++ b/lib/libburdock/source/weights/duty_lease.cpp
@@ -38,10 +38,17 @@
     if (!m_isObserved) {
         return std::nullopt;
     }
-    LeaseRecord next = m_record.value_or(LeaseRecord{m_vm, m_boot, 1, 0, {}});
+    LeaseRecord next = m_record.value_or(LeaseRecord{m_vm, m_boot, 1, 0, {}, {}});
     ++next.beat;
     next.subjects = recentSubjects(now);
     next.subjects.insert(subjects.begin(), subjects.end());
+    for (const auto &[model, named] : m_named) {
+        auto &told = next.named[model];
+        // The first holder saw it first.
+        if (named.version > told.version) {
+            told = named;
+        }
+    }
     if (!m_record) {
         return Write{next, std::nullopt};
     }
@@ -110,6 +117,19 @@
     return m_record ? m_record->token : 0;
 }
 
+void DutyLease::setNamed(const std::string &model, const NamingTime &named)
+{
+    auto &known = m_named[model];
+    if (named.version > known.version) {
+        known = named;
+    }
+}
+
+const LeaseRecord *DutyLease::record() const
+{
+    return m_record ? &*m_record : nullptr;
+}
+
 bool DutyLease::isOwn() const
 {
     return m_record->vm == m_vm && m_record->boot == m_boot;
--- a/lib/libburdock/source/weights/named_weights.cpp
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -1,5 +1,7 @@
 #include <burdock/weights/named_weights.hpp>
 
+#include <algorithm>
+
 namespace burdock::weights {
 
 namespace {
@@ -21,6 +23,15 @@
     return true;
 }
 
+void NamedWeights::noteEarlier(u64 version, TimePoint notBefore)
+{
+    for (auto &named : m_named) {
+        if (named.version == version) {
+            named.notBefore = std::min(named.notBefore, notBefore);
+        }
+    }
+}
+
 u64 NamedWeights::wanted() const
 {
     return m_named.empty() ? 0 : m_named.back().version;
