--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -184,7 +184,9 @@
     need.home = homeOf(m_facts);
     need.random = hash::fast(m_facts.attemptId);
     need.memory = m_memory;
-    need.prefill = [this](const endpoints::Endpoint &endpoint) { return prefillAt(endpoint); };
+    need.prefill = [this](const endpoints::Endpoint &endpoint) {
+        return prefillAt(endpoint);
+    };
     need.target = m_route->isPrompt ? m_route->target : Duration::zero();
     need.model = m_facts.model;
     need.wantedVersion = m_state.wantedVersion(m_facts.model);
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -34,9 +34,9 @@
 /** How often idle connections are looked through and lines of the log are handed on. */
 constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
 /** Time after SIGTERM in which the balancer takes this entry out, and connections may still come. */
-constexpr Duration LameDuck = std::chrono::milliseconds(3500);
+constexpr Duration LameDuck = std::chrono::milliseconds(2800);
 /** Part of the grace time that is kept for the end itself. */
-constexpr Duration EndMargin = std::chrono::milliseconds(700);
+constexpr Duration EndMargin = std::chrono::milliseconds(350);
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
 /** Time for one piece of an answer to be taken by the caller, and for one body to arrive. */
 constexpr Duration CallerIoTimeout = std::chrono::seconds(15);
@@ -345,7 +345,9 @@
             m_hasWeights = true;
         };
         return {takeList, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
-                [this](TimePoint asOf) { m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf); }};
+                [this](TimePoint asOf) {
+                    m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf);
+                }};
     }
 
     void takeWeights(const StoredObject &object)
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -41,7 +41,12 @@
         named[model] = {{"version", naming.version}, {"unix_ms", naming.unixMs}};
     }
     boost::json::array subjects(record.subjects.begin(), record.subjects.end());
-    return {{"vm", record.vm}, {"boot", record.boot}, {"token", record.token}, {"beat", record.beat}, {"subjects", std::move(subjects)}, {"named", std::move(named)}};
+    return {{"vm", record.vm},
+            {"boot", record.boot},
+            {"token", record.token},
+            {"beat", record.beat},
+            {"subjects", std::move(subjects)},
+            {"named", std::move(named)}};
 }
 
 std::optional<weights::LeaseRecord> leaseFrom(const boost::json::value &spec)
@@ -50,8 +55,12 @@
     if (object == nullptr || clients::textOf(*object, "vm").empty()) {
         return std::nullopt;
     }
-    weights::LeaseRecord record{clients::textOf(*object, "vm"), clients::numberOf(*object, "boot"), clients::numberOf(*object, "token"),
-                                clients::numberOf(*object, "beat"), {}, {}};
+    weights::LeaseRecord record{clients::textOf(*object, "vm"),
+                                clients::numberOf(*object, "boot"),
+                                clients::numberOf(*object, "token"),
+                                clients::numberOf(*object, "beat"),
+                                {},
+                                {}};
     for (const auto &subject : clients::arrayOf(*object, "subjects")) {
         if (const auto *text = subject.if_string()) {
             record.subjects.emplace(*text);
--- a/lib/libburdock/include/burdock/cache/part_retirement.hpp
+++ b/lib/libburdock/include/burdock/cache/part_retirement.hpp
@@ -40,8 +40,8 @@
                                 TimePoint now) const;
 
     /** @param knownToAll since when all entries are known to know of the successor; nothing if some may not */
-    [[nodiscard]] bool mayFree(const weights::NamedWeights &named, u64 version, std::string_view part,
-                               std::optional<TimePoint> knownToAll, TimePoint now) const;
+    [[nodiscard]] bool mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, std::optional<TimePoint> knownToAll,
+                               TimePoint now) const;
 
     [[nodiscard]] const RetirementPolicy &policy() const;
 
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -148,8 +148,8 @@
     return holderOf(partKey(salt, part.id), part.tokens) != nullptr;
 }
 
-PartsToFree PartIndex::freeable(std::string_view store, std::string_view model,
-                                const std::function<bool(u64, std::string_view)> &mayFree, std::size_t most) const
+PartsToFree PartIndex::freeable(std::string_view store, std::string_view model, const std::function<bool(u64, std::string_view)> &mayFree,
+                                std::size_t most) const
 {
     PartsToFree out;
     out.store = store;
--- a/lib/libburdock/source/cache/part_retirement.cpp
+++ b/lib/libburdock/source/cache/part_retirement.cpp
@@ -26,8 +26,8 @@
     return successor == nullptr || now < successor->notBefore + ageAtRetirement(part);
 }
 
-bool PartRetirement::mayFree(const weights::NamedWeights &named, u64 version, std::string_view part,
-                             std::optional<TimePoint> knownToAll, TimePoint now) const
+bool PartRetirement::mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, std::optional<TimePoint> knownToAll,
+                             TimePoint now) const
 {
     const auto *successor = named.successorOf(version);
     if (successor == nullptr) {
--- a/lib/libburdock/source/weights/duty_lease.cpp
+++ b/lib/libburdock/source/weights/duty_lease.cpp
@@ -54,7 +54,8 @@
     }
     if (isOwn()) {
         const bool isFresh = m_renewedAt && now - *m_renewedAt < m_pause / RenewalsPerPause;
-        const bool isCovered = std::includes(m_record->subjects.begin(), m_record->subjects.end(), next.subjects.begin(), next.subjects.end());
+        const bool isCovered
+            = std::includes(m_record->subjects.begin(), m_record->subjects.end(), next.subjects.begin(), next.subjects.end());
         return isFresh && isCovered ? std::nullopt : std::optional(Write{next, m_revision});
     }
     // The same VM started again: its earlier process is gone, so there is nobody to wait for.
