Tell the other gateways which replicas load weights, and what stores of kept cache hold; fewer calls to the platform

Change: three gateways follow each store and tell the others in the messages that carry loads; the holder of the duty tells which replicas it has ordered; reads of the lease thin out by rank; changes of endpoints are gathered for 150 ms.

--- a/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
@@ -103,6 +103,7 @@
 struct CacheEvents
 {
     u64 epoch = 0; ///< changes when the store restarts
+    u64 since = 0; ///< position of the call
     u64 next = 0; ///< position for the next call
     bool hasGap = false;
     std::optional<u64> clockMs; ///< of the store and the endpoints
--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -20,6 +20,13 @@
 /** Pause between two calls, so that events which come together are answered by one. */
 constexpr Duration GatherTime = std::chrono::milliseconds(60);
 constexpr Duration FailurePause = std::chrono::milliseconds(400);
+/** Entries that follow one store. */
+constexpr std::size_t FollowersPerStore = 3;
+/** How often the others look whether they still hear of the store, and the silence after which they read its list. */
+constexpr Duration ListenPeriod = std::chrono::milliseconds(500);
+constexpr Duration LongestSilence = std::chrono::seconds(4);
+/** How often followers tell that nothing has changed. */
+constexpr Duration TellPeriod = std::chrono::milliseconds(900);
 constexpr Duration FreePeriod = std::chrono::milliseconds(500);
 constexpr std::size_t FreeAtMost = 200;
 constexpr u16 HttpError = 400;
@@ -37,25 +44,66 @@
 
 boost::asio::awaitable<void> CacheFollower::run()
 {
-    bool isKnown = false;
+    m_state.storeListeners[m_store] = [this](const CacheEvents &events) { hear(events); };
     while (isConfigured()) {
-        if (!isKnown) {
-            isKnown = co_await readAll();
-        }
-        const bool isFollowed = isKnown && co_await readChanges();
+        const bool isFollowed = co_await followOnce();
         if (!isFollowed) {
             // Parts that may be gone must not be fetched.
             m_state.parts.noteReset(m_store);
-            isKnown = false;
+            m_isKnown = false;
             co_await runtime::sleepFor(FailurePause);
             continue;
         }
         co_await freeOutdated();
         co_await runtime::sleepFor(GatherTime);
     }
+    m_state.storeListeners.erase(m_store);
     m_state.parts.noteReset(m_store);
 }
 
+// A store holds few calls for events at once. So a few entries follow each store, chosen by hash, and tell the others; these
+// only read the list when they have missed something.
+boost::asio::awaitable<bool> CacheFollower::followOnce()
+{
+    if (!m_isKnown) {
+        m_isKnown = co_await readAll();
+        m_heardAt = m_parts.clock.now();
+        co_return m_isKnown;
+    }
+    if (rank() < FollowersPerStore) {
+        co_return co_await readChanges();
+    }
+    co_await runtime::sleepFor(ListenPeriod);
+    co_return m_isKnown && m_parts.clock.now() - m_heardAt < LongestSilence;
+}
+
+// Takes what another entry tells of the store.
+void CacheFollower::hear(const CacheEvents &events)
+{
+    if (!m_isKnown || events.epoch != m_epoch) {
+        // A restarted store is empty; the list tells the rest.
+        m_isKnown = false;
+        return;
+    }
+    m_heardAt = m_parts.clock.now();
+    const bool isOld = events.next <= m_next;
+    if (isOld) {
+        return;
+    }
+    if (events.since > m_next) {
+        m_isKnown = false;
+        return;
+    }
+    take(events);
+}
+
+std::size_t CacheFollower::rank() const
+{
+    const auto score = [this](const std::string &entry) { return hash::fast(entry, hash::fast(m_store)); };
+    return static_cast<std::size_t>(std::count_if(m_state.entries.begin(), m_state.entries.end(),
+                                                  [&](const std::string &entry) { return score(entry) > score(m_settings.name); }));
+}
+
 bool CacheFollower::isConfigured() const
 {
     const auto &stores = m_state.parts.stores();
@@ -89,7 +137,7 @@
         m_parts.logger.event(LogLevel::Warning, "cache_store_lost", {{"store", m_store}});
         co_return false;
     }
-    const auto events = m_parts.dialect.readCacheEvents(result.response.body);
+    auto events = m_parts.dialect.readCacheEvents(result.response.body);
     if (!events || events->epoch != m_epoch || events->hasGap) {
         m_parts.logger.event(LogLevel::Info, "cache_events_broken",
                              {{"store", m_store},
@@ -98,6 +146,11 @@
                               {"gap", events && events->hasGap}});
         co_return false;
     }
+    events->since = m_next;
+    if (events->next > m_next || m_parts.clock.now() - m_toldAt > TellPeriod) {
+        m_toldAt = m_parts.clock.now();
+        m_state.storeEventsToTell.push_back({m_store, *events});
+    }
     take(*events);
     co_return true;
 }
@@ -117,16 +170,6 @@
     }
 }
 
-// One entry frees at each store, chosen by hash over the registered entries; a second one would only repeat calls.
-bool CacheFollower::isOwnDuty() const
-{
-    const auto rank = [this](const std::string &entry) {
-        return hash::fast(entry, hash::fast(m_store));
-    };
-    return std::none_of(m_state.entries.begin(), m_state.entries.end(),
-                        [&](const std::string &entry) { return rank(entry) > rank(m_settings.name); });
-}
-
 // Since when all entries, at each look, knew of the newest weights of a model.
 std::optional<TimePoint> CacheFollower::noteKnownToAll(const std::string &model, u64 version)
 {
@@ -147,11 +190,13 @@
 boost::asio::awaitable<void> CacheFollower::freeOutdated()
 {
     const auto now = m_parts.clock.now();
-    if (now - m_freedAt < FreePeriod || !isOwnDuty()) {
+    if (now - m_freedAt < FreePeriod || rank() > 0) {
         co_return;
     }
     m_freedAt = now;
-    for (const auto &[model, named] : m_state.weights) {
+    for (const auto &entry : m_state.weights) {
+        const auto &model = entry.first;
+        const auto &named = entry.second;
         const auto knownToAll = noteKnownToAll(model, named.wanted());
         const auto mayFree = [&](u64 version, std::string_view part) {
             return m_state.retirement.mayFree(named, version, part, knownToAll, now);
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -19,10 +19,12 @@
 
 private:
     [[nodiscard]] bool isConfigured() const;
+    [[nodiscard]] std::size_t rank() const;
+    [[nodiscard]] boost::asio::awaitable<bool> followOnce();
+    void hear(const CacheEvents &events);
     [[nodiscard]] boost::asio::awaitable<bool> readAll();
     [[nodiscard]] boost::asio::awaitable<bool> readChanges();
     [[nodiscard]] boost::asio::awaitable<void> freeOutdated();
-    [[nodiscard]] bool isOwnDuty() const;
     [[nodiscard]] std::optional<TimePoint> noteKnownToAll(const std::string &model, u64 version);
     void take(const CacheEvents &events);
 
@@ -33,6 +35,9 @@
     runtime::http::KeptClient m_client;
     u64 m_epoch = 0;
     u64 m_next = 0;
+    bool m_isKnown = false; ///< all that the store holds was read, and nothing was missed since
+    TimePoint m_heardAt{}; ///< last news of the store
+    TimePoint m_toldAt{}; ///< when the others were told last
     struct Known
     {
         u64 version = 0;
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -22,11 +22,14 @@
 namespace http = runtime::http;
 using runtime::LogLevel;
 
-/** How long a watch waits for changes. Shorter where a promise hangs on hearing of silence. */
+/**
+ * How long a watch waits for changes. Shorter where a promise hangs on hearing of silence: keys are confirmed by the start of a
+ * watch that was answered, so that they are up to two waits old.
+ */
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(1500);
-constexpr Duration EndpointWait = std::chrono::milliseconds(1500);
-constexpr Duration EvacuationWait = std::chrono::milliseconds(3000);
-constexpr Duration WeightWait = std::chrono::milliseconds(1200);
+constexpr Duration EndpointWait = std::chrono::milliseconds(3000);
+constexpr Duration EvacuationWait = std::chrono::milliseconds(3500);
+constexpr Duration WeightWait = std::chrono::milliseconds(2000);
 /** How often the list of entries is read. */
 constexpr Duration EntryListPeriod = std::chrono::seconds(5);
 constexpr Duration FirstEntryListPeriod = std::chrono::seconds(1);
--- a/lib/libburdock-gateway/source/kind_watcher.cpp
+++ b/lib/libburdock-gateway/source/kind_watcher.cpp
@@ -18,7 +18,7 @@
 /** Failures in a row after which the whole list is read again. */
 constexpr u32 FailuresToRelist = 8;
 /** Pause between two watches, so that changes which come together are answered by one call. */
-constexpr Duration GatherTime = std::chrono::milliseconds(20);
+constexpr Duration GatherTime = std::chrono::milliseconds(150);
 
 } // namespace
 
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -1,6 +1,5 @@
 #include "load_exchange.hpp"
 
-#include <burdock/link.pb.h>
 #include <burdock/runtime/sleep.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -19,13 +18,29 @@
 constexpr Duration ShortestPeriod = std::chrono::milliseconds(40);
 constexpr Duration IdlePeriod = std::chrono::milliseconds(400);
 constexpr Duration PeriodPerPeer = std::chrono::milliseconds(6);
-constexpr std::size_t MaxMessageBytes = 8 * 1024;
+constexpr std::size_t MaxMessageBytes = 60 * 1024;
 
 Udp::endpoint toEndpoint(const runtime::http::Address &address)
 {
     return {asio::ip::make_address(address.ip), address.port};
 }
 
+void addStoreEvents(schema::EntryLoad &message, const ToldStoreEvents &told)
+{
+    auto *out = message.add_store_events();
+    out->set_store(told.store);
+    out->set_epoch(told.events.epoch);
+    out->set_since(told.events.since);
+    out->set_next(told.events.next);
+    for (const auto &event : told.events.events) {
+        auto *part = out->add_events();
+        part->set_stored(event.isStored);
+        part->set_salt(event.salt);
+        part->set_part(event.part);
+        part->set_tokens(event.tokens);
+    }
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(const GatewayParts &parts, const GatewaySettings &settings, State &state)
@@ -79,6 +94,22 @@
     }
 }
 
+void LoadExchange::takeStoreEvents(const schema::StoreEvents &told)
+{
+    const auto listener = m_state.storeListeners.find(told.store());
+    if (listener == m_state.storeListeners.end()) {
+        return;
+    }
+    CacheEvents events;
+    events.epoch = told.epoch();
+    events.since = told.since();
+    events.next = told.next();
+    for (const auto &event : told.events()) {
+        events.events.push_back({event.stored(), event.salt(), event.part(), event.tokens()});
+    }
+    listener->second(events);
+}
+
 std::string LoadExchange::nextMessage()
 {
     schema::EntryLoad message;
@@ -95,6 +126,13 @@
     for (const auto &[model, named] : m_state.weights) {
         (*message.mutable_named_weights())[model] = named.wanted();
     }
+    for (const u64 endpoint : m_state.endpoints.loading()) {
+        message.add_loading(endpoint);
+    }
+    for (auto &events : m_state.storeEventsToTell) {
+        addStoreEvents(message, events);
+    }
+    m_state.storeEventsToTell.clear();
     return message.SerializeAsString();
 }
 
@@ -114,6 +152,10 @@
     for (const auto &[model, version] : read.named_weights()) {
         report.namedWeights[model] = version;
     }
+    report.loading.insert(read.loading().begin(), read.loading().end());
+    for (const auto &told : read.store_events()) {
+        takeStoreEvents(told);
+    }
     m_state.endpoints.peers().take(read.entry(), std::move(report), m_parts.clock.now());
 }
 
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -2,6 +2,8 @@
 
 #include "state.hpp"
 
+#include <burdock/link.pb.h>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <set>
@@ -29,6 +31,7 @@
 private:
     [[nodiscard]] std::string nextMessage();
     void take(std::string_view message);
+    void takeStoreEvents(const schema::StoreEvents &told);
     [[nodiscard]] Duration period() const;
 
     const GatewayParts &m_parts;
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -7,12 +7,20 @@
 #include <burdock/routing/route_table.hpp>
 #include <burdock/weights/named_weights.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
 namespace burdock::gateway {
 
+/** @brief Changes at a store of kept cache that the other entries are told of. */
+struct ToldStoreEvents
+{
+    std::string store;
+    CacheEvents events;
+};
+
 /** @brief What one gateway knows; read and changed on the one thread of its context. */
 struct State
 {
@@ -53,6 +61,8 @@
     retry::Quarantine quarantine;
     std::vector<std::string> entries; ///< names of the entries that registered
     u32 entryCount = 1;
+    std::vector<ToldStoreEvents> storeEventsToTell; ///< with the next message to the other entries
+    std::map<std::string, std::function<void(const CacheEvents &)>> storeListeners; ///< by store, for what the others tell
     u32 underWay = 0; ///< requests
     bool hasEndpoints = false; ///< a list of endpoints came
     bool isDraining = false;
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -1,9 +1,11 @@
 #include "weight_duty.hpp"
 
 #include <burdock/clients/json_fields.hpp>
+#include <burdock/hash/digest.hpp>
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/runtime/sleep.hpp>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -74,6 +76,12 @@
     return record;
 }
 
+u64 weightsOf(const endpoints::Endpoint &endpoint, std::string_view model)
+{
+    const auto version = endpoint.registration.weightVersions.find(model);
+    return version == endpoint.registration.weightVersions.end() ? 0 : version->second;
+}
+
 u64 unixMs()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -95,6 +103,7 @@
     co_await learnNamingTimes();
     while (true) {
         if (!isWanted() || m_state.isDraining) {
+            m_state.endpoints.setLoading({});
             co_await runtime::sleepFor(IdlePeriod);
             continue;
         }
@@ -105,6 +114,7 @@
             lookAtOrdered();
             giveOrders(due);
         }
+        markLoading();
         co_await runtime::sleepFor(BusyPeriod);
     }
 }
@@ -159,7 +169,8 @@
         subjects.push_back(order.endpoint);
     }
     const auto now = m_parts.clock.now();
-    if (!m_lease.mayAct(now) && now - m_leaseReadAt >= LeaseReadPeriod) {
+    // Among many entries, those that come first by hash look more often, so that calls don't grow with the entries.
+    if (!m_lease.mayAct(now) && now - m_leaseReadAt >= LeaseReadPeriod * (1 + rank())) {
         co_await readLease();
     }
     const auto write = m_lease.due(subjects, m_parts.clock.now());
@@ -168,6 +179,13 @@
     }
 }
 
+int WeightDuty::rank() const
+{
+    const auto score = [](const std::string &entry) { return hash::fast(entry); };
+    return static_cast<int>(std::count_if(m_state.entries.begin(), m_state.entries.end(),
+                                          [&](const std::string &entry) { return score(entry) > score(m_holder); }));
+}
+
 boost::asio::awaitable<void> WeightDuty::readLease()
 {
     m_leaseReadAt = m_parts.clock.now();
@@ -240,6 +258,22 @@
     }
 }
 
+// So that no entry sends requests where they would only be declined.
+void WeightDuty::markLoading()
+{
+    std::unordered_set<u64> loading;
+    for (const auto &[model, rollout] : m_rollouts) {
+        for (const auto &id : rollout.underWay()) {
+            const auto *endpoint = m_state.endpoints.find(id);
+            const auto version = endpoint == nullptr ? 0 : weightsOf(*endpoint, model);
+            if (m_isHolding && endpoint != nullptr && version < m_state.wantedVersion(model)) {
+                loading.insert(endpoint->hash);
+            }
+        }
+    }
+    m_state.endpoints.setLoading(std::move(loading));
+}
+
 void WeightDuty::lookAtOrdered()
 {
     const auto now = m_parts.clock.now();
--- a/lib/libburdock-gateway/source/weight_duty.hpp
+++ b/lib/libburdock-gateway/source/weight_duty.hpp
@@ -35,6 +35,8 @@
     [[nodiscard]] std::vector<DueOrder> dueOrders();
     void giveOrders(const std::vector<DueOrder> &due);
     void lookAtOrdered();
+    void markLoading();
+    [[nodiscard]] int rank() const;
     [[nodiscard]] boost::asio::awaitable<void> order(std::string id, std::string address, std::string model, u64 version);
     [[nodiscard]] boost::asio::awaitable<std::optional<EngineReport>> report(const std::string &id, const std::string &address);
     [[nodiscard]] boost::asio::awaitable<void> look(std::string id, std::string model);
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -167,6 +167,10 @@
     /** @brief Takes note of a part that a prompt brings into an engine's memory. */
     void notePart(std::string_view id, const std::string &key, u64 tokens);
 
+    /** @brief Sets which endpoints this process has told to load weights, and that take no work meanwhile. */
+    void setLoading(std::unordered_set<u64> endpoints);
+    [[nodiscard]] const std::unordered_set<u64> &loading() const;
+
     /** @brief What the other entries say of their work. */
     [[nodiscard]] PeerLoads &peers();
 
@@ -222,6 +226,7 @@
     std::set<std::string, std::less<>> m_evacuated;
     std::map<std::string, ServiceLimits, std::less<>> m_limits;
     PeerLoads m_peers;
+    std::unordered_set<u64> m_loading;
     placement::LeastLoadedPolicy m_leastLoaded;
 };
 
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace burdock::endpoints {
@@ -42,6 +43,7 @@
         u64 sequence = 0; ///< rises with each report of one start; older ones are ignored
         LoadsById loads;
         std::map<std::string, u64, std::less<>> namedWeights; ///< newest that it knows of, by model
+        std::unordered_set<u64> loading; ///< endpoints that it told to load weights
     };
 
     void take(const std::string &peer, Report report, TimePoint now);
@@ -54,6 +56,9 @@
 
     [[nodiscard]] Load at(u64 endpoint) const;
 
+    /** @brief Whether an entry said lately that it told this endpoint to load weights. */
+    [[nodiscard]] bool isLoading(u64 endpoint) const;
+
     /** @brief Entries whose reports count. */
     [[nodiscard]] std::size_t peers() const;
 
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -281,6 +281,16 @@
     }
 }
 
+void EndpointTable::setLoading(std::unordered_set<u64> endpoints)
+{
+    m_loading = std::move(endpoints);
+}
+
+const std::unordered_set<u64> &EndpointTable::loading() const
+{
+    return m_loading;
+}
+
 PeerLoads &EndpointTable::peers()
 {
     return m_peers;
@@ -342,6 +352,9 @@
     if (m_evacuated.count(registration.zone) > 0 || need.tried.count(registration.id) > 0) {
         return false;
     }
+    if (m_loading.count(endpoint.hash) > 0 || m_peers.isLoading(endpoint.hash)) {
+        return false;
+    }
     const auto version = registration.weightVersions.find(need.model);
     const bool isOutdated = version != registration.weightVersions.end() && version->second < need.oldestVersion;
     return now >= endpoint.ejectedUntil && !isOutdated && !isSilent(endpoint, now);
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -70,6 +70,12 @@
     return found == m_sums.end() ? Load{} : found->second;
 }
 
+bool PeerLoads::isLoading(u64 endpoint) const
+{
+    return std::any_of(m_reports.begin(), m_reports.end(),
+                       [endpoint](const auto &entry) { return entry.second.report.loading.count(endpoint) > 0; });
+}
+
 std::size_t PeerLoads::peers() const
 {
     return m_reports.size();
