Test the gateway as a real process before stand-ins of the users' store and replicas

Sixteen tests: each kind of request, forged headers, unknown keys and routes, a key taken away, the store away, nonsense of the store, a late copy of an answer, a lost answer of a call that may not be repeated, a stream that goes on elsewhere, a caller that leaves, a route's timeout, draining and evacuated endpoints, SIGTERM, SIGHUP, orders under lost answers, metrics.

--- /dev/null
+++ b/tests/integration/gateway_test.cpp
@@ -0,0 +1,405 @@
+#include <support/gateway_deployment.hpp>
+
+#include <boost/json.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+using namespace burdock;
+using namespace support;
+using standins::AfterAnswer;
+using standins::ReceivedRequest;
+using standins::Replica;
+using standins::ReplicaConnection;
+using standins::StoreMode;
+
+namespace {
+
+constexpr const char *PromptSize = "10,4";
+constexpr const char *PromptParts = "aa:6,bb:4";
+
+AfterAnswer answerWhole(const ReceivedRequest &request, ReplicaConnection &connection)
+{
+    connection.write(wholeAnswer(request, 200, "done " + request.header("X-Attempt-Id")));
+    return AfterAnswer::Keep;
+}
+
+AfterAnswer streamThree(const ReceivedRequest &request, ReplicaConnection &connection)
+{
+    connection.write(standins::streamHead(request));
+    for (u32 id = 1; id <= 3; ++id) {
+        connection.write(standins::eventChunk(id, "x"));
+    }
+    connection.write(standins::StreamEnd);
+    return AfterAnswer::Keep;
+}
+
+GatewayCall prompt(const std::string &path, const std::string &attempt)
+{
+    GatewayCall call;
+    call.path = path;
+    call.attempt = attempt;
+    call.further = {{"X-Model-Id", "m"}, {"X-Token-Usage", PromptSize}, {"X-Prompt-Prefix", PromptParts}};
+    return call;
+}
+
+bool isAnswered(const runtime::http::Exchange &exchange)
+{
+    return exchange.progress == runtime::http::Progress::Answered;
+}
+
+} // namespace
+
+TEST_CASE("each kind of request gets its own whole answer, and the endpoint is told what only the gateway may tell")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    Replica engine(streamThree);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.registerReplica("e1", "engines", engine.address());
+    gateway.awaitReady();
+
+    GatewayCall once;
+    once.further = {{"X-Tenant-Id", "someone-else"}, {"X-Cache-Salt", "stolen"}, {"X-Hold-Kv", "1"}};
+    const auto published = gateway.call(once);
+    CHECK(isAnswered(published));
+    CHECK(published.response.body == "done a1");
+    CHECK(published.response.header("X-Server-Seal") == "seal");
+    const auto at = plain.received().front();
+    CHECK(at.header("X-Tenant-Id") == "desk");
+    CHECK(at.header("X-Expect-Instance") == "p1");
+    CHECK(at.header("Authorization").empty());
+    CHECK(at.header("X-Cache-Salt").empty());
+    CHECK(at.header("X-Hold-Kv").empty());
+    CHECK(std::stoi(at.header("X-Deadline-Ms")) <= 3000);
+
+    const auto streamed = gateway.call(prompt("/prompts/1", "s1"));
+    CHECK(isAnswered(streamed));
+    CHECK(streamed.response.body.find("id: 3") != std::string::npos);
+    const auto prompted = engine.received().front();
+    CHECK(prompted.header("X-Expect-Version") == "1");
+    CHECK(prompted.header("X-Cache-Salt") == "m~1~");
+    CHECK(prompted.header("X-Prompt-Prefix") == PromptParts);
+}
+
+TEST_CASE("unknown keys, routes and too large requests get their answers, and nothing of them reaches an endpoint")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    GatewayCall call;
+    call.key = "unknown";
+    CHECK(gateway.call(call).response.status == 401);
+    call.key = "key-desk";
+    call.path = "/nowhere/";
+    CHECK(gateway.call(call).response.status == 404);
+    call.path = "/once/1";
+    call.body = std::string(70'000, 'x');
+    CHECK(gateway.call(call).response.status == 413);
+    call.body = "{}";
+    call.further = {{"X-Long", std::string(5000, 'x')}};
+    CHECK(gateway.call(call).response.status == 431);
+    CHECK(plain.received().empty());
+}
+
+// A customer's key is taken away, and somebody goes on using it. In order: the operator writes a configuration without the key;
+// the gateway takes it; later an older configuration is written by mistake. The key must stay out.
+TEST_CASE("a key that was taken away is refused, and an older configuration doesn't bring it back")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    CHECK(gateway.call({}).response.status == 200);
+    gateway.configure(7, {"key-new"});
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 401; }));
+    gateway.configure(5, {"key-desk"});
+    GatewayCall renewed;
+    renewed.key = "key-new";
+    CHECK(gateway.call(renewed).response.status == 200);
+    CHECK(gateway.call({}).response.status == 401);
+}
+
+// The platform's store goes silent while keys are taken away there. A gateway that kept serving keyed requests from what it knew
+// would run them long after the revocation. It must refuse them once its knowledge is too old, and serve open routes on.
+TEST_CASE("keys are refused once the store was away for too long, open routes are served on")
+{
+    GatewayDeployment gateway(R"({"revocation_ms": 2500})");
+    Replica plain(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    gateway.store().setMode(StoreMode::Down);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 503; }));
+    const auto refused = gateway.call({});
+    CHECK(!refused.response.header("Retry-After").empty());
+    CHECK(gateway.readiness() == 503);
+    GatewayCall open;
+    open.path = "/open/1";
+    open.key = "";
+    CHECK(gateway.call(open).response.status == 200);
+    gateway.store().setMode(StoreMode::Up);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 200; }));
+}
+
+TEST_CASE("nonsense of the store keeps what is in force: unreadable entries, no history, 503")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    gateway.store().put("config", "main", {{"version", "nine"}});
+    gateway.store().put("servers", "ghost", {{"service", 7}, {"address", "127.0.0.1:1"}, {"slots", -1}});
+    gateway.store().put("versions", "m", boost::json::array{1, 2});
+    gateway.store().setMode(StoreMode::HasNoHistory);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    gateway.store().setMode(StoreMode::TurnsAway);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    gateway.store().setMode(StoreMode::Up);
+    CHECK(gateway.call({}).response.status == 200);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find("configuration_unreadable") != std::string::npos; }));
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find("endpoint_unreadable") != std::string::npos; }));
+}
+
+// A reader sees somebody else's notice. An endpoint gave an answer twice; the second copy arrives where the answer to the next
+// request on that connection is expected. Only the attempt id in the answer tells them apart.
+TEST_CASE("a late copy of an earlier answer reaches nobody")
+{
+    GatewayDeployment gateway;
+    std::string earlier;
+    Replica plain([&earlier](const ReceivedRequest &request, ReplicaConnection &connection) {
+        if (!earlier.empty()) {
+            connection.write(earlier);
+        }
+        earlier = wholeAnswer(request, 200, "for " + request.header("X-Attempt-Id"));
+        connection.write(earlier);
+        return AfterAnswer::Keep;
+    });
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    for (const std::string attempt : {"r1", "r2", "r3"}) {
+        GatewayCall call;
+        call.path = "/read/1";
+        call.attempt = attempt;
+        CHECK(gateway.call(call).response.body == "for " + attempt);
+    }
+}
+
+// A clerk sees two badges. The endpoint took the order and its connection broke before the answer: whether it ran is unknown.
+// Sending it to another endpoint would run it twice, and a refusal that says "not run" would have the clerk send it again.
+TEST_CASE("a call that may not be repeated is sent once, and its loss is not called a refusal")
+{
+    GatewayDeployment gateway;
+    const auto breakOff = [](const ReceivedRequest &, ReplicaConnection &) {
+        return AfterAnswer::Close;
+    };
+    Replica first(breakOff);
+    Replica second(breakOff);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", first.address());
+    gateway.registerReplica("p2", "plain", second.address());
+    gateway.awaitReady();
+    CHECK(gateway.call({}).response.status == 502);
+    CHECK(first.received().size() + second.received().size() == 1);
+}
+
+TEST_CASE("what an endpoint declined goes to another one; a read goes on after a lost answer")
+{
+    GatewayDeployment gateway;
+    Replica busy([](const ReceivedRequest &request, ReplicaConnection &connection) {
+        connection.write(wholeAnswer(request, 503, "", "X-Not-Executed: 1\r\n"));
+        return AfterAnswer::Keep;
+    });
+    Replica sound(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", busy.address());
+    gateway.registerReplica("p2", "plain", sound.address());
+    gateway.awaitReady();
+    for (u32 i = 0; i < 8; ++i) {
+        GatewayCall call;
+        call.attempt = "n" + std::to_string(i);
+        CHECK(gateway.call(call).response.status == 200);
+    }
+    CHECK(sound.received().size() == 8);
+}
+
+TEST_CASE("a stream that breaks off goes on at another endpoint where its route allows, event by event")
+{
+    GatewayDeployment gateway;
+    const auto script = [](const ReceivedRequest &request, ReplicaConnection &connection) {
+        connection.write(standins::streamHead(request));
+        if (request.header("Last-Event-Id") == "1") {
+            connection.write(standins::eventChunk(2, "second"));
+            connection.write(standins::StreamEnd);
+            return AfterAnswer::Keep;
+        }
+        connection.write(standins::eventChunk(1, "first"));
+        // The endpoint dies in the middle of its second event.
+        connection.write("14\r\nid: 2\ndata: torn");
+        return AfterAnswer::Close;
+    };
+    Replica first(script);
+    Replica second(script);
+    gateway.configure(3);
+    gateway.registerReplica("e1", "engines", first.address());
+    gateway.registerReplica("e2", "engines", second.address());
+    gateway.awaitReady();
+    const auto answer = gateway.call(prompt("/resumable/1", "s1"));
+    CHECK(isAnswered(answer));
+    CHECK(answer.response.body == "id: 1\ndata: first\n\nid: 2\ndata: second\n\n");
+    const auto broken = gateway.call(prompt("/prompts/1", "s2"));
+    CHECK(broken.progress == runtime::http::Progress::MayBeSent);
+}
+
+// Engines go on making tokens for callers who have left: each holds a place that others wait for.
+TEST_CASE("when a caller leaves, the endpoint's connection is closed within half a second")
+{
+    GatewayDeployment gateway;
+    std::atomic<bool> isClosed{false};
+    Replica engine([&isClosed](const ReceivedRequest &, ReplicaConnection &connection) {
+        isClosed = connection.awaitClose(std::chrono::seconds(3));
+        return AfterAnswer::Close;
+    });
+    gateway.configure(3);
+    gateway.registerReplica("e1", "engines", engine.address());
+    gateway.awaitReady();
+    gateway.callAndLeave(prompt("/prompts/1", "s1"), std::chrono::milliseconds(200));
+    const auto left = std::chrono::steady_clock::now();
+    CHECK(GatewayDeployment::waitFor([&] { return isClosed.load(); }));
+    CHECK(std::chrono::steady_clock::now() - left < std::chrono::milliseconds(500));
+}
+
+TEST_CASE("an answer is given at the route's timeout, whatever the endpoint does")
+{
+    GatewayDeployment gateway;
+    Replica silent([](const ReceivedRequest &, ReplicaConnection &connection) {
+        static_cast<void>(connection.awaitClose(std::chrono::seconds(8)));
+        return AfterAnswer::Close;
+    });
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", silent.address());
+    gateway.awaitReady();
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(gateway.call({}).response.status == 504);
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(3500));
+}
+
+TEST_CASE("an endpoint that is draining, gone or in a zone that is out gets nothing more")
+{
+    GatewayDeployment gateway;
+    Replica leaving(answerWhole);
+    Replica staying(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", leaving.address());
+    gateway.registerReplica("p2", "plain", staying.address());
+    gateway.awaitReady();
+    gateway.registerReplica("p1", "plain", leaving.address(), true);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("draining":true)") != std::string::npos; }));
+    const auto before = leaving.received().size();
+    for (u32 i = 0; i < 10; ++i) {
+        CHECK(gateway.call({}).response.status == 200);
+    }
+    CHECK(leaving.received().size() == before);
+    gateway.store().put("evacuations", "zone-a", boost::json::object());
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 503; }));
+    gateway.store().erase("evacuations", "zone-a");
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 200; }));
+}
+
+// A planned stop cuts off a reader. A request that comes late in the grace time runs until the process must end and is cut; one
+// that came before must end whole. Late ones are refused at once, so that their callers go elsewhere.
+TEST_CASE("SIGTERM lets requests under way end whole and refuses late ones at once")
+{
+    GatewayDeployment gateway;
+    Replica plain([](const ReceivedRequest &request, ReplicaConnection &connection) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(request.target == "/read/slow" ? 1500 : 5));
+        return answerWhole(request, connection);
+    });
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    GatewayCall slow;
+    slow.path = "/read/slow";
+    auto underWay = std::async(std::launch::async, [&] { return gateway.call(slow); });
+    CHECK(GatewayDeployment::waitFor([&] { return plain.receivedAt("/read/slow") == 1; }));
+    gateway.process().signal(SIGTERM);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.readiness() == 503; }));
+    CHECK(gateway.call({}).response.status == 200);
+    CHECK(underWay.get().response.status == 200);
+    const bool isRefused = GatewayDeployment::waitFor([&] {
+        const auto late = gateway.call({});
+        return isAnswered(late) ? late.response.status == 503 : true;
+    });
+    CHECK(isRefused);
+    CHECK(gateway.process().waitForEnd(std::chrono::seconds(7)) == 0);
+}
+
+TEST_CASE("SIGHUP ends nothing")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    gateway.process().signal(SIGHUP);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("event":"reload")") != std::string::npos; }));
+    CHECK(gateway.call({}).response.status == 200);
+}
+
+// Replicas keep old weights for good, as the answer to the gateway's claim of the duty got lost although the claim took effect.
+TEST_CASE("new weights are ordered under one holder, also where answers of the store are lost")
+{
+    GatewayDeployment gateway;
+    std::atomic<u32> version{1};
+    std::atomic<u32> orders{0};
+    Replica engine([&](const ReceivedRequest &request, ReplicaConnection &connection) {
+        if (request.target == "/order") {
+            ++orders;
+            version = 2;
+            connection.write(wholeAnswer(request, 202, ""));
+        } else {
+            const auto report = R"({"busy":false,"seq":)" + std::to_string(orders.load())
+                + R"(,"running":0,"models":[{"name":"m","version":)" + std::to_string(version.load()) + "}]}";
+            connection.write(wholeAnswer(request, 200, report));
+        }
+        return AfterAnswer::Keep;
+    });
+    gateway.configure(3);
+    gateway.registerReplica("e1", "engines", engine.address());
+    gateway.awaitReady();
+    gateway.store().setMode(StoreMode::LosesWriteAnswers);
+    gateway.store().put("versions", "m", {{"model", "m"}, {"version", 2}});
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.store().count("burdock-duties") == 1; }));
+    CHECK(orders == 0);
+    gateway.store().setMode(StoreMode::Up);
+    CHECK(GatewayDeployment::waitFor([&] { return orders > 0; }));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    CHECK(orders == 1);
+    const auto received = engine.received();
+    const auto order = std::find_if(received.begin(), received.end(), [](const auto &request) { return request.target == "/order"; });
+    const auto body = boost::json::parse(order->body).as_object();
+    CHECK(body.at("fencingToken").to_number<u64>() >= 1);
+    CHECK(body.at("expected").to_number<u64>() == 0);
+    CHECK(order->header("X-Expect-Instance") == "e1");
+}
+
+TEST_CASE("metrics tell requests by kind and outcome, and the age of the configuration")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    gateway.configure(3);
+    gateway.registerReplica("p1", "plain", plain.address());
+    gateway.awaitReady();
+    CHECK(gateway.call({}).response.status == 200);
+    const auto metrics = gateway.metrics();
+    CHECK(metrics.find(R"(burdock_requests_total{kind="once_only",outcome="answered"} 1)") != std::string::npos);
+    CHECK(metrics.find("burdock_configuration_age_seconds") != std::string::npos);
+    CHECK(metrics.find("burdock_request_seconds_bucket") != std::string::npos);
+}
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -1,5 +1,7 @@
 #include <support/deployment.hpp>
 
+#include <support/ports.hpp>
+
 #include <burdock/hash/digest.hpp>
 #include <burdock/ops/fleet_status.hpp>
 #include <burdock/schema/document.hpp>
@@ -24,29 +26,6 @@
 
 constexpr auto Poll = std::chrono::milliseconds(10);
 
-// A port that nobody listens on. The range lies below the one from which the system picks ports for outgoing connections.
-u16 freePort()
-{
-    static u32 s_next = static_cast<u32>(getpid()) * 61;
-    boost::asio::io_context context;
-    while (true) {
-        const auto port = static_cast<u16>(12'000 + s_next++ % 20'000);
-        boost::asio::ip::tcp::acceptor acceptor(context);
-        boost::system::error_code error;
-        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), port);
-        acceptor.open(endpoint.protocol());
-        acceptor.bind(endpoint, error);
-        if (!error) {
-            return port;
-        }
-    }
-}
-
-std::string freeAddress()
-{
-    return "127.0.0.1:" + std::to_string(freePort());
-}
-
 } // namespace
 
 std::string zoneName(u32 number)
--- /dev/null
+++ b/tests/standins/source/object_store.cpp
@@ -0,0 +1,196 @@
+#include <standins/object_store.hpp>
+
+#include <burdock/clients/json_fields.hpp>
+#include <burdock/runtime/sleep.hpp>
+
+#include <boost/json.hpp>
+
+namespace standins {
+
+namespace {
+
+namespace http = runtime::http;
+namespace json = boost::json;
+
+constexpr Duration Poll = std::chrono::milliseconds(5);
+
+json::object objectOf(const std::string &name, u64 revision, const json::value &spec)
+{
+    return {{"metadata", {{"name", name}, {"revision", revision}, {"finalizers", json::array()}, {"deleting", false}}}, {"spec", spec}};
+}
+
+http::Response answer(u16 status, const json::value &body)
+{
+    http::Response response;
+    response.status = status;
+    response.body = json::serialize(body);
+    return response;
+}
+
+u64 numberIn(std::string_view text)
+{
+    return text.empty() ? 0 : std::stoull(std::string(text));
+}
+
+} // namespace
+
+ObjectStore::ObjectStore(boost::asio::io_context &workers, const std::string &address)
+    : m_server(workers, http::parseAddress(address), {}, *this)
+{
+}
+
+std::string ObjectStore::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_server.port());
+}
+
+void ObjectStore::setMode(StoreMode mode)
+{
+    m_mode = mode;
+}
+
+void ObjectStore::put(const std::string &kind, const std::string &name, const json::value &spec)
+{
+    const std::lock_guard lock(m_mutex);
+    note(kind, name, false, spec);
+}
+
+void ObjectStore::erase(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    note(kind, name, true, nullptr);
+}
+
+json::value ObjectStore::spec(const std::string &kind, const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find({kind, name});
+    return found == m_objects.end() ? json::value() : found->second.spec;
+}
+
+std::size_t ObjectStore::count(const std::string &kind) const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(
+        std::count_if(m_objects.begin(), m_objects.end(), [&kind](const auto &entry) { return entry.first.first == kind; }));
+}
+
+boost::asio::awaitable<void> ObjectStore::handle(const http::Request &request, http::Reply &reply)
+{
+    const auto mode = m_mode.load();
+    if (mode == StoreMode::Down) {
+        co_return;
+    }
+    if (mode == StoreMode::TurnsAway) {
+        const auto busy = answer(503, json::object());
+        co_await reply.send(busy);
+        co_return;
+    }
+    // The path is /objects/KIND or /objects/KIND/NAME.
+    const std::string path(request.path().substr(std::string_view("/objects/").size()));
+    const auto slash = path.find('/');
+    const auto kind = path.substr(0, slash);
+    const auto name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    http::Response response;
+    if (request.method == "GET" && !request.query("watch").empty()) {
+        const auto revision = numberIn(request.query("watch"));
+        const Duration wait = std::chrono::milliseconds(numberIn(request.query("waitMs")));
+        response = co_await watch(kind, revision, wait);
+    } else if (request.method == "GET") {
+        response = list(kind);
+    } else {
+        response = request.method == "DELETE" ? remove(kind, name) : write(request, kind, name);
+        if (mode == StoreMode::LosesWriteAnswers) {
+            co_return;
+        }
+    }
+    if (m_mode != StoreMode::Down) {
+        co_await reply.send(response);
+    }
+}
+
+http::Response ObjectStore::list(const std::string &kind) const
+{
+    const std::lock_guard lock(m_mutex);
+    json::array items;
+    for (const auto &[key, object] : m_objects) {
+        if (key.first == kind) {
+            items.push_back(objectOf(key.second, object.revision, object.spec));
+        }
+    }
+    return answer(200, {{"items", items}, {"more", false}, {"storeRevision", m_revision}});
+}
+
+boost::asio::awaitable<http::Response> ObjectStore::watch(std::string kind, u64 revision, Duration wait)
+{
+    const auto until = std::chrono::steady_clock::now() + wait;
+    while (std::chrono::steady_clock::now() < until && m_mode == StoreMode::Up && !hasChanges(kind, revision)) {
+        co_await runtime::sleepFor(Poll);
+    }
+    if (m_mode == StoreMode::HasNoHistory) {
+        co_return answer(410, json::object());
+    }
+    co_return changesSince(kind, revision);
+}
+
+bool ObjectStore::hasChanges(const std::string &kind, u64 revision) const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::any_of(m_changes.begin(), m_changes.end(),
+                       [&](const Change &change) { return change.kind == kind && change.revision > revision; });
+}
+
+http::Response ObjectStore::changesSince(const std::string &kind, u64 revision) const
+{
+    const std::lock_guard lock(m_mutex);
+    json::array events;
+    for (const auto &change : m_changes) {
+        if (change.kind == kind && change.revision > revision) {
+            events.push_back({{"deleted", change.isDeleted}, {"object", objectOf(change.name, change.revision, change.spec)}});
+        }
+    }
+    return answer(200, {{"events", events}, {"storeRevision", m_revision}});
+}
+
+http::Response ObjectStore::write(const http::Request &request, const std::string &kind, const std::string &nameInPath)
+{
+    const auto body = json::parse(request.body).as_object();
+    const auto &metadata = clients::objectOf(body, "metadata");
+    const auto name = nameInPath.empty() ? clients::textOf(metadata, "name") : nameInPath;
+    const std::lock_guard lock(m_mutex);
+    const auto present = m_objects.find({kind, name});
+    const bool isThere = present != m_objects.end();
+    if (request.method == "PUT" && !isThere) {
+        return answer(404, json::object());
+    }
+    const bool isCreate = request.method == "POST";
+    const bool isStale = isThere && !isCreate && clients::numberOf(metadata, "revision") != present->second.revision;
+    if ((isCreate && isThere) || isStale) {
+        return answer(409, objectOf(name, present->second.revision, present->second.spec));
+    }
+    note(kind, name, false, body.at("spec"));
+    return answer(200, objectOf(name, m_revision, body.at("spec")));
+}
+
+http::Response ObjectStore::remove(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_objects.count({kind, name}) == 0) {
+        return answer(404, json::object());
+    }
+    note(kind, name, true, nullptr);
+    return answer(200, json::object());
+}
+
+void ObjectStore::note(const std::string &kind, const std::string &name, bool isDeleted, const json::value &spec)
+{
+    ++m_revision;
+    m_changes.push_back({m_revision, kind, name, isDeleted, spec});
+    if (isDeleted) {
+        m_objects.erase({kind, name});
+    } else {
+        m_objects[{kind, name}] = Object{spec, m_revision};
+    }
+}
+
+} // namespace standins
