--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -237,6 +237,7 @@
 boost::asio::awaitable<CallDriver::Attempt> CallDriver::attempt(const std::string &id)
 {
     Attempt attempt;
+    attempt.answer.status = 0;
     const auto *endpoint = m_state.endpoints.find(id);
     const auto request = instruct(*endpoint);
     m_sentAt = m_parts.clock.now();
@@ -246,7 +247,11 @@
     m_connection.reset();
     const auto now = m_parts.clock.now();
     const endpoints::Work left{m_choice.work.memory, m_isPrefillPending ? m_choice.work.prefill : 0};
-    m_state.endpoints.noteEnd(id, left, attempt.outcome, now);
+    const auto ejectedFor = m_state.endpoints.noteEnd(id, left, attempt.outcome, now);
+    if (ejectedFor > Duration::zero()) {
+        m_parts.logger.event(LogLevel::Warning, "endpoint_ejected",
+                             {{"endpoint", id}, {"outcome", toString(attempt.outcome)}, {"for_ms", toMilliseconds(ejectedFor)}});
+    }
     const bool isUntouched = attempt.outcome == Outcome::Declined || attempt.outcome == Outcome::Unreachable;
     ++(isUntouched ? m_history.declined : m_history.begun);
     if (attempt.outcome == Outcome::Broken) {
--- a/lib/libburdock-operator/source/bundle_commands.hpp
+++ b/lib/libburdock-operator/source/bundle_commands.hpp
@@ -10,6 +10,9 @@
 /** @brief Adds `rollout apply|status`, `zone out|in|status`, `customer set|remove`, `endpoint drain|undrain|status` and `status`. */
 void addFleetCommands(std::vector<std::unique_ptr<Command>> &commands);
 
+/** @brief Adds `gateway check` and `explain`. */
+void addGatewayCommands(std::vector<std::unique_ptr<Command>> &commands);
+
 /** @brief What a command says of itself. */
 struct CommandText
 {
--- a/lib/libburdock-operator/source/commands.cpp
+++ b/lib/libburdock-operator/source/commands.cpp
@@ -39,6 +39,7 @@
     std::vector<std::unique_ptr<Command>> commands;
     detail::addBundleCommands(commands);
     detail::addFleetCommands(commands);
+    detail::addGatewayCommands(commands);
     return commands;
 }
 
--- /dev/null
+++ b/lib/libburdock-operator/source/gateway_commands.cpp
@@ -0,0 +1,83 @@
+#include "bundle_commands.hpp"
+#include "console.hpp"
+
+#include <burdock/ops/explain.hpp>
+#include <burdock/schema/document.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace burdock::ops::detail {
+
+namespace {
+
+using Arguments = std::vector<std::string>;
+
+ExitCode checkGatewaySettings(const Arguments &arguments, const Options & /*options*/)
+{
+    const auto text = readFile(arguments[0]);
+    if (!text) {
+        return fail(ExitCode::BadInput, arguments[0] + " can't be read");
+    }
+    const auto checked = schema::parseGatewaySettings(arguments[0], *text);
+    for (const auto &fault : checked.faults) {
+        std::cerr << schema::toString(fault) << "\n";
+    }
+    if (!checked.document) {
+        return ExitCode::BadInput;
+    }
+    std::cout << arguments[0] << ": settings of gateway " << checked.document->name() << " are well formed\n";
+    return ExitCode::Ok;
+}
+
+// The text of a file, or of all files of a folder.
+std::optional<std::string> readLogs(const std::string &path)
+{
+    std::error_code error;
+    if (!std::filesystem::is_directory(path, error)) {
+        return readFile(path);
+    }
+    std::string all;
+    for (const auto &entry : std::filesystem::directory_iterator(path, error)) {
+        all += readFile(entry.path().string()).value_or("");
+        all += "\n";
+    }
+    return error ? std::nullopt : std::optional(all);
+}
+
+ExitCode explain(const Arguments &arguments, const Options &options)
+{
+    const auto text = readLogs(arguments[1]);
+    if (!text) {
+        return fail(ExitCode::BadInput, arguments[1] + " can't be read");
+    }
+    std::istringstream logs(*text);
+    const auto story = explainRequest(arguments[0], logs);
+    if (story.empty()) {
+        return fail(ExitCode::BadInput, "no line of " + arguments[0] + " in " + arguments[1]);
+    }
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &line : story) {
+        rows.push_back({std::to_string(line.unixMs), line.vm, line.isContext ? "around" : "request", line.event, line.details});
+    }
+    printTable({"unix_ms", "vm", "of", "event", "details"}, rows, options);
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+void addGatewayCommands(std::vector<std::unique_ptr<Command>> &commands)
+{
+    const auto add = adderTo(commands);
+    add({"gateway check", "gateway check SETTINGS", "Checks the settings file of a gateway and names all its faults.",
+         "gateway check gateway.json"},
+        1, checkGatewaySettings);
+    add({"explain", "explain REQUEST-ID LOG",
+         "Tells the story of one request from processes' logs, in order of time; LOG is a file, or a folder of files.",
+         "explain 9c41d07be2a35f68 logs/"},
+        2, explain);
+}
+
+} // namespace burdock::ops::detail
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -64,6 +64,8 @@
     double delayPerTokenMs = 0.012;
     /** Delay at an engine with older weights than wanted that counts as equal to none at one with the wanted ones. */
     Duration oldWeightsPenalty = std::chrono::milliseconds(120);
+    /** Differences of expected delay below this don't count. */
+    Duration equalWithin = std::chrono::milliseconds(30);
     /** Longest expected delay with which a prompt is let in, in percent of the time in which callers want its first event. */
     u32 admitPercent = 100;
 };
@@ -161,8 +163,11 @@
     /** @brief Takes note of the first event of a prompt, so that its prompt is read. */
     void noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, TimePoint now);
 
-    /** @param left work of the request that was not taken off by noteFirstEvent() */
-    void noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now);
+    /**
+     * @param left work of the request that was not taken off by noteFirstEvent()
+     * @return for how long the endpoint is left out from now on, if it is for what it did
+     */
+    Duration noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now);
 
     /** @brief Takes note of a part that a prompt brings into an engine's memory. */
     void notePart(std::string_view id, const std::string &key, u64 tokens);
@@ -217,7 +222,7 @@
     [[nodiscard]] Duration delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const;
     [[nodiscard]] Duration referenceDelay(u64 tokens) const;
     [[nodiscard]] const ServiceLimits &limitsOf(const std::string &service) const;
-    void eject(Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] Duration eject(Endpoint &endpoint, TimePoint now) const;
     void dropIfDone(Endpoints::iterator endpoint);
 
     Policy m_policy;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -161,8 +161,11 @@
             }
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tie(left.score, left.rank) < std::tie(right.score, right.rank);
+    // Among engines that are about as soon, the prompt's home comes first, at every entry the same.
+    std::sort(candidates.begin(), candidates.end(), [this](const Candidate &left, const Candidate &right) {
+        const auto leftBand = left.score / m_policy.equalWithin;
+        const auto rightBand = right.score / m_policy.equalWithin;
+        return std::tie(leftBand, left.rank) < std::tie(rightBand, right.rank);
     });
     Choice choice;
     choice.reason = isAnyEligible ? NoChoice::NoRoom : NoChoice::NoEndpoint;
@@ -241,11 +244,11 @@
     }
 }
 
-void EndpointTable::noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now)
+Duration EndpointTable::noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
-        return;
+        return Duration::zero();
     }
     auto &endpoint = found->second;
     endpoint.own -= Load{1, left.memory, left.prefill};
@@ -263,13 +266,13 @@
     if (endpoint.own.running == 0) {
         endpoint.waitingSince.reset();
     }
-    if (outcome == Outcome::Unreachable || fellSilent || failsOften) {
-        eject(endpoint, now);
-    }
+    const bool isEjected = outcome == Outcome::Unreachable || fellSilent || failsOften;
+    const auto ejectedFor = isEjected ? eject(endpoint, now) : Duration::zero();
     if (outcome == Outcome::Declined) {
         endpoint.ejectedUntil = std::max(endpoint.ejectedUntil, now + m_policy.declinePause);
     }
     dropIfDone(found);
+    return ejectedFor;
 }
 
 void EndpointTable::notePart(std::string_view id, const std::string &key, u64 tokens)
@@ -396,13 +399,14 @@
     return found == m_limits.end() ? s_none : found->second;
 }
 
-void EndpointTable::eject(Endpoint &endpoint, TimePoint now) const
+Duration EndpointTable::eject(Endpoint &endpoint, TimePoint now) const
 {
     const auto doubled = endpoint.lastEjection * 2;
     endpoint.lastEjection = std::clamp(doubled, m_policy.firstEjection, m_policy.longestEjection);
     endpoint.ejectedUntil = now + endpoint.lastEjection;
     endpoint.samples = 0;
     endpoint.failureShare = 0;
+    return endpoint.lastEjection;
 }
 
 void EndpointTable::dropIfDone(Endpoints::iterator endpoint)
--- /dev/null
+++ b/tests/unit/endpoint_table_test.cpp
@@ -0,0 +1,274 @@
+#include <burdock/endpoints/endpoint_table.hpp>
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace burdock;
+using namespace burdock::endpoints;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr u64 EngineMemory = 170'000;
+constexpr u64 DraftPrefill = 12'000;
+constexpr u64 DraftMemory = 12'050;
+
+TimePoint at(Duration since)
+{
+    return TimePoint(std::chrono::hours(1)) + since;
+}
+
+Registration engine(u32 number)
+{
+    Registration registration;
+    registration.id = "engine-" + std::to_string(number);
+    registration.service = "engines";
+    registration.address = "10.0.0.1:80";
+    registration.zone = "zone-" + std::to_string(number % 2);
+    registration.slots = 128;
+    registration.bornMs = 1;
+    registration.weightVersions["m"] = 1;
+    return registration;
+}
+
+EndpointTable tableOf(u32 engines)
+{
+    EndpointTable table(Policy{});
+    table.setServiceLimits("engines", EngineMemory, 18.0);
+    for (u32 i = 0; i < engines; ++i) {
+        table.setRegistration(engine(i), at(0ms));
+    }
+    return table;
+}
+
+Need draft(u64 home, Duration target = 600ms)
+{
+    Need need;
+    need.service = "engines";
+    need.home = home;
+    need.random = home;
+    need.memory = DraftMemory;
+    need.prefill = [](const Endpoint &) {
+        return DraftPrefill;
+    };
+    need.model = "m";
+    need.target = target;
+    return need;
+}
+
+Need plainCall(u64 random)
+{
+    Need need;
+    need.service = "engines";
+    need.random = random;
+    return need;
+}
+
+} // namespace
+
+// Load pattern: a flood of long prompts at once, several times what the engines read in the callers' time. Were all let in, each
+// would wait behind all before it and come too late, as would the next minute's. Those that are let in must begin in time,
+// and the others must be refused at once.
+TEST_CASE("a flood of long prompts fills each engine with what it can begin in time, and the rest is refused")
+{
+    auto table = tableOf(4);
+    std::map<std::string, u64> pending;
+    u32 refused = 0;
+    for (u64 i = 0; i < 100; ++i) {
+        const auto choice = table.choose(draft(i), at(0ms));
+        if (choice.reason == NoChoice::TooSlow) {
+            ++refused;
+            continue;
+        }
+        REQUIRE((choice.reason == NoChoice::None));
+        CHECK(choice.expectedDelay <= 600ms);
+        table.noteSent(choice.id, choice.work, at(0ms));
+        pending[choice.id] += choice.work.prefill;
+    }
+    CHECK(refused > 50);
+    CHECK(pending.size() == 4);
+    for (const auto &[id, tokens] : pending) {
+        CHECK(tokens <= 46'000); // 50 ms and 0.012 ms a token make 600 ms
+        CHECK(tokens >= 36'000);
+    }
+}
+
+// Load pattern: several entries flood the same engines. Each alone would fill an engine to the brim, and all together several times
+// over. What the others tell must count like the entry's own work, and stop counting when they fall silent.
+TEST_CASE("what the other entries have under way counts, and no longer when they are silent")
+{
+    auto table = tableOf(1);
+    const u64 hash = table.find("engine-0")->hash;
+    PeerLoads::Report report;
+    report.boot = 1;
+    report.sequence = 1;
+    report.loads[hash] = Load{4, 40'000, 48'000};
+    table.peers().take("entry-2", report, at(0ms));
+    CHECK((table.choose(draft(1), at(0ms)).reason == NoChoice::TooSlow));
+    table.peers().expire(at(1400ms));
+    CHECK((table.choose(draft(1), at(1400ms)).reason == NoChoice::TooSlow));
+    table.peers().expire(at(1600ms));
+    CHECK((table.choose(draft(1), at(1600ms)).reason == NoChoice::None));
+}
+
+TEST_CASE("a late message of another entry doesn't replace a newer one, a restarted entry's does")
+{
+    PeerLoads loads(1500ms);
+    PeerLoads::Report report;
+    report.boot = 1;
+    report.sequence = 5;
+    report.loads[7] = Load{2, 100, 100};
+    loads.take("entry-2", report, at(0ms));
+    report.sequence = 4;
+    report.loads[7] = Load{9, 900, 900};
+    loads.take("entry-2", report, at(1ms));
+    CHECK(loads.at(7).running == 2);
+    report.boot = 2;
+    report.sequence = 1;
+    report.loads[7] = Load{1, 10, 10};
+    loads.take("entry-2", report, at(2ms));
+    CHECK(loads.at(7).running == 1);
+}
+
+// Load pattern: one engine works at a quarter of the others' pace, its health good. Counting requests alone, it gets as many as
+// the others and its callers wait four times as long.
+TEST_CASE("an engine that turns slow gets less, and is tried again after some time")
+{
+    auto table = tableOf(2);
+    const auto share = [&table](Duration now) {
+        std::map<std::string, u32> chosen;
+        for (u64 i = 0; i < 100; ++i) {
+            ++chosen[table.choose(draft(i), at(now)).id];
+        }
+        return chosen["engine-0"];
+    };
+    CHECK(share(0ms) > 30);
+    for (u32 i = 0; i < 20; ++i) {
+        Choice choice{"engine-0", NoChoice::None, {DraftMemory, DraftPrefill}, 194ms};
+        table.noteSent("engine-0", choice.work, at(0ms));
+        table.noteFirstEvent("engine-0", choice, 776ms, at(0ms));
+        table.noteHeard("engine-0", at(0ms));
+        table.noteEnd("engine-0", {DraftMemory, 0}, Outcome::Answered, at(0ms));
+    }
+    CHECK(share(0ms) == 0);
+    CHECK(share(60s) > 30);
+}
+
+// Callers of streams have one try. An engine went dark with its connections open: nothing says so but its silence.
+TEST_CASE("an engine that says nothing while requests are under way gets no more, until it is heard")
+{
+    auto table = tableOf(1);
+    const auto choice = table.choose(draft(1), at(0ms));
+    table.noteSent(choice.id, choice.work, at(0ms));
+    CHECK((table.choose(draft(2), at(600ms)).reason == NoChoice::None));
+    CHECK((table.choose(draft(2), at(800ms)).reason == NoChoice::NoEndpoint));
+    table.noteHeard(choice.id, at(900ms));
+    CHECK((table.choose(draft(2), at(901ms)).reason == NoChoice::None));
+}
+
+TEST_CASE("an endpoint that can't be reached is left out for longer each time, and an answer forgives it")
+{
+    auto table = tableOf(1);
+    const auto fail = [&table](Duration now) {
+        table.noteSent("engine-0", {}, at(now));
+        table.noteEnd("engine-0", {}, Outcome::Unreachable, at(now));
+    };
+    fail(0ms);
+    CHECK((table.choose(plainCall(1), at(400ms)).reason == NoChoice::NoEndpoint));
+    CHECK((table.choose(plainCall(1), at(600ms)).reason == NoChoice::None));
+    fail(600ms);
+    CHECK((table.choose(plainCall(1), at(1500ms)).reason == NoChoice::NoEndpoint));
+    CHECK((table.choose(plainCall(1), at(1700ms)).reason == NoChoice::None));
+    table.noteSent("engine-0", {}, at(1700ms));
+    table.noteEnd("engine-0", {}, Outcome::Answered, at(1800ms));
+    fail(1800ms);
+    CHECK((table.choose(plainCall(1), at(2400ms)).reason == NoChoice::None));
+}
+
+TEST_CASE("an endpoint that fails most requests is left out, though it can be reached")
+{
+    auto table = tableOf(1);
+    for (u32 i = 0; i < 8; ++i) {
+        table.noteSent("engine-0", {}, at(0ms));
+        table.noteEnd("engine-0", {}, Outcome::Failed, at(0ms));
+    }
+    CHECK((table.choose(plainCall(1), at(100ms)).reason == NoChoice::NoEndpoint));
+}
+
+// A cold replica falls over under its usual share. It bears a few requests a second from all entries together.
+TEST_CASE("a cold endpoint gets this entry's share of what it bears")
+{
+    auto table = tableOf(1);
+    table.setEntryCount(6);
+    auto cold = engine(0);
+    cold.coldLeft = 3s;
+    table.setRegistration(cold, at(0ms));
+    u32 let = 0;
+    for (u32 ms = 0; ms < 1000; ms += 10) {
+        let += table.choose(plainCall(ms), at(std::chrono::milliseconds(ms))).reason == NoChoice::None ? 1 : 0;
+    }
+    CHECK(let >= 3);
+    CHECK(let <= 4);
+    CHECK((table.choose(plainCall(1), at(3100ms)).reason == NoChoice::None));
+}
+
+TEST_CASE("an endpoint that starts again under its id is new: nothing of before counts")
+{
+    auto table = tableOf(1);
+    table.noteSent("engine-0", {DraftMemory, 60'000}, at(0ms));
+    table.noteWeights("engine-0", "m", 5);
+    CHECK((table.choose(draft(1), at(10ms)).reason == NoChoice::TooSlow));
+    auto reborn = engine(0);
+    reborn.bornMs = 2;
+    table.setRegistration(reborn, at(20ms));
+    CHECK((table.choose(draft(1), at(20ms)).reason == NoChoice::None));
+    CHECK(table.find("engine-0")->registration.weightVersions.at("m") == 1);
+}
+
+TEST_CASE("weights don't go back with a registration that lags behind an answer")
+{
+    auto table = tableOf(1);
+    table.noteWeights("engine-0", "m", 3);
+    table.setRegistration(engine(0), at(0ms));
+    CHECK(table.find("engine-0")->registration.weightVersions.at("m") == 3);
+}
+
+TEST_CASE("older weights come second, too old ones and engines that load get nothing")
+{
+    auto table = tableOf(2);
+    table.noteWeights("engine-1", "m", 2);
+    auto need = draft(1);
+    need.wantedVersion = 2;
+    CHECK(table.choose(need, at(0ms)).id == "engine-1");
+    need.tried = {"engine-1"};
+    CHECK(table.choose(need, at(0ms)).id == "engine-0");
+    need.oldestVersion = 2;
+    CHECK((table.choose(need, at(0ms)).reason == NoChoice::NoEndpoint));
+    need.tried.clear();
+    table.setLoading({table.find("engine-1")->hash});
+    CHECK((table.choose(need, at(0ms)).reason == NoChoice::NoEndpoint));
+}
+
+TEST_CASE("draining endpoints, those that left and those in a zone that is out get nothing")
+{
+    auto table = tableOf(3);
+    auto draining = engine(0);
+    draining.isDraining = true;
+    table.setRegistration(draining, at(0ms));
+    table.remove("engine-2");
+    for (u64 i = 0; i < 20; ++i) {
+        CHECK(table.choose(plainCall(i), at(0ms)).id == "engine-1");
+    }
+    table.setEvacuated({"zone-1"});
+    CHECK((table.choose(plainCall(1), at(0ms)).reason == NoChoice::NoEndpoint));
+}
+
+TEST_CASE("an endpoint that declined is left out for a moment")
+{
+    auto table = tableOf(1);
+    table.noteSent("engine-0", {}, at(0ms));
+    table.noteEnd("engine-0", {}, Outcome::Declined, at(0ms));
+    CHECK((table.choose(plainCall(1), at(200ms)).reason == NoChoice::NoEndpoint));
+    CHECK((table.choose(plainCall(1), at(260ms)).reason == NoChoice::None));
+}
--- /dev/null
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -0,0 +1,194 @@
+#include <burdock/cache/memory_guess.hpp>
+#include <burdock/cache/part_index.hpp>
+#include <burdock/retry/attempt_rule.hpp>
+#include <burdock/routing/route_table.hpp>
+#include <burdock/run/event_stream.hpp>
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace burdock;
+
+namespace {
+
+using namespace std::chrono_literals;
+using cache::PartIndex;
+using endpoints::Outcome;
+using retry::AttemptHistory;
+using retry::NextStep;
+using routing::CallKind;
+
+const PartIndex::PlanRules AllAllowed{[](std::string_view) { return true; }, true};
+
+routing::Route routeOf(const std::string &host, const std::string &prefix)
+{
+    routing::Route route;
+    route.name = prefix;
+    route.host = host;
+    route.pathPrefix = prefix;
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes wins")
+{
+    routing::Configuration configuration;
+    configuration.routes = {routeOf("a.example", "/x/"), routeOf("a.example", "/x/y/"), routeOf("b.example", "/")};
+    const routing::RouteTable table(configuration);
+    CHECK(table.find("a.example", "/x/y/1")->name == "/x/y/");
+    CHECK(table.find("A.example:8080", "/x/z")->name == "/x/");
+    CHECK(table.find("a.example", "/z/") == nullptr);
+    CHECK(table.find("b.example", "/z/")->name == "/");
+    CHECK(table.find("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("a route's requests are split by weight, and a destination without weight gets none")
+{
+    auto route = routeOf("a", "/");
+    route.destinations = {{"old", 90}, {"new", 10}, {"none", 0}};
+    u32 toNew = 0;
+    for (u64 selector = 0; selector < 1000; ++selector) {
+        const auto *service = routing::chooseDestination(route, selector);
+        CHECK(*service != "none");
+        toNew += *service == "new" ? 1 : 0;
+    }
+    CHECK(toNew == 100);
+    route.destinations = {{"none", 0}};
+    CHECK(routing::chooseDestination(route, 1) == nullptr);
+}
+
+TEST_CASE("only what provably did not run, or may be repeated, goes elsewhere")
+{
+    AttemptHistory once{CallKind::OnceOnly, false, 2, 1, 0, true};
+    CHECK((retry::nextStep(once, Outcome::Broken) == NextStep::Fail));
+    CHECK((retry::nextStep(once, Outcome::Failed) == NextStep::Deliver));
+    once = {CallKind::OnceOnly, false, 1, 0, 1, true};
+    CHECK((retry::nextStep(once, Outcome::Declined) == NextStep::TryElsewhere));
+    CHECK((retry::nextStep(once, Outcome::Unreachable) == NextStep::TryElsewhere));
+    const AttemptHistory read{CallKind::Idempotent, false, 2, 1, 0, true};
+    CHECK((retry::nextStep(read, Outcome::Broken) == NextStep::TryElsewhere));
+    CHECK((retry::nextStep(read, Outcome::Failed) == NextStep::TryElsewhere));
+    const AttemptHistory stream{CallKind::Stream, false, 2, 1, 0, true};
+    CHECK((retry::nextStep(stream, Outcome::Broken) == NextStep::Fail));
+    const AttemptHistory resumable{CallKind::Stream, true, 2, 1, 0, true};
+    CHECK((retry::nextStep(resumable, Outcome::Broken) == NextStep::TryElsewhere));
+}
+
+// A refusal says that a request was not run, and its caller sends it again: it must be true in every case.
+TEST_CASE("a request that may have begun is never refused")
+{
+    for (const auto kind : {CallKind::Idempotent, CallKind::OnceOnly, CallKind::Stream}) {
+        for (const auto outcome :
+             {Outcome::Answered, Outcome::Declined, Outcome::Failed, Outcome::Broken, Outcome::Unreachable, Outcome::Abandoned}) {
+            for (u32 declined = 0; declined < 5; ++declined) {
+                for (const bool isInTime : {true, false}) {
+                    const AttemptHistory history{kind, true, 2, 1, declined, isInTime};
+                    CHECK((retry::nextStep(history, outcome) != NextStep::Refuse));
+                    CHECK((retry::lastStep(history, outcome) != NextStep::Refuse));
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("attempts end with the route's bound, the time, or too many that decline")
+{
+    CHECK((retry::nextStep({CallKind::Idempotent, false, 2, 2, 0, true}, Outcome::Broken) == NextStep::Fail));
+    CHECK((retry::nextStep({CallKind::Idempotent, false, 2, 1, 0, false}, Outcome::Broken) == NextStep::Fail));
+    CHECK((retry::nextStep({CallKind::Idempotent, false, 2, 0, 3, true}, Outcome::Declined) == NextStep::Refuse));
+    CHECK((retry::nextStep({CallKind::Idempotent, false, 2, 0, 1, false}, Outcome::Declined) == NextStep::Refuse));
+}
+
+TEST_CASE("a shared part is saved once, fetched where it lies, and the request's own part never")
+{
+    PartIndex index(4s);
+    index.setStores({{"s1", "zone-a", 100'000}, {"s2", "zone-b", 100'000}});
+    const std::vector<cache::PromptPart> parts{{"sys", 500}, {"subject", 8000}, {"own", 3000}};
+    const TimePoint now{};
+    const auto first = index.plan("m~1~", parts, AllAllowed, now);
+    CHECK_FALSE(first.fetches());
+    CHECK_FALSE(first.saveTo[0].empty());
+    CHECK_FALSE(first.saveTo[1].empty());
+    CHECK(first.saveTo[2].empty());
+    CHECK_FALSE(index.plan("m~1~", parts, AllAllowed, now + 1s).saves());
+    CHECK(index.plan("m~1~", parts, AllAllowed, now + 5s).saves());
+    index.noteStored(first.saveTo[0], "m~1~", "sys", 500);
+    index.noteStored(first.saveTo[1], "m~1~", "subject", 8000);
+    const auto second = index.plan("m~1~", parts, AllAllowed, now + 5s);
+    CHECK(second.fetchFrom[0] == first.saveTo[0]);
+    CHECK(second.fetchFrom[1] == first.saveTo[1]);
+    CHECK(second.fetchFrom[2].empty());
+    CHECK_FALSE(index.plan("m~2~", parts, AllAllowed, now + 5s).fetches());
+    CHECK_FALSE(index.plan("m~1~walled", parts, AllAllowed, now + 5s).fetches());
+}
+
+TEST_CASE("nothing is fetched behind a part that is missing, from a store that restarted, or before it is whole")
+{
+    PartIndex index(4s);
+    index.setStores({{"s1", "zone-a", 100'000}});
+    const std::vector<cache::PromptPart> parts{{"sys", 500}, {"subject", 8000}, {"own", 3000}};
+    index.noteStored("s1", "m~1~", "subject", 8000);
+    CHECK_FALSE(index.plan("m~1~", parts, AllAllowed, {}).fetches());
+    index.noteStored("s1", "m~1~", "sys", 100);
+    CHECK_FALSE(index.plan("m~1~", parts, AllAllowed, {}).fetches());
+    index.noteStored("s1", "m~1~", "sys", 500);
+    CHECK(index.plan("m~1~", parts, AllAllowed, {}).fetchFrom[1] == "s1");
+    index.noteReset("s1");
+    CHECK_FALSE(index.plan("m~1~", parts, AllAllowed, {}).fetches());
+    CHECK(index.keptTokens("s1") == 0);
+}
+
+TEST_CASE("a full store takes nothing more, and parts of older weights are named for freeing")
+{
+    PartIndex index(4s);
+    index.setStores({{"s1", "zone-a", 10'000}});
+    index.noteStored("s1", "m~1~", "old", 9500);
+    const std::vector<cache::PromptPart> parts{{"new", 500}, {"own", 1}};
+    CHECK_FALSE(index.plan("m~2~", parts, AllAllowed, {}).saves());
+    const auto free = index.freeable(
+        "s1", "m", [](u64 version, std::string_view) { return version < 2; }, 10);
+    REQUIRE(free.parts.size() == 1);
+    CHECK(free.parts[0] == std::pair<std::string, std::string>("m~1~", "old"));
+    index.noteDropped("s1", "m~1~", "old");
+    CHECK(index.plan("m~2~", parts, AllAllowed, {}).saves());
+}
+
+TEST_CASE("salts hold models, versions and customers apart, and read back")
+{
+    const cache::Salt salt{"m", 7, "desk"};
+    const auto read = cache::parseSalt(salt.text());
+    REQUIRE(read);
+    CHECK(read->model == "m");
+    CHECK(read->version == 7);
+    CHECK(read->customer == "desk");
+    CHECK_FALSE(cache::parseSalt("somebody's"));
+    CHECK_FALSE(cache::parseSalt("m~x~"));
+}
+
+TEST_CASE("a memory guess forgets what was used least recently")
+{
+    cache::MemoryGuess guess;
+    guess.note("a", 40, 100);
+    guess.note("b", 40, 100);
+    guess.note("a", 40, 100);
+    guess.note("c", 40, 100);
+    CHECK(guess.holds("a"));
+    CHECK_FALSE(guess.holds("b"));
+    CHECK(guess.holds("c"));
+}
+
+TEST_CASE("events are passed on whole, however they are cut")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: torn";
+    for (std::size_t step = 1; step < stream.size(); ++step) {
+        run::EventStream events;
+        std::string passed;
+        for (std::size_t i = 0; i < stream.size(); i += step) {
+            passed += events.take(stream.substr(i, step));
+        }
+        CHECK(passed == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+        CHECK(events.lastId() == "2");
+        CHECK(events.takeRest() == "id: 3\ndata: torn");
+    }
+}
