Believe nothing of a store of kept cache that was not heard of, and let it rest after its restart

Change: cache::StoreNews decides: nothing is believed after 1.5 s of silence, nothing saved for 3 s after a restart; followers confirm each 0.4 s and tell a loss at once.

--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -14,19 +14,16 @@
 using runtime::LogLevel;
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
-constexpr Duration EventWait = std::chrono::milliseconds(1000);
-constexpr Duration EventTimeout = std::chrono::milliseconds(1600);
+constexpr Duration EventWait = std::chrono::milliseconds(400);
+constexpr Duration EventTimeout = std::chrono::milliseconds(500);
 constexpr Duration ListTimeout = std::chrono::milliseconds(1000);
 /** Pause between two calls, so that events which come together are answered by one. */
 constexpr Duration GatherTime = std::chrono::milliseconds(60);
 constexpr Duration FailurePause = std::chrono::milliseconds(400);
 /** Entries that follow one store. */
 constexpr std::size_t FollowersPerStore = 3;
-/** How often the others look whether they still hear of the store, and the silence after which they read its list. */
-constexpr Duration ListenPeriod = std::chrono::milliseconds(500);
-constexpr Duration LongestSilence = std::chrono::seconds(4);
-/** How often followers tell that nothing has changed. */
-constexpr Duration TellPeriod = std::chrono::milliseconds(900);
+/** How often the others look whether they still hear of the store. */
+constexpr Duration ListenPeriod = std::chrono::milliseconds(300);
 constexpr Duration FreePeriod = std::chrono::milliseconds(500);
 constexpr std::size_t FreeAtMost = 200;
 constexpr u16 HttpError = 400;
@@ -44,15 +41,13 @@
 
 boost::asio::awaitable<void> CacheFollower::run()
 {
+    m_state.storeNews.try_emplace(m_store, cache::StoreNewsPolicy{});
     m_state.storeListeners[m_store] = [this](const CacheEvents &events) {
         hear(events);
     };
     while (isConfigured()) {
         const bool isFollowed = co_await followOnce();
         if (!isFollowed) {
-            // Parts that may be gone must not be fetched.
-            m_state.parts.noteReset(m_store);
-            m_isKnown = false;
             co_await runtime::sleepFor(FailurePause);
             continue;
         }
@@ -60,43 +55,49 @@
         co_await runtime::sleepFor(GatherTime);
     }
     m_state.storeListeners.erase(m_store);
+    m_state.storeNews.erase(m_store);
     m_state.parts.noteReset(m_store);
 }
 
+cache::StoreNews &CacheFollower::news()
+{
+    return m_state.storeNews.at(m_store);
+}
+
 // A store holds few calls for events at once. So a few entries follow each store, chosen by hash, and tell the others; these
 // only read the list when they have missed something.
 boost::asio::awaitable<bool> CacheFollower::followOnce()
 {
-    if (!m_isKnown) {
-        m_isKnown = co_await readAll();
-        m_heardAt = m_parts.clock.now();
-        co_return m_isKnown;
+    if (!news().isKnown(m_parts.clock.now())) {
+        co_return co_await readAll();
     }
     if (rank() < FollowersPerStore) {
         co_return co_await readChanges();
     }
     co_await runtime::sleepFor(ListenPeriod);
-    co_return m_isKnown &&m_parts.clock.now() - m_heardAt < LongestSilence;
+    co_return true;
 }
 
 // Takes what another entry tells of the store.
 void CacheFollower::hear(const CacheEvents &events)
 {
-    if (!m_isKnown || events.epoch != m_epoch) {
-        // A restarted store is empty; the list tells the rest.
-        m_isKnown = false;
-        return;
-    }
-    m_heardAt = m_parts.clock.now();
-    const bool isOld = events.next <= m_next;
-    if (isOld) {
-        return;
+    noteClock(events);
+    const auto stretch = news().noteEvents(events.epoch, events.since, events.next, m_parts.clock.now());
+    if (stretch == cache::EventStretch::Taken) {
+        take(events);
     }
-    if (events.since > m_next) {
-        m_isKnown = false;
-        return;
+}
+
+void CacheFollower::noteClock(const CacheEvents &events)
+{
+    if (events.clockMs) {
+        m_state.noteEndpointClock(*events.clockMs, m_parts.clock.now());
     }
-    take(events);
+}
+
+void CacheFollower::tell(const CacheEvents &events)
+{
+    m_state.storeEventsToTell.push_back({m_store, events});
 }
 
 std::size_t CacheFollower::rank() const
@@ -126,45 +127,49 @@
         co_return false;
     }
     m_state.parts.noteReset(m_store);
-    m_epoch = list->epoch;
+    news().noteListed(list->epoch, list->next, m_parts.clock.now());
     take(*list);
     m_parts.logger.event(LogLevel::Info, "cache_store_listed",
-                         {{"store", m_store}, {"epoch", m_epoch}, {"parts", u64{list->events.size()}}});
+                         {{"store", m_store}, {"epoch", list->epoch}, {"parts", u64{list->events.size()}}});
     co_return true;
 }
 
 boost::asio::awaitable<bool> CacheFollower::readChanges()
 {
-    const auto request = m_parts.dialect.cacheEventsRequest(m_next, EventWait);
+    const u64 since = news().next();
+    const auto request = m_parts.dialect.cacheEventsRequest(since, EventWait);
     const auto result = co_await m_client.exchange(request, EventTimeout);
     if (result.progress != http::Progress::Answered) {
         m_parts.logger.event(LogLevel::Warning, "cache_store_lost", {{"store", m_store}});
+        news().noteLost();
+        // The others are to believe nothing of it either.
+        tell(CacheEvents{});
         co_return false;
     }
     auto events = m_parts.dialect.readCacheEvents(result.response.body);
-    if (!events || events->epoch != m_epoch || events->hasGap) {
+    if (events) {
+        events->since = since;
+    }
+    const bool isBroken = !events || events->epoch != news().epoch() || events->hasGap;
+    if (isBroken) {
         m_parts.logger.event(LogLevel::Info, "cache_events_broken",
                              {{"store", m_store},
                               {"status", u64{result.response.status}},
-                              {"restarted", events && events->epoch != m_epoch},
+                              {"restarted", events && events->epoch != news().epoch()},
                               {"gap", events && events->hasGap}});
+        news().noteLost();
         co_return false;
     }
-    events->since = m_next;
-    if (events->next > m_next || m_parts.clock.now() - m_toldAt > TellPeriod) {
-        m_toldAt = m_parts.clock.now();
-        m_state.storeEventsToTell.push_back({m_store, *events});
+    noteClock(*events);
+    tell(*events);
+    if (news().noteEvents(events->epoch, since, events->next, m_parts.clock.now()) == cache::EventStretch::Taken) {
+        take(*events);
     }
-    take(*events);
     co_return true;
 }
 
 void CacheFollower::take(const CacheEvents &events)
 {
-    m_next = events.next;
-    if (events.clockMs) {
-        m_state.noteEndpointClock(*events.clockMs, m_parts.clock.now());
-    }
     for (const auto &event : events.events) {
         if (event.isStored) {
             m_state.parts.noteStored(m_store, event.salt, event.part, event.tokens);
@@ -209,7 +214,7 @@
         if (parts.parts.empty()) {
             continue;
         }
-        const auto request = m_parts.dialect.cacheFreeRequest(parts, m_epoch);
+        const auto request = m_parts.dialect.cacheFreeRequest(parts, news().epoch());
         const auto result = co_await m_client.exchange(request, ListTimeout);
         if (result.progress == http::Progress::Answered && result.response.status < HttpError) {
             for (const auto &[salt, id] : parts.parts) {
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -18,6 +18,9 @@
     [[nodiscard]] boost::asio::awaitable<void> run();
 
 private:
+    [[nodiscard]] cache::StoreNews &news();
+    void noteClock(const CacheEvents &events);
+    void tell(const CacheEvents &events);
     [[nodiscard]] bool isConfigured() const;
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] boost::asio::awaitable<bool> followOnce();
@@ -33,11 +36,6 @@
     State &m_state;
     std::string m_store;
     runtime::http::KeptClient m_client;
-    u64 m_epoch = 0;
-    u64 m_next = 0;
-    bool m_isKnown = false; ///< all that the store holds was read, and nothing was missed since
-    TimePoint m_heardAt{}; ///< last news of the store
-    TimePoint m_toldAt{}; ///< when the others were told last
     struct Known
     {
         u64 version = 0;
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -40,6 +40,11 @@
     return status >= StatusOk && status < StatusMultipleChoices;
 }
 
+u64 countOf(const std::vector<std::string> &addresses)
+{
+    return static_cast<u64>(std::count_if(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); }));
+}
+
 u64 homeOf(const CallFacts &facts)
 {
     if (facts.parts.empty()) {
@@ -436,7 +441,15 @@
     const auto patience = std::clamp(FetchPatiencePerToken * static_cast<i64>(shared), ShortestFetch, m_state.retirement.policy().fetch);
     told.fetchUntilMs = m_state.endpointClockMs(now + patience);
     cache::PartIndex::PlanRules rules;
-    rules.maySave = weightVersion >= named.wanted();
+    const bool isNewest = weightVersion >= named.wanted();
+    rules.maySaveTo = [this, now, isNewest](std::string_view store) {
+        const auto news = m_state.storeNews.find(store);
+        return isNewest && news != m_state.storeNews.end() && news->second.maySave(now);
+    };
+    rules.mayFetchFrom = [this, now](std::string_view store) {
+        const auto news = m_state.storeNews.find(store);
+        return news != m_state.storeNews.end() && news->second.isKnown(now);
+    };
     rules.mayFetch = [&](std::string_view part) {
         return told.fetchUntilMs && m_state.retirement.mayFetch(named, weightVersion, part, m_state.weightsAsOf, now);
     };
@@ -475,6 +488,9 @@
                           {"memory_taken", m_state.endpoints.loadAt(endpoint).memory},
                           {"memory", m_memory},
                           {"prefill", m_choice.work.prefill},
+                          {"parts", u64{m_facts.parts.size()}},
+                          {"fetches", countOf(told.parts.fetchFrom)},
+                          {"saves", countOf(told.parts.saveTo)},
                           {"expected_ms", toMilliseconds(m_choice.expectedDelay)},
                           {"weights", told.weightVersion.value_or(0)},
                           {"wanted_weights", m_state.wantedVersion(m_facts.model)},
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -32,6 +32,7 @@
     out->set_epoch(told.events.epoch);
     out->set_since(told.events.since);
     out->set_next(told.events.next);
+    out->set_clock_ms(told.events.clockMs.value_or(0));
     for (const auto &event : told.events.events) {
         auto *part = out->add_events();
         part->set_stored(event.isStored);
@@ -104,6 +105,9 @@
     events.epoch = told.epoch();
     events.since = told.since();
     events.next = told.next();
+    if (told.clock_ms() > 0) {
+        events.clockMs = told.clock_ms();
+    }
     for (const auto &event : told.events()) {
         events.events.push_back({event.stored(), event.salt(), event.part(), event.tokens()});
     }
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/cache/part_retirement.hpp>
+#include <burdock/cache/store_news.hpp>
 #include <burdock/gateway/gateway.hpp>
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/retry/retry_budget.hpp>
@@ -52,6 +53,7 @@
     TimePoint configurationAsOf{};
     endpoints::EndpointTable endpoints;
     cache::PartIndex parts;
+    std::map<std::string, cache::StoreNews, std::less<>> storeNews; ///< by address of the store
     cache::PartRetirement retirement;
     std::map<std::string, weights::NamedWeights, std::less<>> weights;
     TimePoint weightsAsOf{}; ///< all weights that were named before are known
--- a/lib/libburdock/include/burdock/cache/part_index.hpp
+++ b/lib/libburdock/include/burdock/cache/part_index.hpp
@@ -89,8 +89,9 @@
     /** @brief What may be done with the parts of one prompt. */
     struct PlanRules
     {
-        std::function<bool(std::string_view)> mayFetch; ///< by id
-        bool maySave = true;
+        std::function<bool(std::string_view)> mayFetch; ///< by id of the part
+        std::function<bool(std::string_view)> mayFetchFrom; ///< by address of the store
+        std::function<bool(std::string_view)> maySaveTo; ///< by address of the store
     };
 
     /**
@@ -117,8 +118,8 @@
     };
 
     [[nodiscard]] std::vector<const PartStore *> placesOf(const std::string &key) const;
-    [[nodiscard]] const PartStore *holderOf(const std::string &key, u64 tokens) const;
-    [[nodiscard]] const PartStore *placeFor(const std::string &key, u64 tokens, TimePoint now);
+    [[nodiscard]] const PartStore *holderOf(const std::string &key, u64 tokens, const PlanRules *rules) const;
+    [[nodiscard]] const PartStore *placeFor(const std::string &key, u64 tokens, const PlanRules &rules, TimePoint now);
     void forgetOldSaves(TimePoint now);
 
     Duration m_saveAgainAfter;
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -123,7 +123,7 @@
     bool isPrefixKept = true;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         const auto key = partKey(salt, parts[i].id);
-        if (const auto *holder = holderOf(key, parts[i].tokens)) {
+        if (const auto *holder = holderOf(key, parts[i].tokens, &rules)) {
             // A part is of use only behind the parts before it.
             isPrefixKept = isPrefixKept && rules.mayFetch(parts[i].id);
             if (isPrefixKept) {
@@ -132,10 +132,7 @@
             continue;
         }
         isPrefixKept = false;
-        if (!rules.maySave) {
-            continue;
-        }
-        if (const auto *place = placeFor(key, parts[i].tokens, now)) {
+        if (const auto *place = placeFor(key, parts[i].tokens, rules, now)) {
             plan.saveTo[i] = place->address;
             m_saving[key] = now;
         }
@@ -145,7 +142,7 @@
 
 bool PartIndex::holds(std::string_view salt, const PromptPart &part) const
 {
-    return holderOf(partKey(salt, part.id), part.tokens) != nullptr;
+    return holderOf(partKey(salt, part.id), part.tokens, nullptr) != nullptr;
 }
 
 PartsToFree PartIndex::freeable(std::string_view store, std::string_view model, const std::function<bool(u64, std::string_view)> &mayFree,
@@ -193,11 +190,11 @@
     return places;
 }
 
-const PartStore *PartIndex::holderOf(const std::string &key, u64 tokens) const
+const PartStore *PartIndex::holderOf(const std::string &key, u64 tokens, const PlanRules *rules) const
 {
     for (const auto &store : m_stores) {
         const auto held = m_held.find(store.address);
-        if (held == m_held.end()) {
+        if (held == m_held.end() || (rules != nullptr && !rules->mayFetchFrom(store.address))) {
             continue;
         }
         const auto part = held->second.parts.find(key);
@@ -208,14 +205,14 @@
     return nullptr;
 }
 
-const PartStore *PartIndex::placeFor(const std::string &key, u64 tokens, TimePoint now)
+const PartStore *PartIndex::placeFor(const std::string &key, u64 tokens, const PlanRules &rules, TimePoint now)
 {
     const auto saving = m_saving.find(key);
     if (saving != m_saving.end() && now - saving->second < m_saveAgainAfter) {
         return nullptr;
     }
     for (const auto *store : placesOf(key)) {
-        if (keptTokens(store->address) + tokens <= store->tokens * FillPercent / 100) {
+        if (rules.maySaveTo(store->address) && keptTokens(store->address) + tokens <= store->tokens * FillPercent / 100) {
             return store;
         }
     }
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -1,5 +1,6 @@
 #include <burdock/cache/memory_guess.hpp>
 #include <burdock/cache/part_index.hpp>
+#include <burdock/cache/store_news.hpp>
 #include <burdock/retry/attempt_rule.hpp>
 #include <burdock/routing/route_table.hpp>
 #include <burdock/run/event_stream.hpp>
@@ -18,7 +19,12 @@
 using retry::NextStep;
 using routing::CallKind;
 
-const PartIndex::PlanRules AllAllowed{[](std::string_view) { return true; }, true};
+bool always(std::string_view /*name*/)
+{
+    return true;
+}
+
+const PartIndex::PlanRules AllAllowed{always, always, always};
 
 routing::Route routeOf(const std::string &host, const std::string &prefix)
 {
@@ -139,6 +145,47 @@
     CHECK(index.keptTokens("s1") == 0);
 }
 
+// A prompt runs on a part that is just being written. The store restarts empty; the entry that follows it hears so, and one that is
+// told by others does not: it has the part fetched as before, while the first one has it saved again.
+TEST_CASE("nobody has parts fetched from a store's earlier start when others save there again")
+{
+    const cache::StoreNewsPolicy policy;
+    cache::StoreNews follower(policy);
+    cache::StoreNews listener(policy);
+    const TimePoint start{};
+    follower.noteListed(7, 10, start);
+    listener.noteListed(7, 10, start);
+    CHECK_FALSE(follower.maySave(start + 2s));
+    const auto crash = start + 10s;
+    CHECK((follower.noteEvents(7, 10, 12, crash) == cache::EventStretch::Taken));
+    CHECK((listener.noteEvents(7, 10, 12, crash) == cache::EventStretch::Taken));
+    CHECK(follower.maySave(crash));
+    follower.noteLost();
+    CHECK_FALSE(follower.isKnown(crash));
+    const auto back = crash + 100ms;
+    follower.noteListed(8, 0, back);
+    for (auto now = back; now < back + 10s; now += 50ms) {
+        CHECK_FALSE((follower.maySave(now) && listener.isKnown(now)));
+        static_cast<void>(follower.noteEvents(8, 0, 0, now));
+    }
+    CHECK(follower.maySave(back + 4s));
+    CHECK((listener.noteEvents(8, 0, 1, back + 1s) == cache::EventStretch::Missed));
+    CHECK_FALSE(listener.isKnown(back + 1s));
+}
+
+TEST_CASE("a stretch of events counts once, and one that does not follow asks for the list")
+{
+    cache::StoreNews news{cache::StoreNewsPolicy{}};
+    const TimePoint now{};
+    CHECK((news.noteEvents(7, 0, 5, now) == cache::EventStretch::Missed));
+    news.noteListed(7, 5, now);
+    CHECK((news.noteEvents(7, 5, 9, now) == cache::EventStretch::Taken));
+    CHECK((news.noteEvents(7, 5, 9, now) == cache::EventStretch::Old));
+    CHECK((news.noteEvents(7, 8, 12, now) == cache::EventStretch::Taken));
+    CHECK((news.noteEvents(7, 13, 14, now) == cache::EventStretch::Missed));
+    CHECK_FALSE(news.isKnown(now));
+}
+
 TEST_CASE("a full store takes nothing more, and parts of older weights are named for freeing")
 {
     PartIndex index(4s);
