--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -349,10 +349,14 @@
             takeAll(items);
             m_hasWeights = true;
         };
-        return {takeList, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
-                [this](TimePoint asOf) {
-                    m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf);
-                }};
+        const auto onCurrent = [this](TimePoint asOf) {
+            m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf);
+        };
+        // A store that drops its history lets watches hear nothing for a moment before.
+        const auto onHeld = [onCurrent](TimePoint until) {
+            onCurrent(until - DeafWatch);
+        };
+        return {takeList, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); }, onCurrent, onHeld};
     }
 
     void takeWeights(const StoredObject &object)
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 #include <filesystem>
--- a/tests/standins/source/replica.cpp
+++ b/tests/standins/source/replica.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -97,8 +98,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
-    ::listen(m_listener, SOMAXCONN);
+    const bool isBound = ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+    if (!isBound || ::listen(m_listener, SOMAXCONN) != 0) {
+        throw std::runtime_error("no port for a replica");
+    }
     socklen_t size = sizeof address;
     ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
     m_port = ntohs(address.sin_port);
