--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -24,11 +24,6 @@
 constexpr Duration RetryWhenUnsure = std::chrono::milliseconds(700);
 /** When callers should come back that another gateway can serve at once. */
 constexpr Duration RetryElsewhere = std::chrono::milliseconds(20);
-/** What fetching a kept token costs, in percent of reading it. */
-constexpr u64 FetchPercent = 60;
-/** Time for a fetch: some twenty times what reading the tokens would take, as reading them again keeps others waiting too. */
-constexpr Duration FetchPatiencePerToken = std::chrono::microseconds(450);
-constexpr Duration ShortestFetch = std::chrono::milliseconds(150);
 /** Crashes under way at which a request is not run again. */
 constexpr u32 CrashesToRefuse = 3;
 constexpr u16 StatusOk = 200;
@@ -45,15 +40,6 @@
     return static_cast<u64>(std::count_if(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); }));
 }
 
-u64 homeOf(const CallFacts &facts)
-{
-    if (facts.parts.empty()) {
-        return hash::fast(facts.attemptId);
-    }
-    const std::size_t subject = facts.parts.size() >= 2 ? facts.parts.size() - 2 : 0;
-    return hash::fast(facts.parts[subject].id);
-}
-
 } // namespace
 
 CallDriver::CallDriver(const GatewayParts &parts, const GatewaySettings &settings, State &state, ConnectionPool &pool,
@@ -111,8 +97,9 @@
     if (patience < LeastUsefulTime) {
         return Rejection{503, "no_time", {}};
     }
+    m_planner.emplace(m_state, m_facts, m_customer);
     const std::string_view customer = m_customer == nullptr ? std::string_view() : m_customer->name;
-    const u64 home = homeOf(m_facts);
+    const u64 home = m_planner->home();
     const auto *service = chooseDestination(*m_route, m_route->isPrompt ? home : hash::fast(m_facts.attemptId));
     if (service == nullptr) {
         return Rejection{503, "no_service", RetryWhenNone};
@@ -186,11 +173,11 @@
 {
     endpoints::Need need;
     need.service = m_service;
-    need.home = homeOf(m_facts);
+    need.home = m_planner->home();
     need.random = hash::fast(m_facts.attemptId);
     need.memory = m_memory;
     need.prefill = [this](const endpoints::Endpoint &endpoint) {
-        return prefillAt(endpoint);
+        return m_planner->prefillAt(endpoint);
     };
     need.target = m_route->isPrompt ? m_route->target : Duration::zero();
     need.model = m_facts.model;
@@ -200,36 +187,6 @@
     return need;
 }
 
-u64 CallDriver::weightVersionOf(const endpoints::Endpoint &endpoint) const
-{
-    const auto version = endpoint.registration.weightVersions.find(m_facts.model);
-    return version == endpoint.registration.weightVersions.end() ? 0 : version->second;
-}
-
-std::string CallDriver::saltFor(u64 weightVersion) const
-{
-    const bool isIsolated = m_customer != nullptr && m_customer->isIsolated;
-    return cache::Salt{m_facts.model, weightVersion, isIsolated ? m_customer->name : ""}.text();
-}
-
-// Prompt tokens that an endpoint would have to read, with fetched ones counted by what fetching costs.
-u64 CallDriver::prefillAt(const endpoints::Endpoint &endpoint) const
-{
-    if (m_facts.parts.empty()) {
-        return m_facts.promptTokens;
-    }
-    const auto salt = saltFor(weightVersionOf(endpoint));
-    u64 tokens = m_facts.parts.back().tokens;
-    for (std::size_t i = 0; i + 1 < m_facts.parts.size(); ++i) {
-        const auto &part = m_facts.parts[i];
-        if (endpoint.memory.holds(cache::partKey(salt, part.id))) {
-            continue;
-        }
-        tokens += m_state.parts.holds(salt, part) ? part.tokens * FetchPercent / 100 : part.tokens;
-    }
-    return tokens;
-}
-
 void CallDriver::noteFirstEvent(const std::string &id)
 {
     if (m_isPrefillPending) {
@@ -433,29 +390,6 @@
     }
 }
 
-void CallDriver::planParts(u64 weightVersion, Instructions &told)
-{
-    const auto now = m_parts.clock.now();
-    const auto &named = m_state.weights[m_facts.model];
-    const u64 shared = m_facts.parts.empty() ? 0 : m_facts.promptTokens - std::min(m_facts.promptTokens, m_facts.parts.back().tokens);
-    const auto patience = std::clamp(FetchPatiencePerToken * static_cast<i64>(shared), ShortestFetch, m_state.retirement.policy().fetch);
-    told.fetchUntilMs = m_state.endpointClockMs(now + patience);
-    cache::PartIndex::PlanRules rules;
-    const bool isNewest = weightVersion >= named.wanted();
-    rules.maySaveTo = [this, now, isNewest](std::string_view store) {
-        const auto news = m_state.storeNews.find(store);
-        return isNewest && news != m_state.storeNews.end() && news->second.maySave(now);
-    };
-    rules.mayFetchFrom = [this, now](std::string_view store) {
-        const auto news = m_state.storeNews.find(store);
-        return news != m_state.storeNews.end() && news->second.isKnown(now);
-    };
-    rules.mayFetch = [&](std::string_view part) {
-        return told.fetchUntilMs && m_state.retirement.mayFetch(named, weightVersion, part, m_state.weightsAsOf, now);
-    };
-    told.parts = m_state.parts.plan(told.salt, m_facts.parts, rules, now);
-}
-
 http::Request CallDriver::instruct(const endpoints::Endpoint &endpoint)
 {
     Instructions told;
@@ -468,15 +402,7 @@
     static_cast<void>(m_events.takeRest());
     told.resumeAfter = m_events.lastId();
     if (m_route->isPrompt) {
-        const u64 held = weightVersionOf(endpoint);
-        told.salt = saltFor(held);
-        if (held > 0) {
-            told.weightVersion = held;
-            planParts(held, told);
-        }
-        for (const auto &part : m_facts.parts) {
-            m_state.endpoints.notePart(told.endpointId, cache::partKey(told.salt, part.id), part.tokens);
-        }
+        m_planner->instruct(endpoint, told, m_parts.clock.now());
     }
     m_parts.logger.event(LogLevel::Info, "placed",
                          {{"id", m_facts.attemptId},
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
+#include "prompt_planner.hpp"
 #include "state.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
@@ -41,9 +42,6 @@
     [[nodiscard]] std::optional<Rejection> checkKey();
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
     [[nodiscard]] endpoints::Need needOf() const;
-    [[nodiscard]] u64 prefillAt(const endpoints::Endpoint &endpoint) const;
-    [[nodiscard]] std::string saltFor(u64 weightVersion) const;
-    [[nodiscard]] u64 weightVersionOf(const endpoints::Endpoint &endpoint) const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
     void noteFirstEvent(const std::string &id);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> exchange(const std::string &id, const runtime::http::Request &request,
@@ -52,7 +50,6 @@
     [[nodiscard]] boost::asio::awaitable<bool> readOwnHead(const std::string &id, AnswerFacts &facts);
     [[nodiscard]] boost::asio::awaitable<bool> readWhole(const std::string &id, std::string &body);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> relayStream(const std::string &id);
-    void planParts(u64 weightVersion, Instructions &told);
     [[nodiscard]] runtime::http::Request instruct(const endpoints::Endpoint &endpoint);
     [[nodiscard]] boost::asio::awaitable<void> finish(retry::NextStep step, const Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<void> reject(const Rejection &rejection);
@@ -76,6 +73,7 @@
     std::shared_ptr<const routing::RouteTable> m_routes; // holds the route and customer below while the configuration moves on
     const routing::Route *m_route = nullptr;
     const routing::Customer *m_customer = nullptr;
+    std::optional<PromptPlanner> m_planner; ///< there once the request was found in order
     std::string m_service;
     u64 m_memory = 0; ///< tokens of the prompt with its answer
     endpoints::Choice m_choice; ///< of the attempt under way
--- a/lib/libburdock/include/burdock/routing/configuration.hpp
+++ b/lib/libburdock/include/burdock/routing/configuration.hpp
@@ -31,7 +31,7 @@
 {
     std::string name;
     std::string host;
-    std::string pathPrefix;
+    std::string prefix;
     CallKind kind = CallKind::OnceOnly;
     Duration timeout{}; ///< longest time that a caller is kept waiting for the whole answer
     Duration target{}; ///< time to the answer, or to a stream's first event, that callers should see
--- a/lib/libburdock/source/routing/route_table.cpp
+++ b/lib/libburdock/source/routing/route_table.cpp
@@ -38,7 +38,7 @@
     }
     for (auto &[host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(),
-                         [](const Route *left, const Route *right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
+                         [](const Route *left, const Route *right) { return left->prefix.size() > right->prefix.size(); });
     }
     for (const auto &customer : m_configuration.customers) {
         for (const auto &key : customer.keys) {
@@ -57,7 +57,7 @@
         return nullptr;
     }
     for (const auto *route : routes->second) {
-        if (path.substr(0, route->pathPrefix.size()) == route->pathPrefix) {
+        if (path.substr(0, route->prefix.size()) == route->prefix) {
             return route;
         }
     }
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -44,6 +44,16 @@
     return call;
 }
 
+// Configures the gateway, registers replicas as r1, r2 and so on, and waits until it is ready.
+void serve(GatewayDeployment &gateway, const std::string &service, const std::vector<const Replica *> &replicas)
+{
+    gateway.configure(3);
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+        gateway.registerReplica("r" + std::to_string(i + 1), service, replicas[i]->address());
+    }
+    gateway.awaitReady();
+}
+
 bool isAnswered(const runtime::http::Exchange &exchange)
 {
     return exchange.progress == runtime::http::Progress::Answered;
@@ -88,9 +98,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     GatewayCall call;
     call.key = "unknown";
     CHECK(gateway.call(call).response.status == 401);
@@ -112,9 +120,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     CHECK(gateway.call({}).response.status == 200);
     gateway.configure(7, {"key-new"});
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 401; }));
@@ -131,9 +137,7 @@
 {
     GatewayDeployment gateway(R"({"revocation_ms": 2500})");
     Replica plain(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     gateway.store().setMode(StoreMode::Down);
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 503; }));
     const auto refused = gateway.call({});
@@ -151,9 +155,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     gateway.store().put("config", "main", {{"version", "nine"}});
     gateway.store().put("servers", "ghost", {{"service", 7}, {"address", "127.0.0.1:1"}, {"slots", -1}});
     gateway.store().put("versions", "m", boost::json::array{1, 2});
@@ -181,9 +183,7 @@
         connection.write(earlier);
         return AfterAnswer::Keep;
     });
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     for (const std::string attempt : {"r1", "r2", "r3"}) {
         GatewayCall call;
         call.path = "/read/1";
@@ -202,10 +202,7 @@
     };
     Replica first(breakOff);
     Replica second(breakOff);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", first.address());
-    gateway.registerReplica("p2", "plain", second.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&first, &second});
     CHECK(gateway.call({}).response.status == 502);
     CHECK(first.received().size() + second.received().size() == 1);
 }
@@ -218,10 +215,7 @@
         return AfterAnswer::Keep;
     });
     Replica sound(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", busy.address());
-    gateway.registerReplica("p2", "plain", sound.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&busy, &sound});
     for (u32 i = 0; i < 8; ++i) {
         GatewayCall call;
         call.attempt = "n" + std::to_string(i);
@@ -267,9 +261,7 @@
         isClosed = connection.awaitClose(std::chrono::seconds(3));
         return AfterAnswer::Close;
     });
-    gateway.configure(3);
-    gateway.registerReplica("e1", "engines", engine.address());
-    gateway.awaitReady();
+    serve(gateway, "engines", {&engine});
     gateway.callAndLeave(prompt("/prompts/1", "s1"), std::chrono::milliseconds(200));
     const auto left = std::chrono::steady_clock::now();
     CHECK(GatewayDeployment::waitFor([&] { return isClosed.load(); }));
@@ -283,9 +275,7 @@
         static_cast<void>(connection.awaitClose(std::chrono::seconds(8)));
         return AfterAnswer::Close;
     });
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", silent.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&silent});
     const auto began = std::chrono::steady_clock::now();
     CHECK(gateway.call({}).response.status == 504);
     CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(3500));
@@ -296,11 +286,8 @@
     GatewayDeployment gateway;
     Replica leaving(answerWhole);
     Replica staying(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", leaving.address());
-    gateway.registerReplica("p2", "plain", staying.address());
-    gateway.awaitReady();
-    gateway.registerReplica("p1", "plain", leaving.address(), true);
+    serve(gateway, "plain", {&leaving, &staying});
+    gateway.registerReplica("r1", "plain", leaving.address(), true);
     CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("draining":true)") != std::string::npos; }));
     const auto before = leaving.received().size();
     for (u32 i = 0; i < 10; ++i) {
@@ -322,9 +309,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(request.target == "/read/slow" ? 1500 : 5));
         return answerWhole(request, connection);
     });
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     GatewayCall slow;
     slow.path = "/read/slow";
     auto underWay = std::async(std::launch::async, [&] { return gateway.call(slow); });
@@ -345,9 +330,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     gateway.process().signal(SIGHUP);
     CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("event":"reload")") != std::string::npos; }));
     CHECK(gateway.call({}).response.status == 200);
@@ -371,9 +354,7 @@
         }
         return AfterAnswer::Keep;
     });
-    gateway.configure(3);
-    gateway.registerReplica("e1", "engines", engine.address());
-    gateway.awaitReady();
+    serve(gateway, "engines", {&engine});
     gateway.store().setMode(StoreMode::LosesWriteAnswers);
     gateway.store().put("versions", "m", {{"model", "m"}, {"version", 2}});
     CHECK(GatewayDeployment::waitFor([&] { return gateway.store().count("burdock-duties") == 1; }));
@@ -387,16 +368,14 @@
     const auto body = boost::json::parse(order->body).as_object();
     CHECK(body.at("fencingToken").to_number<u64>() >= 1);
     CHECK(body.at("expected").to_number<u64>() == 0);
-    CHECK(order->header("X-Expect-Instance") == "e1");
+    CHECK(order->header("X-Expect-Instance") == "r1");
 }
 
 TEST_CASE("metrics tell requests by kind and outcome, and the age of the configuration")
 {
     GatewayDeployment gateway;
     Replica plain(answerWhole);
-    gateway.configure(3);
-    gateway.registerReplica("p1", "plain", plain.address());
-    gateway.awaitReady();
+    serve(gateway, "plain", {&plain});
     CHECK(gateway.call({}).response.status == 200);
     const auto metrics = gateway.metrics();
     CHECK(metrics.find(R"(burdock_requests_total{kind="once_only",outcome="answered"} 1)") != std::string::npos);
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -31,7 +31,7 @@
     routing::Route route;
     route.name = prefix;
     route.host = host;
-    route.pathPrefix = prefix;
+    route.prefix = prefix;
     return route;
 }
 
