--- /dev/null
+++ b/tests/unit/operations_page_test.cpp
@@ -0,0 +1,105 @@
+#include <burdock/schema/document.hpp>
+
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+using namespace burdock;
+
+namespace {
+
+const std::filesystem::path Root(BURDOCK_SOURCES);
+
+std::string textOf(const std::filesystem::path &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
+std::string gatewaySources()
+{
+    std::string code;
+    for (const auto *folder : {"lib/libburdock-gateway/source", "lib/libburdock-runtime/source", "platform/source"}) {
+        for (const auto &file : std::filesystem::directory_iterator(Root / folder)) {
+            if (file.path().extension() == ".cpp") {
+                code += textOf(file.path());
+            }
+        }
+    }
+    return code + textOf(Root / "main/daemon/source/run_gateway.cpp");
+}
+
+std::set<std::string> matches(const std::string &text, const std::regex &pattern)
+{
+    std::set<std::string> found;
+    for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it) {
+        for (std::size_t group = 1; group < it->size(); ++group) {
+            if ((*it)[group].matched) {
+                found.insert((*it)[group].str());
+            }
+        }
+    }
+    return found;
+}
+
+std::string section(const std::string &page, const std::string &heading)
+{
+    const auto begin = page.find("## " + heading);
+    return page.substr(begin, page.find("\n## ", begin + 1) - begin);
+}
+
+} // namespace
+
+// An event is renamed in the code; whoever searches the logs by the operators' page finds nothing and takes that for good news.
+TEST_CASE("the operators' page of the gateway lists just the events that the code writes")
+{
+    const std::regex written(R"re((?:event|write)\(\s*(?:runtime::)?LogLevel::\w+,\s*(?:\w+ \? )?"([a-z_]+)"(?: : "([a-z_]+)")?)re");
+    auto code = matches(gatewaySources(), written);
+    code.insert("log_dropped"); // written by the sink itself
+    const auto logs = section(textOf(Root / "docs/OPERATIONS.md"), "Logs");
+    for (const auto &event : code) {
+        CHECK_MESSAGE(logs.find("`" + event + "`") != std::string::npos, event << " is not on the page");
+    }
+    CHECK(code.size() > 30);
+    std::set<std::string> listed;
+    for (const auto &row : matches(logs, std::regex(R"re(\n\| (`[^|]+`) \|)re"))) {
+        listed.merge(matches(row, std::regex("`([a-z_]+)`")));
+    }
+    CHECK(listed.size() > 30);
+    for (const auto &event : listed) {
+        CHECK_MESSAGE(code.count(event) == 1, event << " is not in the code");
+    }
+}
+
+TEST_CASE("the metrics on the operators' page of the gateway exist")
+{
+    const auto listed = matches(section(textOf(Root / "docs/OPERATIONS.md"), "Metrics"), std::regex("(burdock_[a-z_]+)"));
+    const auto counted = matches(gatewaySources(), std::regex("\"(burdock_[a-z_]+)\""));
+    CHECK(listed.size() > 10);
+    for (const auto &metric : listed) {
+        CHECK_MESSAGE(counted.count(metric) == 1, metric << " is not in the code");
+    }
+    for (const auto &metric : counted) {
+        CHECK_MESSAGE(listed.count(metric) == 1, metric << " is not on the page");
+    }
+}
+
+TEST_CASE("a gateway's settings are checked, and all their faults are named")
+{
+    const auto good = textOf(Root / "dist/examples/settings-gateway.json");
+    CHECK(schema::parseGatewaySettings("example", good).document.has_value());
+    const auto bad = schema::parseGatewaySettings("bad", R"({"name":"","zone":"z","callers_listen":"nowhere","grace_seconds":0})");
+    CHECK_FALSE(bad.document.has_value());
+    std::set<std::string> paths;
+    for (const auto &fault : bad.faults) {
+        paths.insert(fault.path);
+    }
+    for (const auto *path : {"$.name", "$.callers_listen", "$.grace_seconds", "$.platform", "$.weights_ms"}) {
+        CHECK_MESSAGE(paths.count(path) == 1, path);
+    }
+    CHECK_FALSE(schema::parseGatewaySettings("bad", R"({"unknown":1})").document.has_value());
+}
