--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -73,6 +73,14 @@
         = std::make_unique<ChildProcess>(std::vector<std::string>{BURDOCK_DAEMON, "gateway", "--settings=" + path}, m_folder + "/log");
 }
 
+// The stand-in's watches may still wait on the pool's threads, so these end before the stand-in does.
+GatewayDeployment::~GatewayDeployment()
+{
+    m_process.reset();
+    m_pool.stop();
+    m_pool.wait();
+}
+
 standins::ObjectStore &GatewayDeployment::store()
 {
     return m_store;
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -30,6 +30,9 @@
 {
 public:
     explicit GatewayDeployment(const std::string &settingsChange = {});
+    ~GatewayDeployment();
+    GatewayDeployment(const GatewayDeployment &) = delete;
+    GatewayDeployment &operator=(const GatewayDeployment &) = delete;
 
     standins::ObjectStore &store();
 
