--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -28,7 +28,8 @@
 {
     http::ServerLimits limits;
     limits.bodyBytes = settings.max_body_bytes() == 0 ? DefaultMaxBodyBytes : settings.max_body_bytes();
-    const Duration readTimeout = std::chrono::milliseconds(settings.read_timeout_ms() == 0 ? DefaultReadTimeoutMs : settings.read_timeout_ms());
+    const Duration readTimeout
+        = std::chrono::milliseconds(settings.read_timeout_ms() == 0 ? DefaultReadTimeoutMs : settings.read_timeout_ms());
     limits.ioTimeout = readTimeout;
     limits.headerTimeout = readTimeout;
     limits.idleTimeout = readTimeout;
