--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -1,6 +1,5 @@
 #include "call_driver.hpp"
 
-#include <burdock/cache/block_keys.hpp>
 #include <burdock/hash/digest.hpp>
 
 #include <boost/asio/this_coro.hpp>
@@ -252,7 +251,6 @@
         co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
     }
     attempt.answer = m_parts.dialect.forCaller(m_connection->head());
-    attempt.isWrongEndpoint = facts.isWrongEndpoint;
     learn(id, facts);
     const u16 status = attempt.answer.status;
     if (isSuccess(status) && !facts.isSealed && !facts.isDeclined) {
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -27,7 +27,6 @@
     {
         endpoints::Outcome outcome = endpoints::Outcome::Abandoned;
         runtime::http::Response answer; ///< whole, if it is to be delivered in one piece
-        bool isWrongEndpoint = false;
     };
 
     /** @brief A refusal without any attempt; nothing if the request may go on. */
