Propose endpoints last whose back end is down

Cause of the red overload test: an endpoint process whose back end is unreachable refuses at once, and the entry went on proposing it first to every prompt with its home there. Each such refusal costs a retry, until the budget is spent; then prompts are refused while two endpoints are idle. Seen with the reasons printed: back_end_unreachable on all refusals but in the first twenty prompts, where two losses in a row ended as back_end_lost. Load only decided how many prompts fell into the time before: it fails as released too. Ruled out: the HTTP client and server (no broken answers), the limit of sanitized processes.

The bound of the test rises from 80 to 95 of 100: all but the first prompts can be served.

--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -25,6 +25,7 @@
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 constexpr Duration AvoidAfterLoss = std::chrono::seconds(2);
 constexpr Duration LastResortAfterSilence = std::chrono::seconds(2);
+constexpr Duration LastResortWithoutBackEnd = std::chrono::seconds(1);
 
 } // namespace
 
@@ -160,6 +161,12 @@
         }
         return spec.isRepeatable() && (spec.prompt.has_value() || progress.delivery.bytes == 0);
     }
+    if (attempted.refusal.reason == RefusalReason::BackEndUnreachable) {
+        // Guards against an endpoint whose back end is down and to which each request goes first: it shows as requests that are
+        // refused for want of retries while other endpoints are idle. Coming last holds because one that is back gets work
+        // again after the time, and earlier if there is no other.
+        m_fleet.makeLastResort(progress.asked, LastResortWithoutBackEnd);
+    }
     const auto &rule = refusalRule(attempted.refusal.reason);
     progress.overloadRefusals += rule.isOverload ? 1 : 0;
     return rule.tryElsewhere && progress.overloadRefusals < MaxOverloadRefusals;
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -97,7 +97,7 @@
     const u32 runs = deployment.engine(2).started() + deployment.engine(3).started();
     MESSAGE("whole " << whole << " of " << Requests << ", runs " << runs);
     CHECK(runs <= Requests * 12 / 10);
-    CHECK(whole >= Requests * 8 / 10);
+    CHECK(whole >= Requests * 95 / 100);
 }
 
 // A fault of new weights breaks every answer off after its first token. Each request is tried three times, and the engines do three
