Clear requests of suspicion that have ended well, and tell the other gateways of crashes

One success clears a request now, of later crashes too, as a poisonous one crashes at each run. And each gateway counted crashes alone, so that a poisonous request had three of them at each; they are told with the loads, and what is refused already for as long as it is. The unit test failed before (crashes counted). Not carried: sums; records are exchanged as maxima.

--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -19,6 +19,9 @@
 constexpr Duration IdlePeriod = std::chrono::milliseconds(400);
 constexpr Duration PeriodPerPeer = std::chrono::milliseconds(6);
 constexpr std::size_t MaxMessageBytes = 60 * 1024;
+/** For how long a crash is told with each message, so that some of these may be lost; and of how many requests at most. */
+constexpr Duration SuspectsToldFor = std::chrono::milliseconds(800);
+constexpr std::size_t SuspectsAtMost = 200;
 
 Udp::endpoint toEndpoint(const runtime::http::Address &address)
 {
@@ -133,6 +136,7 @@
     for (const u64 endpoint : m_state.endpoints.loading()) {
         message.add_loading(endpoint);
     }
+    addSuspects(message);
     for (auto &events : m_state.storeEventsToTell) {
         addStoreEvents(message, events);
     }
@@ -140,6 +144,22 @@
     return message.SerializeAsString();
 }
 
+// Guards against a request that crashes a few endpoints through each entry in turn: it shows as more crashes the more entries
+// there are. Telling of each crash holds because a caller comes back later than the next message; what is refused already is told
+// for as long as it is, for entries that start later.
+void LoadExchange::addSuspects(schema::EntryLoad &message) const
+{
+    for (const auto &record : m_state.quarantine.records(m_parts.clock.now())) {
+        const bool isRoom = message.suspects_size() < static_cast<int>(SuspectsAtMost);
+        if (isRoom && (record.age <= SuspectsToldFor || record.crashes >= CrashesToRefuse)) {
+            auto *suspect = message.add_suspects();
+            suspect->set_fingerprint(record.fingerprint);
+            suspect->set_crashes(record.crashes);
+            suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
+        }
+    }
+}
+
 void LoadExchange::take(std::string_view message)
 {
     schema::EntryLoad read;
@@ -160,6 +180,10 @@
     for (const auto &told : read.store_events()) {
         takeStoreEvents(told);
     }
+    for (const auto &suspect : read.suspects()) {
+        const retry::SuspectRecord record{suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())};
+        m_state.quarantine.merge(record, m_parts.clock.now());
+    }
     m_state.endpoints.peers().take(read.entry(), std::move(report), m_parts.clock.now());
 }
 
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -30,6 +30,7 @@
 
 private:
     [[nodiscard]] std::string nextMessage();
+    void addSuspects(schema::EntryLoad &message) const;
     void take(std::string_view message);
     void takeStoreEvents(const schema::StoreEvents &told);
     [[nodiscard]] Duration period() const;
--- a/lib/libburdock/include/burdock/retry/quarantine.hpp
+++ b/lib/libburdock/include/burdock/retry/quarantine.hpp
@@ -2,7 +2,9 @@
 
 #include <burdock/types.hpp>
 
+#include <deque>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace burdock::retry {
@@ -49,6 +51,14 @@
     [[nodiscard]] u32 crashes(u64 fingerprint, TimePoint now) const;
 
     void noteCrash(u64 fingerprint, TimePoint now);
+
+    /**
+     * @brief Clears a request that ended well, of crashes before and after.
+     *
+     * Guards against a popular request that is refused because endpoints crashed under it for other reasons: it shows as refusals of
+     * one request that many callers send, after a few connections were reset. Clearing holds because a request that crashes
+     * endpoints does so at each run; the latest successes are remembered, as many as there may be records.
+     */
     void noteSuccess(u64 fingerprint);
 
     /**
@@ -80,6 +90,8 @@
     Duration m_forgetAfter;
     std::size_t m_capacity;
     std::unordered_map<u64, Entry> m_entries;
+    std::unordered_set<u64> m_innocent;
+    std::deque<u64> m_innocentInOrder; ///< oldest first
     u64 m_sequence = 0;
 };
 
--- a/lib/libburdock/source/retry/quarantine.cpp
+++ b/lib/libburdock/source/retry/quarantine.cpp
@@ -30,6 +30,9 @@
 
 void Quarantine::noteCrash(u64 fingerprint, TimePoint now)
 {
+    if (m_innocent.count(fingerprint) > 0) {
+        return;
+    }
     auto &entry = m_entries[fingerprint];
     if (entry.touched + m_forgetAfter < now) {
         entry.crashes = 0;
@@ -43,11 +46,19 @@
 void Quarantine::noteSuccess(u64 fingerprint)
 {
     m_entries.erase(fingerprint);
+    if (!m_innocent.insert(fingerprint).second) {
+        return;
+    }
+    m_innocentInOrder.push_back(fingerprint);
+    if (m_innocentInOrder.size() > m_capacity) {
+        m_innocent.erase(m_innocentInOrder.front());
+        m_innocentInOrder.pop_front();
+    }
 }
 
 bool Quarantine::merge(const SuspectRecord &record, TimePoint now)
 {
-    if (record.age >= m_forgetAfter) {
+    if (record.age >= m_forgetAfter || m_innocent.count(record.fingerprint) > 0) {
         return false;
     }
     auto &entry = m_entries[record.fingerprint];
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -294,6 +294,26 @@
     CHECK(one.state(8, Start) == retry::SuspectState::Quarantined);
 }
 
+// Readers fetch the same page all day. Connections to three endpoints are reset under it, and for minutes everybody who asks for
+// the page is refused. Cause: the request was under way at each reset, and counted as what crashed the endpoints.
+TEST_CASE("a request that has ended well before is no suspect, however often endpoints crash under it")
+{
+    retry::Quarantine quarantine(std::chrono::minutes(2), 3);
+    quarantine.noteCrash(7, Start);
+    quarantine.noteSuccess(7);
+    for (u32 i = 0; i < 3; ++i) {
+        quarantine.noteCrash(7, Start);
+    }
+    CHECK(quarantine.crashes(7, Start) == 0);
+    CHECK_FALSE(quarantine.merge({7, 3, Duration::zero()}, Start));
+    // As many successes are remembered as there may be records.
+    for (u64 other = 100; other < 103; ++other) {
+        quarantine.noteSuccess(other);
+    }
+    quarantine.noteCrash(7, Start);
+    CHECK(quarantine.crashes(7, Start) == 1);
+}
+
 // A hundred suspects in every heartbeat multiply control traffic by ten; a beat that drops what the peer has not heard lets a
 // poisonous request crash one more endpoint. Messages are lost and processes replaced meanwhile.
 TEST_CASE("a peer hears of every suspect once, through lost messages and new processes")
