Begin a soak: real gateways under random faults, with checks of what callers and endpoints see

One run starts gateways as processes before stand-ins of the store, of plain endpoints and of engines, each behind a proxy, with callers that keep their connections; 24 kinds of faults come in series and overlap, by seed. Checked while it runs: own whole answers, at most once, true refusals, customers, keys taken away, configuration never back, leaving endpoints, zones out, weights, one holder of orders, nothing lost but by a fault, planned stops in time, poison stopped, recovery. The support of the tests is split so that both start gateways the same way.

--- /dev/null
+++ b/soak/back_end.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "ledger.hpp"
+
+#include <standins/fault_proxy.hpp>
+#include <standins/object_store.hpp>
+#include <standins/replica.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace soak {
+
+/** @brief How an endpoint treats its requests. */
+enum class EndpointMode : u8 {
+    Sound,
+    Failing, ///< runs them and answers 500
+    Declining, ///< says that it did not run them
+    Slow,
+    BreakingOff, ///< runs them and closes the connection in the middle of the answer
+};
+
+/** @brief One endpoint of the soak behind a proxy: a plain service, or an engine that takes orders for weights. */
+class BackEnd
+{
+public:
+    BackEnd(boost::asio::io_context &workers, standins::ObjectStore &store, Ledger &ledger, std::string id, std::string service,
+            std::string zone);
+
+    [[nodiscard]] const std::string &id() const;
+    [[nodiscard]] standins::FaultProxy &proxy();
+    void setMode(EndpointMode mode);
+
+    /** @brief Writes its entry into the users' store, as a heartbeat does when something has changed. */
+    void announce();
+    void announceDraining();
+    void removeEntry();
+
+    [[nodiscard]] bool isEngine() const;
+    [[nodiscard]] u64 weights() const;
+
+private:
+    [[nodiscard]] standins::AfterAnswer serve(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection);
+    [[nodiscard]] standins::AfterAnswer run(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection);
+    [[nodiscard]] standins::AfterAnswer takeOrder(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection);
+    void loadWhenDue();
+    [[nodiscard]] std::string report();
+
+    standins::ObjectStore &m_store;
+    Ledger &m_ledger;
+    std::string m_id;
+    std::string m_service;
+    std::string m_zone;
+    std::atomic<EndpointMode> m_mode{EndpointMode::Sound};
+    std::atomic<bool> m_isDraining{false};
+    std::mutex m_mutex; ///< guards what follows
+    u64 m_weights = 1;
+    u64 m_ordered = 0; ///< weights that are being loaded; zero for none
+    u64 m_ordersTaken = 0;
+    TimePoint m_loadedAt{};
+    std::unique_ptr<standins::Replica> m_replica;
+    std::unique_ptr<standins::FaultProxy> m_proxy;
+};
+
+} // namespace soak
--- /dev/null
+++ b/soak/faults.cpp
@@ -0,0 +1,392 @@
+#include "faults.hpp"
+
+#include <support/users_objects.hpp>
+
+#include <array>
+#include <boost/json.hpp>
+#include <csignal>
+#include <fmt/format.h>
+
+namespace soak {
+
+namespace {
+
+using standins::StoreMode;
+
+constexpr std::array<std::string_view, 24> FaultNames{
+    "gateway_kill",      "gateway_freeze",    "gateway_stop",      "gateway_reload",
+    "all_gateways_kill", "store_down",        "store_turns_away",  "store_loses_answers",
+    "store_forgets",     "store_slow",        "store_cut_for_one", "store_silent_for_one",
+    "endpoint_cut",      "endpoint_silent",   "endpoint_delayed",  "endpoint_loses_answers",
+    "endpoint_fails",    "endpoint_declines", "endpoint_slow",     "endpoint_breaks_off",
+    "endpoint_replaced", "keys_change",       "weights_named",     "zone_out"};
+
+constexpr u32 ShortestGapMs = 60;
+constexpr u32 LongestGapMs = 700;
+constexpr u32 SeriesOneOf = 3;
+constexpr u32 ShortestFaultMs = 200;
+constexpr u32 LongestFaultMs = 2500;
+constexpr auto Tick = std::chrono::milliseconds(20);
+constexpr Duration Grace = std::chrono::seconds(6);
+constexpr Duration ProxyDelay = std::chrono::milliseconds(60);
+constexpr Duration StoreDelay = std::chrono::milliseconds(250);
+/** Time for which a leaving endpoint goes on serving, and until its entry goes. */
+constexpr Duration Linger = std::chrono::milliseconds(2500);
+constexpr u32 FewestEndpointsOfKind = 2;
+
+TimePoint now()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+std::string_view toString(Fault fault)
+{
+    return FaultNames.at(static_cast<std::size_t>(fault));
+}
+
+FaultInjector::FaultInjector(Deployment &deployment, u64 seed)
+    : m_deployment(deployment)
+    , m_random(seed)
+{
+}
+
+void FaultInjector::run(Duration time)
+{
+    m_started = now();
+    auto next = m_started;
+    auto fault = Fault::KeysChange;
+    while (now() < m_started + time) {
+        endDue(false);
+        restartStopped();
+        m_deployment.refreshEntries();
+        if (now() >= next) {
+            const bool isSeries = random(SeriesOneOf) == 0;
+            fault = isSeries ? fault : static_cast<Fault>(random(static_cast<u32>(FaultNames.size())));
+            inject(fault);
+            next = now() + randomTime(ShortestGapMs, LongestGapMs);
+        }
+        std::this_thread::sleep_for(Tick);
+    }
+}
+
+void FaultInjector::heal()
+{
+    endDue(true);
+    while (!m_stopping.empty()) {
+        restartStopped();
+        std::this_thread::sleep_for(Tick);
+    }
+    endDue(true);
+    for (u32 i = 0; i < m_deployment.gateways().size(); ++i) {
+        const int code = m_deployment.gateways()[i]->process().waitForEnd(Duration::zero());
+        if (code != -1) {
+            m_deployment.ledger().broken("no process ends by itself", fmt::format("gateway {} ended with {}", i, code));
+        }
+    }
+}
+
+u64 FaultInjector::weights() const
+{
+    return m_weights;
+}
+
+u32 FaultInjector::times(Fault fault) const
+{
+    const auto found = m_times.find(fault);
+    return found == m_times.end() ? 0 : found->second;
+}
+
+const std::vector<std::string> &FaultInjector::story() const
+{
+    return m_story;
+}
+
+void FaultInjector::inject(Fault fault)
+{
+    ++m_times[fault];
+    m_story.push_back(fmt::format("{:7.3f} {}", toMilliseconds(now() - m_started) / 1000.0, toString(fault)));
+    if (fault <= Fault::AllGatewaysKill) {
+        injectAtGateway(fault);
+    } else if (fault <= Fault::StoreSilentForOne) {
+        injectAtStore(fault);
+    } else if (fault <= Fault::EndpointBreaksOff) {
+        injectAtEndpoint(fault);
+    } else if (fault == Fault::EndpointReplaced) {
+        replaceEndpoint();
+    } else if (fault == Fault::KeysChange) {
+        changeKeys();
+    } else if (fault == Fault::WeightsNamed) {
+        nameWeights();
+    } else {
+        takeZoneOut();
+    }
+}
+
+void FaultInjector::injectAtGateway(Fault fault)
+{
+    const u32 gateway = random(static_cast<u32>(m_deployment.gateways().size()));
+    const auto time = randomTime(ShortestFaultMs, LongestFaultMs);
+    if (fault == Fault::AllGatewaysKill) {
+        for (u32 i = 0; i < m_deployment.gateways().size(); ++i) {
+            kill(i, time / 4);
+        }
+        return;
+    }
+    if (m_away.count(gateway) > 0) {
+        return;
+    }
+    m_story.back() += fmt::format(" of {}", gateway);
+    auto &process = m_deployment.gateways()[gateway]->process();
+    if (fault == Fault::GatewayKill) {
+        kill(gateway, time);
+    } else if (fault == Fault::GatewayStop) {
+        stop(gateway);
+    } else if (fault == Fault::GatewayReload) {
+        m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Planned, now());
+        process.signal(SIGHUP);
+        m_deployment.disturbances().end(gatewaySubject(gateway), now());
+    } else {
+        m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Unplanned, now());
+        m_away.insert(gateway);
+        process.signal(SIGSTOP);
+        later(time, [this, gateway] {
+            m_deployment.gateways()[gateway]->process().signal(SIGCONT);
+            m_deployment.disturbances().end(gatewaySubject(gateway), now());
+            m_away.erase(gateway);
+        });
+    }
+}
+
+void FaultInjector::kill(u32 gateway, Duration down)
+{
+    if (!m_away.insert(gateway).second) {
+        return;
+    }
+    m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Unplanned, now());
+    auto &process = m_deployment.gateways()[gateway]->process();
+    process.signal(SIGKILL);
+    static_cast<void>(process.waitForEnd(Grace));
+    later(down, [this, gateway] {
+        m_deployment.gateways()[gateway]->start();
+        m_deployment.disturbances().end(gatewaySubject(gateway), now());
+        m_away.erase(gateway);
+    });
+}
+
+void FaultInjector::stop(u32 gateway)
+{
+    m_away.insert(gateway);
+    m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Planned, now());
+    m_deployment.gateways()[gateway]->process().signal(SIGTERM);
+    m_stopping[gateway] = now();
+}
+
+void FaultInjector::restartStopped()
+{
+    for (auto stopping = m_stopping.begin(); stopping != m_stopping.end();) {
+        const auto [gateway, since] = *stopping;
+        auto &slot = *m_deployment.gateways()[gateway];
+        const int code = slot.process().waitForEnd(Duration::zero());
+        const bool isOverdue = now() > since + Grace;
+        if (code == -1 && !isOverdue) {
+            ++stopping;
+            continue;
+        }
+        if (code != 0) {
+            m_deployment.ledger().broken("a planned stop ends within its grace time", fmt::format("gateway {}: code {}", gateway, code));
+            slot.process().signal(SIGKILL);
+            static_cast<void>(slot.process().waitForEnd(Grace));
+        }
+        slot.start();
+        m_deployment.disturbances().end(gatewaySubject(gateway), now());
+        m_away.erase(gateway);
+        stopping = m_stopping.erase(stopping);
+    }
+}
+
+void FaultInjector::injectAtStore(Fault fault)
+{
+    const auto time = randomTime(ShortestFaultMs, LongestFaultMs);
+    if (fault == Fault::StoreDown) {
+        setStoreMode(StoreMode::Down, time);
+    } else if (fault == Fault::StoreTurnsAway) {
+        setStoreMode(StoreMode::TurnsAway, time);
+    } else if (fault == Fault::StoreLosesWriteAnswers) {
+        setStoreMode(StoreMode::LosesWriteAnswers, time);
+    } else if (fault == Fault::StoreForgetsHistory) {
+        setStoreMode(StoreMode::HasNoHistory, time / 4);
+    } else if (fault == Fault::StoreSlow) {
+        m_deployment.disturbances().begin(StoreSubject, Plan::Unplanned, now());
+        for (const auto &slot : m_deployment.gateways()) {
+            slot->storeProxy().setDelay(StoreDelay);
+        }
+        later(time, [this] {
+            for (const auto &slot : m_deployment.gateways()) {
+                slot->storeProxy().setDelay(Duration::zero());
+            }
+            m_deployment.disturbances().end(StoreSubject, now());
+        });
+    } else {
+        const u32 gateway = random(static_cast<u32>(m_deployment.gateways().size()));
+        m_story.back() += fmt::format(" for {}", gateway);
+        auto &proxy = m_deployment.gateways()[gateway]->storeProxy();
+        m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Unplanned, now());
+        if (fault == Fault::StoreCutForOne) {
+            proxy.setRefusing(true);
+            proxy.cutAll();
+        } else {
+            proxy.freezeOpen();
+        }
+        later(time, [this, gateway] {
+            m_deployment.gateways()[gateway]->storeProxy().setRefusing(false);
+            m_deployment.disturbances().end(gatewaySubject(gateway), now());
+        });
+    }
+}
+
+void FaultInjector::setStoreMode(StoreMode mode, Duration time)
+{
+    m_deployment.disturbances().begin(StoreSubject, Plan::Unplanned, now());
+    m_deployment.store().setMode(mode);
+    later(time, [this] {
+        m_deployment.store().setMode(StoreMode::Up);
+        m_deployment.disturbances().end(StoreSubject, now());
+    });
+}
+
+void FaultInjector::injectAtEndpoint(Fault fault)
+{
+    auto &endpoint = anyEndpoint();
+    m_story.back() += " at " + endpoint.id();
+    m_deployment.disturbances().begin(endpoint.id(), Plan::Unplanned, now());
+    auto &proxy = endpoint.proxy();
+    switch (fault) {
+    case Fault::EndpointCut:
+        proxy.setRefusing(true);
+        proxy.cutAll();
+        break;
+    case Fault::EndpointSilent:
+        proxy.freezeOpen();
+        break;
+    case Fault::EndpointDelayed:
+        proxy.setDelay(ProxyDelay);
+        break;
+    case Fault::EndpointLosesAnswers:
+        proxy.setLosingAnswers(true);
+        break;
+    case Fault::EndpointFails:
+        endpoint.setMode(EndpointMode::Failing);
+        break;
+    case Fault::EndpointDeclines:
+        endpoint.setMode(EndpointMode::Declining);
+        break;
+    case Fault::EndpointSlow:
+        endpoint.setMode(EndpointMode::Slow);
+        break;
+    default:
+        endpoint.setMode(EndpointMode::BreakingOff);
+        break;
+    }
+    later(randomTime(ShortestFaultMs, LongestFaultMs), [this, &endpoint] {
+        endpoint.proxy().setRefusing(false);
+        endpoint.proxy().setLosingAnswers(false);
+        endpoint.proxy().setDelay(Duration::zero());
+        endpoint.setMode(EndpointMode::Sound);
+        m_deployment.disturbances().end(endpoint.id(), now());
+    });
+}
+
+void FaultInjector::replaceEndpoint()
+{
+    auto &leaving = anyEndpoint();
+    const auto stays = std::count_if(m_deployment.endpoints().begin(), m_deployment.endpoints().end(), [&](const auto &endpoint) {
+        return endpoint->isEngine() == leaving.isEngine() && m_replaced.count(endpoint->id()) == 0;
+    });
+    if (static_cast<u32>(stays) <= FewestEndpointsOfKind || !m_replaced.insert(leaving.id()).second) {
+        return;
+    }
+    m_story.back() += " " + leaving.id();
+    const auto zone = random(2) == 0 ? "zone-a" : "zone-b";
+    m_deployment.addEndpoint(leaving.isEngine(), zone);
+    leaving.announceDraining();
+    later(Linger, [&leaving] { leaving.removeEntry(); });
+}
+
+// One key holds all the time; another is taken away with each change, and a new one comes in its place.
+void FaultInjector::changeKeys()
+{
+    ++m_configuration;
+    const auto old = m_key;
+    m_key = fmt::format("key-{}", m_configuration);
+    m_deployment.store().put("config", "main", support::configurationObject(m_configuration, {"key-desk", m_key}));
+    m_deployment.ledger().noteKeyAdded(m_key, now());
+    if (!old.empty()) {
+        m_deployment.ledger().noteKeyRemoved(old, now());
+    }
+    // Callers go on with the old key for a moment, as they hear of the new one later.
+    later(randomTime(0, LongestFaultMs), [this, key = m_key] { m_deployment.keys().setChanging(key); });
+}
+
+void FaultInjector::nameWeights()
+{
+    ++m_weights;
+    m_deployment.store().put("versions", "m", {{"model", "m"}, {"version", m_weights}});
+    m_deployment.ledger().noteWeightsNamed(m_weights, now());
+}
+
+void FaultInjector::takeZoneOut()
+{
+    if (m_isZoneOut) {
+        return;
+    }
+    m_isZoneOut = true;
+    const std::string zone = random(2) == 0 ? "zone-a" : "zone-b";
+    m_story.back() += " " + zone;
+    m_deployment.store().put("evacuations", zone, boost::json::object());
+    m_deployment.ledger().noteZoneOut(zone, now());
+    later(randomTime(LongestFaultMs, 3 * LongestFaultMs), [this, zone] {
+        m_deployment.store().erase("evacuations", zone);
+        m_deployment.ledger().noteZoneBack(zone);
+        m_isZoneOut = false;
+    });
+}
+
+void FaultInjector::endDue(bool all)
+{
+    std::vector<Ending> due;
+    std::erase_if(m_endings, [&](Ending &ending) {
+        const bool isDue = all || now() >= ending.at;
+        if (isDue) {
+            due.push_back(std::move(ending));
+        }
+        return isDue;
+    });
+    for (const auto &ending : due) {
+        ending.end();
+    }
+}
+
+void FaultInjector::later(Duration time, std::function<void()> end)
+{
+    m_endings.push_back({now() + time, std::move(end)});
+}
+
+u32 FaultInjector::random(u32 below)
+{
+    return m_random(below);
+}
+
+Duration FaultInjector::randomTime(u32 leastMs, u32 mostMs)
+{
+    return std::chrono::milliseconds(leastMs + random(mostMs - leastMs + 1));
+}
+
+BackEnd &FaultInjector::anyEndpoint()
+{
+    auto &endpoints = m_deployment.endpoints();
+    return *endpoints[random(static_cast<u32>(endpoints.size()))];
+}
+
+} // namespace soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,89 @@
+#include "faults.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <random>
+
+DEFINE_uint64(seed, 0, "first seed; 0 draws one");
+DEFINE_uint32(runs, 1, "how many runs, with seeds that follow the first");
+DEFINE_uint32(seconds, 12, "how long faults are injected in a run");
+DEFINE_uint32(gateways, 4, "gateway processes");
+DEFINE_uint32(engines, 4, "engines");
+DEFINE_uint32(callers, 12, "callers at once");
+DEFINE_bool(story, false, "print each fault");
+
+namespace {
+
+using namespace soak;
+
+constexpr Duration ReadyAgain = std::chrono::seconds(12);
+constexpr Duration WeightsInPlace = std::chrono::seconds(20);
+constexpr Duration Calm = std::chrono::milliseconds(3500);
+constexpr u32 CallsEach = 4;
+/** Crashes of one request at which gateways stop it; each gateway may add one to each count before it hears of the others'. */
+constexpr u64 PoisonCrashes = 3;
+
+std::vector<std::string> runOnce(u64 seed)
+{
+    Size size;
+    size.gateways = FLAGS_gateways;
+    size.engines = FLAGS_engines;
+    size.callers = FLAGS_callers;
+    Deployment deployment(size, seed, Bounds{});
+    FaultInjector faults(deployment, seed);
+    auto &ledger = deployment.ledger();
+    if (!deployment.start()) {
+        ledger.broken("gateways become ready", "not within the time for the start");
+        return ledger.violations();
+    }
+    deployment.startCallers();
+    faults.run(std::chrono::seconds(FLAGS_seconds));
+    faults.heal();
+    if (!deployment.awaitAllReady(ReadyAgain)) {
+        ledger.broken("gateways recover", "one is not ready after all faults have ended");
+    }
+    if (!deployment.awaitWeights(faults.weights(), WeightsInPlace)) {
+        ledger.broken("new weights reach every engine", fmt::format("version {} is missing somewhere", faults.weights()));
+    }
+    deployment.stopCallers();
+    std::this_thread::sleep_for(Calm);
+    if (const u32 unserved = deployment.countUnserved("key-desk", CallsEach)) {
+        ledger.broken("all is served once faults are over", fmt::format("{} calls were not", unserved));
+    }
+    const auto counted = ledger.counts();
+    const auto poison = counted.find("poison runs");
+    if (poison != counted.end() && poison->second > PoisonCrashes * FLAGS_gateways * (1 + faults.times(Fault::AllGatewaysKill))) {
+        ledger.broken("a poisonous request is stopped", fmt::format("it ran {} times", poison->second));
+    }
+    if (FLAGS_story || !ledger.violations().empty()) {
+        for (const auto &line : faults.story()) {
+            std::cout << "  " << line << "\n";
+        }
+    }
+    std::string counts;
+    for (const auto &[what, count] : counted) {
+        counts += fmt::format(" {}={}", what, count);
+    }
+    std::cout << "seed " << seed << ": " << faults.story().size() << " faults," << counts << "\n";
+    return ledger.violations();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs gateways under random faults and checks the promises; example: soak --seed=7 --runs=5");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const u64 first = FLAGS_seed != 0 ? FLAGS_seed : std::random_device{}();
+    u32 failed = 0;
+    for (u64 seed = first; seed < first + FLAGS_runs; ++seed) {
+        const auto violations = runOnce(seed);
+        for (const auto &violation : violations) {
+            std::cout << "BROKEN seed " << seed << ": " << violation << "\n";
+        }
+        failed += violations.empty() ? 0 : 1;
+    }
+    std::cout << FLAGS_runs - failed << " passed, " << failed << " failed\n";
+    return failed == 0 ? 0 : 1;
+}
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -1,6 +1,7 @@
 #include <support/gateway_deployment.hpp>
 
 #include <support/ports.hpp>
+#include <support/users_objects.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,10 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
-#include <filesystem>
-#include <fmt/format.h>
-#include <fstream>
-#include <sstream>
+#include <csignal>
 #include <thread>
 
 namespace support {
@@ -27,56 +25,21 @@
 constexpr Duration Patience = std::chrono::seconds(10);
 constexpr Duration Poll = std::chrono::milliseconds(10);
 
-std::string route(const std::string &name, const std::string &kind, const std::string &service)
-{
-    return fmt::format(R"({{"name":"{0}","host":"desk.example","pathPrefix":"/{0}/","routeType":"{1}","service":"{2}","timeoutMs":3000,)"
-                       R"("targetLatencyMs":2000,"priority":1,"maxAttempts":2,"noAuth":{3},"sticky":{4},"resumable":{5}}})",
-                       name, kind, service, name == "open", kind == "streaming", name == "resumable");
-}
-
-std::string readAll(const std::string &path)
-{
-    const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 } // namespace
 
 GatewayDeployment::GatewayDeployment(const std::string &settingsChange)
     : m_pool(PoolThreads)
     , m_store(m_pool.context(), freeAddress())
-    , m_folder((std::filesystem::temp_directory_path() / ("gateway-test-" + std::to_string(freePort()))).string())
-    , m_callers(freeAddress())
-    , m_readiness(freeAddress())
-    , m_metrics(freeAddress())
+    , m_gateway("vm-1", "zone-a", m_store.address(), settingsChange.empty() ? json::object() : json::parse(settingsChange).as_object())
 {
-    std::filesystem::create_directories(m_folder);
-    auto settings = json::parse(R"({"name":"vm-1","zone":"zone-a","grace_seconds":6,"revocation_ms":4000,"retry_share":0.2,)"
-                                R"("retry_slack":50,"weights_ms":12000,"order_pause_ms":3000})")
-                        .as_object();
-    settings["callers_listen"] = m_callers;
-    settings["readiness_listen"] = m_readiness;
-    settings["metrics_listen"] = m_metrics;
-    settings["load_listen"] = freeAddress();
-    settings["platform"] = m_store.address();
-    if (!settingsChange.empty()) {
-        const auto changes = json::parse(settingsChange);
-        for (const auto &[key, value] : changes.as_object()) {
-            settings[key] = value;
-        }
-    }
-    const auto path = m_folder + "/settings.json";
-    std::ofstream(path) << json::serialize(settings);
-    m_process
-        = std::make_unique<ChildProcess>(std::vector<std::string>{BURDOCK_DAEMON, "gateway", "--settings=" + path}, m_folder + "/log");
+    m_gateway.start();
 }
 
 // The stand-in's watches may still wait on the pool's threads, so these end before the stand-in does.
 GatewayDeployment::~GatewayDeployment()
 {
-    m_process.reset();
+    m_gateway.process().signal(SIGKILL);
+    static_cast<void>(m_gateway.process().waitForEnd(Patience));
     m_pool.stop();
     m_pool.wait();
 }
@@ -88,26 +51,16 @@
 
 void GatewayDeployment::configure(u64 version, const std::vector<std::string> &keys)
 {
-    const std::string routes = route("once", "non_idempotent", "plain") + "," + route("read", "idempotent", "plain") + ","
-        + route("open", "idempotent", "plain") + "," + route("prompts", "streaming", "engines") + ","
-        + route("resumable", "streaming", "engines");
-    const std::string services = R"({"name":"plain","maxConnections":100,"coldPerS":0.0},)"
-                                 R"({"name":"engines","maxConnections":100,"coldPerS":0.0,)"
-                                 R"("engine":{"slots":8,"kvCapacity":100000,"models":[{"name":"m"}]}})";
-    const std::string limits = R"({"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000})";
-    const auto names = json::serialize(json::array(keys.begin(), keys.end()));
-    m_store.put(
-        "config", "main",
-        json::parse(fmt::format(R"({{"version":{},"routes":[{}],"services":[{}],"tenants":[{{"name":"desk","apiKeys":{}}}],"limits":{}}})",
-                                version, routes, services, names, limits)));
+    m_store.put("config", "main", configurationObject(version, keys));
 }
 
 void GatewayDeployment::registerReplica(const std::string &id, const std::string &service, const std::string &address, bool isDraining)
 {
-    m_store.put("servers", id,
-                json::parse(fmt::format(R"({{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":8,"state":"{}",)"
-                                        R"("coldLeftMs":0,"born":1,"models":[{{"name":"m","version":1}}]}})",
-                                        service, address, isDraining ? "draining" : "in_service")));
+    ReplicaEntry entry;
+    entry.service = service;
+    entry.address = address;
+    entry.isDraining = isDraining;
+    m_store.put("servers", id, replicaObject(entry));
 }
 
 void GatewayDeployment::awaitReady()
@@ -119,14 +72,14 @@
 
 http::Exchange GatewayDeployment::call(const GatewayCall &call)
 {
-    return exchange(m_callers, toRequest(call));
+    return exchange(m_gateway.callers(), toRequest(call));
 }
 
 void GatewayDeployment::callAndLeave(const GatewayCall &call, Duration after)
 {
     const auto work = [this, call, after]() -> boost::asio::awaitable<void> {
         const auto executor = co_await boost::asio::this_coro::executor;
-        http::Connection connection(executor, http::parseAddress(m_callers), http::Reuse::Once);
+        http::Connection connection(executor, http::parseAddress(m_gateway.callers()), http::Reuse::Once);
         if (co_await connection.connect(CallTimeout)) {
             connection.startSend(toRequest(call));
             boost::asio::steady_timer timer(executor, after);
@@ -141,7 +94,7 @@
 {
     http::Request request;
     request.target = "/readiness";
-    const auto answer = exchange(m_readiness, request);
+    const auto answer = exchange(m_gateway.readiness(), request);
     return answer.progress == http::Progress::Answered ? answer.response.status : 0;
 }
 
@@ -149,17 +102,17 @@
 {
     http::Request request;
     request.target = "/metrics";
-    return exchange(m_metrics, request).response.body;
+    return exchange(m_gateway.metrics(), request).response.body;
 }
 
 std::string GatewayDeployment::log() const
 {
-    return readAll(m_folder + "/log");
+    return m_gateway.log();
 }
 
 ChildProcess &GatewayDeployment::process()
 {
-    return *m_process;
+    return m_gateway.process();
 }
 
 bool GatewayDeployment::waitFor(const std::function<bool()> &condition)
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -4,10 +4,9 @@
 #include <burdock/runtime/worker_pool.hpp>
 #include <standins/object_store.hpp>
 #include <standins/replica.hpp>
-#include <support/child_process.hpp>
+#include <support/gateway_process.hpp>
 
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace support {
@@ -64,11 +63,7 @@
 
     runtime::WorkerPool m_pool;
     standins::ObjectStore m_store;
-    std::string m_folder;
-    std::string m_callers;
-    std::string m_readiness;
-    std::string m_metrics;
-    std::unique_ptr<ChildProcess> m_process;
+    GatewayProcess m_gateway;
 };
 
 } // namespace support
