--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,7 @@
 DEFINE_uint32(gateways, 4, "gateway processes");
 DEFINE_uint32(engines, 4, "engines");
 DEFINE_uint32(callers, 12, "callers at once");
+DEFINE_bool(faults, true, "inject faults; without them the run shows what load alone does");
 DEFINE_bool(story, false, "print each fault");
 
 namespace {
@@ -38,8 +39,12 @@
         return ledger.violations();
     }
     deployment.startCallers();
-    faults.run(std::chrono::seconds(FLAGS_seconds));
-    faults.heal();
+    if (FLAGS_faults) {
+        faults.run(std::chrono::seconds(FLAGS_seconds));
+        faults.heal();
+    } else {
+        std::this_thread::sleep_for(std::chrono::seconds(FLAGS_seconds));
+    }
     if (!deployment.awaitAllReady(ReadyAgain)) {
         ledger.broken("gateways recover", "one is not ready after all faults have ended");
     }
@@ -65,7 +70,7 @@
     for (const auto &[what, count] : counted) {
         counts += fmt::format(" {}={}", what, count);
     }
-    std::cout << "seed " << seed << ": " << faults.story().size() << " faults," << counts << "\n";
+    std::cout << "seed " << seed << ": " << faults.story().size() << " faults," << counts << std::endl;
     return ledger.violations();
 }
 
