--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -162,6 +162,10 @@
         last = co_await attempt(m_choice.id);
         m_history.isInTime = timeLeft() > LeastUsefulTime && !m_isGone;
         auto step = retry::nextStep(m_history, last.outcome);
+        const bool isSuspect = m_state.quarantine.crashes(m_fingerprint, m_parts.clock.now()) >= CrashesToRefuse;
+        if (step == NextStep::TryElsewhere && isSuspect) {
+            step = retry::lastStep(m_history, last.outcome);
+        }
         if (step == NextStep::TryElsewhere && !m_state.budget(m_service, m_settings).trySpend()) {
             m_parts.logger.event(LogLevel::Info, "retry_budget_spent", {{"id", m_facts.attemptId}, {"service", m_service}});
             step = retry::lastStep(m_history, last.outcome);
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -19,7 +19,7 @@
 class LoadExchange
 {
 public:
-    /** @throws std::system_error if the address can't be bound */
+    /** @throws boost::system::system_error if the address can't be bound */
     LoadExchange(const GatewayParts &parts, const GatewaySettings &settings, State &state);
 
     /** @brief Sets to whom loads are told, as IP:port. */
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -69,7 +69,7 @@
 class Server
 {
 public:
-    /** @throws std::system_error if the address can't be bound */
+    /** @throws boost::system::system_error if the address can't be bound */
     Server(boost::asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler,
            Listening listening = Listening::AtOnce);
     ~Server();
--- a/lib/libburdock-serving/include/burdock/serving/role.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/role.hpp
@@ -23,7 +23,7 @@
 
 /**
  * @brief The role that checked settings name.
- * @throws std::system_error if an address can't be bound
+ * @throws std::runtime_error if an address can't be bound
  */
 [[nodiscard]] std::unique_ptr<Role> makeRole(Process &process, const schema::DaemonSettings &settings);
 
--- a/main/daemon/source/main.cpp
+++ b/main/daemon/source/main.cpp
@@ -53,7 +53,7 @@
     serving::Process process{pool.context(), clock, random, logger, metrics, tracer, settings.name(), settings.zone(), random.word()};
     try {
         role = serving::makeRole(process, settings);
-    } catch (const std::system_error &error) {
+    } catch (const std::runtime_error &error) { // Asio's errors and the standard library's are no kin of each other otherwise
         logger.event(runtime::LogLevel::Error, "start_failed", {{"reason", std::string_view(error.what())}});
         return ExitFailed;
     }
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -78,7 +78,7 @@
     std::optional<gateway::Gateway> served;
     try {
         served.emplace(parts, toGatewaySettings(*read));
-    } catch (const std::system_error &error) {
+    } catch (const std::runtime_error &error) { // Asio's errors and the standard library's are no kin of each other otherwise
         logger.event(LogLevel::Error, "start_failed", {{"reason", std::string_view(error.what())}});
         return ExitFailed;
     }
--- a/soak/back_end.cpp
+++ b/soak/back_end.cpp
@@ -91,6 +91,11 @@
     return m_service == "engines";
 }
 
+bool BackEnd::isDraining() const
+{
+    return m_isDraining;
+}
+
 u64 BackEnd::weights() const
 {
     auto &self = const_cast<BackEnd &>(*this);
--- a/soak/back_end.hpp
+++ b/soak/back_end.hpp
@@ -37,6 +37,7 @@
     void removeEntry();
 
     [[nodiscard]] bool isEngine() const;
+    [[nodiscard]] bool isDraining() const;
     [[nodiscard]] u64 weights() const;
 
 private:
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -173,8 +173,9 @@
 {
     return waitUntil(patience, [this, version] {
         refreshEntries();
-        return std::all_of(m_endpoints.begin(), m_endpoints.end(),
-                           [version](const auto &endpoint) { return !endpoint->isEngine() || endpoint->weights() >= version; });
+        return std::all_of(m_endpoints.begin(), m_endpoints.end(), [version](const auto &endpoint) {
+            return !endpoint->isEngine() || endpoint->isDraining() || endpoint->weights() >= version;
+        });
     });
 }
 
@@ -207,7 +208,7 @@
     for (const auto &endpoint : m_endpoints) {
         const u64 held = endpoint->weights();
         auto &announced = m_announcedWeights.try_emplace(endpoint->id(), 1).first->second;
-        if (endpoint->isEngine() && held != announced) {
+        if (endpoint->isEngine() && held != announced && !endpoint->isDraining()) {
             announced = held;
             endpoint->announce();
         }
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -56,7 +56,7 @@
 
     [[nodiscard]] bool awaitAllReady(Duration patience);
 
-    /** @brief Waits until each engine holds the newest weights; false if one does not. */
+    /** @brief Waits until each engine that stays holds the newest weights; false if one does not. */
     [[nodiscard]] bool awaitWeights(u64 version, Duration patience);
 
     /** @brief Sends some calls of each kind to each gateway; says how many were not served. */
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -352,6 +352,17 @@
     CHECK(plain.received().size() == 1);
 }
 
+// A VM is set up twice by mistake, and the second gateway's port is taken. Operators find an aborted process and a message of a
+// library, in place of the line that says what failed. Cause: the socket library's errors were not among those that were caught.
+TEST_CASE("a gateway whose address is taken says so and ends with the code for a failed start")
+{
+    Replica other(answerWhole);
+    GatewayDeployment gateway(R"({"callers_listen":")" + other.address() + R"("})");
+    constexpr int ExitFailed = 1;
+    CHECK(gateway.process().waitForEnd(std::chrono::seconds(10)) == ExitFailed);
+    CHECK(gateway.log().find(R"("event":"start_failed")") != std::string::npos);
+}
+
 // Replicas keep old weights for good, as the answer to the gateway's claim of the duty got lost although the claim took effect.
 TEST_CASE("new weights are ordered under one holder, also where answers of the store are lost")
 {
