--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -120,7 +120,7 @@
         return std::nullopt;
     }
     if (!m_state.keysAreCurrent(m_parts.clock.now(), m_settings)) {
-        return Rejection{503, "keys_unconfirmed", RetryWhenUnsure};
+        return keysUnconfirmed();
     }
     m_customer = m_routes->customerOf(m_facts.apiKey);
     if (m_customer == nullptr) {
@@ -129,6 +129,13 @@
     return std::nullopt;
 }
 
+CallDriver::Rejection CallDriver::keysUnconfirmed()
+{
+    // While others are in touch with the platform, the caller need not wait until this gateway is again.
+    const bool isServedElsewhere = m_state.endpoints.peers().anyHasCurrentKeys();
+    return {503, "keys_unconfirmed", isServedElsewhere ? RetryElsewhere : RetryWhenUnsure};
+}
+
 boost::asio::awaitable<void> CallDriver::offerUntilDone()
 {
     Attempt last;
@@ -147,7 +154,7 @@
             co_return;
         }
         if (m_customer != nullptr && !m_state.keysAreCurrent(m_parts.clock.now(), m_settings)) {
-            const Rejection rejection{503, "keys_unconfirmed", RetryWhenUnsure};
+            const auto rejection = keysUnconfirmed();
             co_await reject(rejection);
             co_return;
         }
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -39,6 +39,7 @@
 
     [[nodiscard]] std::optional<Rejection> check();
     [[nodiscard]] std::optional<Rejection> checkKey();
+    [[nodiscard]] Rejection keysUnconfirmed();
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
     [[nodiscard]] endpoints::Need needOf() const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -123,6 +123,7 @@
     message.set_entry(m_settings.name);
     message.set_boot_id(m_boot);
     message.set_sequence(++m_sequence);
+    message.set_keys_current(m_state.keysAreCurrent(m_parts.clock.now(), m_settings));
     for (const auto &[endpoint, load] : m_state.endpoints.ownLoads()) {
         auto *work = message.add_work();
         work->set_endpoint(endpoint);
@@ -136,6 +137,9 @@
     for (const u64 endpoint : m_state.endpoints.loading()) {
         message.add_loading(endpoint);
     }
+    for (const u64 endpoint : m_state.endpoints.unresponsive(m_parts.clock.now())) {
+        message.add_unresponsive(endpoint);
+    }
     addSuspects(message);
     for (const auto &placed : m_state.placementsToTell) {
         auto *out = message.add_placed();
@@ -179,6 +183,7 @@
     endpoints::PeerLoads::Report report;
     report.boot = read.boot_id();
     report.sequence = read.sequence();
+    report.hasCurrentKeys = read.keys_current();
     for (const auto &work : read.work()) {
         report.loads[work.endpoint()] = endpoints::Load{work.running(), work.memory_tokens(), work.pending_tokens()};
     }
@@ -186,6 +191,7 @@
         report.namedWeights[model] = version;
     }
     report.loading.insert(read.loading().begin(), read.loading().end());
+    report.unresponsive.insert(read.unresponsive().begin(), read.unresponsive().end());
     for (const auto &told : read.store_events()) {
         takeStoreEvents(told);
     }
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /** What fetching a kept token costs, in percent of reading it: from a store, whose link many share, and from another engine. */
-constexpr u64 StoreFetchPercent = 60;
-constexpr u64 EngineFetchPercent = 20;
+constexpr u64 StoreFetchPercent = 25;
+constexpr u64 EngineFetchPercent = 10;
 /** Time for a fetch: some forty times what reading the tokens would take, as reading them again keeps others waiting too. */
 constexpr Duration FetchPatiencePerToken = std::chrono::microseconds(450);
 constexpr Duration ShortestFetch = std::chrono::milliseconds(150);
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -53,6 +53,8 @@
     u32 slotPercent = 150;
     /** Silence of an endpoint with requests under way after which it gets no more. */
     Duration silenceLimit = std::chrono::milliseconds(700);
+    /** Other entries that must find an endpoint unresponsive until this one believes it. */
+    std::size_t believedReports = 2;
     /** First time for which an endpoint that failed is left out; doubles with each further one. */
     Duration firstEjection = std::chrono::milliseconds(500);
     Duration longestEjection = std::chrono::seconds(8);
@@ -62,7 +64,7 @@
     double failureShare = 0.5;
     /** Time to the first event of a prompt at an idle engine of reference pace, and for each prompt token that it reads. */
     Duration baseDelay = std::chrono::milliseconds(50);
-    double delayPerTokenMs = 0.012;
+    double delayPerTokenMs = 0.0095;
     /** Delay at an engine with older weights than wanted that counts as equal to none at one with the wanted ones. */
     Duration oldWeightsPenalty = std::chrono::milliseconds(120);
     /** Differences of expected delay below this don't count. */
@@ -122,6 +124,7 @@
     TimePoint lastHeard{};
     std::optional<TimePoint> waitingSince; ///< first send after it was last heard
     TimePoint ejectedUntil{};
+    bool isEjectedAsUnresponsive = false; ///< the last time, in place of for failed requests
     Duration lastEjection{};
     double failureShare = 0; ///< moving average
     u32 samples = 0;
@@ -190,6 +193,9 @@
     /** @brief The work of this entry, for the others. */
     [[nodiscard]] LoadsById ownLoads() const;
 
+    /** @brief Endpoints that this entry gets no sign of life from, by hash, for the others. */
+    [[nodiscard]] std::vector<u64> unresponsive(TimePoint now) const;
+
     /** @brief Work at an endpoint, of all entries. */
     [[nodiscard]] Load loadAt(const Endpoint &endpoint) const;
 
@@ -222,6 +228,7 @@
 
     [[nodiscard]] bool isEligible(const Endpoint &endpoint, const Need &need, TimePoint now) const;
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] bool isSilentToOthers(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool hasMemory(const Endpoint &endpoint, const Need &need) const;
     [[nodiscard]] bool bearsMore(Endpoint &endpoint, TimePoint now);
     [[nodiscard]] Choice choosePlain(const Need &need, TimePoint now);
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -44,6 +44,8 @@
         LoadsById loads;
         std::map<std::string, u64, std::less<>> namedWeights; ///< newest that it knows of, by model
         std::unordered_set<u64> loading; ///< endpoints that it told to load weights
+        std::unordered_set<u64> unresponsive; ///< endpoints that it gets no sign of life from
+        bool hasCurrentKeys = false; ///< it takes requests with keys
     };
 
     void take(const std::string &peer, Report report, TimePoint now);
@@ -59,6 +61,12 @@
     /** @brief Whether an entry said lately that it told this endpoint to load weights. */
     [[nodiscard]] bool isLoading(u64 endpoint) const;
 
+    /** @brief How many entries said lately that they get no sign of life from this endpoint. */
+    [[nodiscard]] std::size_t findUnresponsive(u64 endpoint) const;
+
+    /** @brief Whether an entry said lately that it takes requests with keys. */
+    [[nodiscard]] bool anyHasCurrentKeys() const;
+
     /** @brief Entries whose reports count. */
     [[nodiscard]] std::size_t peers() const;
 
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -269,7 +269,9 @@
     if (endpoint.own.running == 0) {
         endpoint.waitingSince.reset();
     }
-    const bool isEjected = outcome == Outcome::Unreachable || fellSilent || failsOften;
+    const bool isUnresponsive = outcome == Outcome::Unreachable || fellSilent;
+    const bool isEjected = isUnresponsive || failsOften;
+    endpoint.isEjectedAsUnresponsive = isEjected ? isUnresponsive : endpoint.isEjectedAsUnresponsive;
     const auto ejectedFor = isEjected ? eject(endpoint, now) : Duration::zero();
     if (outcome == Outcome::Declined) {
         endpoint.ejectedUntil = std::max(endpoint.ejectedUntil, now + m_policy.declinePause);
@@ -338,6 +340,18 @@
     return loads;
 }
 
+std::vector<u64> EndpointTable::unresponsive(TimePoint now) const
+{
+    std::vector<u64> hashes;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        const bool isEjected = endpoint.isEjectedAsUnresponsive && now < endpoint.ejectedUntil;
+        if (isEjected || isSilent(endpoint, now)) {
+            hashes.push_back(endpoint.hash);
+        }
+    }
+    return hashes;
+}
+
 Load EndpointTable::loadAt(const Endpoint &endpoint) const
 {
     Load load = m_peers.at(endpoint.hash);
@@ -388,7 +402,7 @@
     }
     const auto version = registration.weightVersions.find(need.model);
     const bool isOutdated = version != registration.weightVersions.end() && version->second < need.oldestVersion;
-    return now >= endpoint.ejectedUntil && !isOutdated && !isSilent(endpoint, now);
+    return now >= endpoint.ejectedUntil && !isOutdated && !isSilent(endpoint, now) && !isSilentToOthers(endpoint, now);
 }
 
 // Guards against an endpoint that went dark with its connections open: it shows as silence while requests are under way, on all
@@ -399,6 +413,14 @@
     return endpoint.waitingSince && now - *endpoint.waitingSince > m_policy.silenceLimit;
 }
 
+// Guards against an endpoint that went dark and that each entry finds out about by losing requests of its own: it shows as the more
+// lost requests the more entries there are. Believing others holds where this entry has heard nothing lately either; two of them,
+// as an endpoint may be cut off from one alone.
+bool EndpointTable::isSilentToOthers(const Endpoint &endpoint, TimePoint now) const
+{
+    return now - endpoint.lastHeard > m_policy.silenceLimit && m_peers.findUnresponsive(endpoint.hash) >= m_policy.believedReports;
+}
+
 bool EndpointTable::hasMemory(const Endpoint &endpoint, const Need &need) const
 {
     const u64 memory = limitsOf(endpoint.registration.service).cacheTokens * m_policy.roomPercent / 100;
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -76,6 +76,18 @@
                        [endpoint](const auto &entry) { return entry.second.report.loading.count(endpoint) > 0; });
 }
 
+std::size_t PeerLoads::findUnresponsive(u64 endpoint) const
+{
+    return static_cast<std::size_t>(std::count_if(m_reports.begin(), m_reports.end(), [endpoint](const auto &entry) {
+        return entry.second.report.unresponsive.count(endpoint) > 0;
+    }));
+}
+
+bool PeerLoads::anyHasCurrentKeys() const
+{
+    return std::any_of(m_reports.begin(), m_reports.end(), [](const auto &entry) { return entry.second.report.hasCurrentKeys; });
+}
+
 std::size_t PeerLoads::peers() const
 {
     return m_reports.size();
