Learn how slow each store of kept cache is, and read parts meanwhile

The delay was taken for slowness of the engines, so that prompts were refused besides. Test: a store eight times as slow.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -94,7 +94,7 @@
     if (patience < LeastUsefulTime) {
         return Rejection{503, "no_time", {}};
     }
-    m_planner.emplace(m_state, m_facts, m_customer);
+    m_planner.emplace(m_state, m_facts, m_customer, m_arrived);
     const std::string_view customer = m_customer == nullptr ? std::string_view() : m_customer->name;
     const u64 home = m_planner->home();
     const auto *service = chooseDestination(*m_route, m_route->isPrompt ? home : hash::fast(m_facts.attemptId));
@@ -207,7 +207,10 @@
     if (m_isPrefillPending) {
         const auto now = m_parts.clock.now();
         m_isPrefillPending = false;
-        m_state.endpoints.noteFirstEvent(id, m_choice, now - m_sentAt, now);
+        const auto readTime = fromMilliseconds(m_state.endpoints.policy().delayPerTokenMs);
+        const bool isFetch = m_planner->noteFirstEvent(now - m_sentAt, m_choice.expectedDelay, readTime, now);
+        const auto lesson = isFetch ? endpoints::DelayLesson::Ignore : endpoints::DelayLesson::Learn;
+        m_state.endpoints.noteFirstEvent(id, m_choice, now - m_sentAt, lesson, now);
     }
 }
 
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -8,19 +8,21 @@
 
 namespace {
 
-/** What fetching a kept token costs, in percent of reading it: from a store, whose link many share, and from another engine. */
-constexpr u64 StoreFetchPercent = 25;
+/** What fetching a token from another engine costs, in percent of reading it; from a store, see cache::StorePace. */
 constexpr u64 EngineFetchPercent = 10;
+/** Fetched tokens from which the time of a fetch stands out from that of the engine. */
+constexpr u64 TellingFetch = 2000;
 /** Time for a fetch: some forty times what reading the tokens would take, as reading them again keeps others waiting too. */
 constexpr Duration FetchPatiencePerToken = std::chrono::microseconds(450);
 constexpr Duration ShortestFetch = std::chrono::milliseconds(150);
 
 } // namespace
 
-PromptPlanner::PromptPlanner(State &state, const CallFacts &facts, const routing::Customer *customer)
+PromptPlanner::PromptPlanner(State &state, const CallFacts &facts, const routing::Customer *customer, TimePoint now)
     : m_state(state)
     , m_facts(facts)
     , m_customer(customer)
+    , m_now(now)
 {
 }
 
@@ -69,10 +71,11 @@
     for (const auto &part : m_facts.parts) {
         parts.hashes.push_back(cache::partHash(parts.salt, part.id));
         u64 percent = 100;
+        const auto store = m_state.parts.storeWith(parts.salt, part);
         if (isInMemoryOfAny(parts.hashes.back())) {
             percent = EngineFetchPercent;
-        } else if (m_state.parts.holds(parts.salt, part)) {
-            percent = StoreFetchPercent;
+        } else if (!store.empty() && m_state.storePace.isWorthIt(store, m_now)) {
+            percent = static_cast<u64>(m_state.storePace.percentAt(store, m_now));
         }
         parts.fetchTokens.push_back(part.tokens * percent / 100);
     }
@@ -118,7 +121,8 @@
     };
     rules.mayFetchFrom = [this, now](std::string_view store) {
         const auto news = m_state.storeNews.find(store);
-        return news != m_state.storeNews.end() && news->second.isKnown(now);
+        const bool isKnown = news != m_state.storeNews.end() && news->second.isKnown(now);
+        return isKnown && m_state.storePace.isWorthIt(store, now);
     };
     rules.mayFetch = [&](std::string_view part) {
         return told.fetchUntilMs && m_state.retirement.mayFetch(named, weightVersion, part, m_state.weightsAsOf, now);
@@ -131,6 +135,39 @@
         return source == nullptr ? std::string() : source->registration.address;
     };
     told.parts = m_state.parts.plan(told.salt, m_facts.parts, rules, now);
+    noteFetches(told.parts);
+}
+
+void PromptPlanner::noteFetches(const cache::PartPlan &plan)
+{
+    std::map<std::string_view, u64> tokens;
+    for (std::size_t i = 0; i < plan.fetchFrom.size(); ++i) {
+        const std::string_view source = plan.fetchFrom[i];
+        const auto &stores = m_state.parts.stores();
+        const bool isStore = std::any_of(stores.begin(), stores.end(), [source](const auto &store) { return store.address == source; });
+        if (isStore) {
+            tokens[source] += m_facts.parts[i].tokens;
+        }
+    }
+    m_fetchedTokens = 0;
+    for (const auto &[store, fetched] : tokens) {
+        if (fetched > m_fetchedTokens) {
+            m_fetchedTokens = fetched;
+            m_fetchedFrom = store;
+        }
+    }
+}
+
+bool PromptPlanner::noteFirstEvent(Duration delay, Duration expected, Duration readTimePerToken, TimePoint now)
+{
+    if (m_fetchedTokens < TellingFetch) {
+        return false;
+    }
+    const auto readTime = readTimePerToken * static_cast<i64>(m_fetchedTokens);
+    const auto fetchShare = m_state.storePace.percentAt(m_fetchedFrom, m_now) / 100.0;
+    const auto expectedFetch = std::chrono::duration_cast<Duration>(readTime * fetchShare);
+    m_state.storePace.note(m_fetchedFrom, readTime, delay - (expected - expectedFetch), now);
+    return true;
 }
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/prompt_planner.hpp
+++ b/lib/libburdock-gateway/source/prompt_planner.hpp
@@ -9,7 +9,7 @@
 {
 public:
     /** @param customer null on routes that need no key */
-    PromptPlanner(State &state, const CallFacts &facts, const routing::Customer *customer);
+    PromptPlanner(State &state, const CallFacts &facts, const routing::Customer *customer, TimePoint now);
 
     /** @brief Equal for prompts that share their parts. */
     [[nodiscard]] u64 home() const;
@@ -23,6 +23,14 @@
     /** @brief Fills in what an endpoint is told of the prompt's kept parts, and takes note of what it will have. */
     void instruct(const endpoints::Endpoint &endpoint, Instructions &told, TimePoint now);
 
+    /**
+     * @brief Takes note of the first event after instruct(), and learns from it how long fetches take.
+     * @param delay    from the send to the event
+     * @param expected the same, as it was expected with the prefill of the choice
+     * @return whether a fetch may explain the delay, so that it says little of the engine
+     */
+    bool noteFirstEvent(Duration delay, Duration expected, Duration readTimePerToken, TimePoint now);
+
 private:
     /** @brief The prompt's shared parts under the salt of one version of the weights. */
     struct Parts
@@ -35,11 +43,15 @@
     [[nodiscard]] std::string saltFor(u64 weightVersion) const;
     [[nodiscard]] const Parts &partsAt(u64 weightVersion) const;
     [[nodiscard]] bool isInMemoryOfAny(u64 part) const;
+    void noteFetches(const cache::PartPlan &plan);
     void planParts(const endpoints::Endpoint &endpoint, u64 weightVersion, Instructions &told, TimePoint now);
 
     State &m_state;
     const CallFacts &m_facts;
     const routing::Customer *m_customer;
+    TimePoint m_now; ///< when the prompt came
+    std::string m_fetchedFrom; ///< the store from which most is fetched, by the latest instructions
+    u64 m_fetchedTokens = 0;
     mutable std::map<u64, Parts> m_parts; ///< by version of the weights, made when first asked for
 };
 
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -34,6 +34,7 @@
     : endpoints(endpoints::Policy{})
     , parts(SaveAgainAfter)
     , retirement(cache::RetirementPolicy{})
+    , storePace(cache::StorePacePolicy{})
     , quarantine(SuspectMemory, SuspectCapacity)
 {
 }
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -2,6 +2,7 @@
 
 #include <burdock/cache/part_retirement.hpp>
 #include <burdock/cache/store_news.hpp>
+#include <burdock/cache/store_pace.hpp>
 #include <burdock/gateway/gateway.hpp>
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/retry/retry_budget.hpp>
@@ -62,6 +63,7 @@
     cache::PartIndex parts;
     std::map<std::string, cache::StoreNews, std::less<>> storeNews; ///< by address of the store
     cache::PartRetirement retirement;
+    cache::StorePace storePace;
     std::map<std::string, weights::NamedWeights, std::less<>> weights;
     TimePoint weightsAsOf{}; ///< all weights that were named before are known
     /** What the endpoints' clock is ahead of this process's, in ms; at most, so that times told by it are not too late. */
--- a/lib/libburdock/include/burdock/cache/part_index.hpp
+++ b/lib/libburdock/include/burdock/cache/part_index.hpp
@@ -103,8 +103,8 @@
      */
     [[nodiscard]] PartPlan plan(std::string_view salt, const std::vector<PromptPart> &parts, const PlanRules &rules, TimePoint now);
 
-    /** @brief Whether any store holds a part whole. */
-    [[nodiscard]] bool holds(std::string_view salt, const PromptPart &part) const;
+    /** @brief Address of a store that holds a part whole, or empty. */
+    [[nodiscard]] std::string_view storeWith(std::string_view salt, const PromptPart &part) const;
 
     /** @brief Parts of a model in one store that may be freed, by version of the weights and id. */
     [[nodiscard]] PartsToFree freeable(std::string_view store, std::string_view model,
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -115,6 +115,12 @@
     Duration expectedDelay{}; ///< to the first event; for prompts
 };
 
+/** @brief Whether the delay of a prompt's first event tells of the engine's pace. */
+enum class DelayLesson : u8 {
+    Learn,
+    Ignore, ///< something else may explain it
+};
+
 /** @brief One endpoint with what was learnt of it. */
 struct Endpoint
 {
@@ -159,13 +165,15 @@
     /** @brief Sets among how many entries the sums over all entries are shared. */
     void setEntryCount(u32 entries);
 
+    [[nodiscard]] const Policy &policy() const;
+
     [[nodiscard]] Choice choose(const Need &need, TimePoint now);
 
     void noteSent(std::string_view id, const Work &work, TimePoint now);
     void noteHeard(std::string_view id, TimePoint now);
 
     /** @brief Takes note of the first event of a prompt, so that its prompt is read. */
-    void noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, TimePoint now);
+    void noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, DelayLesson lesson, TimePoint now);
 
     /**
      * @param left work of the request that was not taken off by noteFirstEvent()
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -145,9 +145,10 @@
     return plan;
 }
 
-bool PartIndex::holds(std::string_view salt, const PromptPart &part) const
+std::string_view PartIndex::storeWith(std::string_view salt, const PromptPart &part) const
 {
-    return holderOf(partKey(salt, part.id), part.tokens, nullptr) != nullptr;
+    const auto *store = holderOf(partKey(salt, part.id), part.tokens, nullptr);
+    return store == nullptr ? std::string_view() : std::string_view(store->address);
 }
 
 PartsToFree PartIndex::freeable(std::string_view store, std::string_view model, const std::function<bool(u64, std::string_view)> &mayFree,
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -117,6 +117,11 @@
     m_entries = std::max<u32>(1, entries);
 }
 
+const Policy &EndpointTable::policy() const
+{
+    return m_policy;
+}
+
 Choice EndpointTable::choose(const Need &need, TimePoint now)
 {
     return need.memory == 0 ? choosePlain(need, now) : choosePrompt(need, now);
@@ -224,7 +229,7 @@
     }
 }
 
-void EndpointTable::noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, TimePoint now)
+void EndpointTable::noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, DelayLesson lesson, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
@@ -232,6 +237,9 @@
     }
     auto &endpoint = found->second;
     endpoint.own -= Load{0, 0, choice.work.prefill};
+    if (lesson == DelayLesson::Ignore) {
+        return;
+    }
     const double expectedAtReference = toMilliseconds(choice.expectedDelay) / slownessNow(endpoint, now);
     const double seen = std::clamp(toMilliseconds(delay) / std::max(1.0, expectedAtReference), LeastSlowness, MostSlowness);
     endpoint.slowness = slownessNow(endpoint, now) + LatestDelayWeight * (seen - slownessNow(endpoint, now));
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -235,7 +235,7 @@
     for (u32 i = 0; i < 20; ++i) {
         Choice choice{"engine-0", NoChoice::None, {DraftMemory, DraftPrefill}, 194ms};
         table.noteSent("engine-0", choice.work, at(0ms));
-        table.noteFirstEvent("engine-0", choice, 776ms, at(0ms));
+        table.noteFirstEvent("engine-0", choice, 776ms, DelayLesson::Learn, at(0ms));
         table.noteHeard("engine-0", at(0ms));
         table.noteEnd("engine-0", {DraftMemory, 0}, Outcome::Answered, at(0ms));
     }
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -1,6 +1,7 @@
 #include <burdock/cache/memory_guess.hpp>
 #include <burdock/cache/part_index.hpp>
 #include <burdock/cache/store_news.hpp>
+#include <burdock/cache/store_pace.hpp>
 #include <burdock/retry/attempt_rule.hpp>
 #include <burdock/routing/route_table.hpp>
 #include <burdock/run/event_stream.hpp>
@@ -243,6 +244,32 @@
     CHECK(plan.fetchFrom == std::vector<std::string>{"", "engine", "s1", ""});
 }
 
+// Load pattern: the link of one store turns eight times as slow for some seconds. Drafts that fetch from it come a second late, and those
+// behind them too, while engines could read the same in a tenth of that. Fetches must stop, the other store go on, and the slow one be
+// tried again after its time.
+TEST_CASE("parts are read in place of being fetched while a store is slow, and fetched again later")
+{
+    const cache::StorePacePolicy policy;
+    cache::StorePace pace(policy);
+    TimePoint now{};
+    CHECK(pace.percentAt("slow", now) == policy.usualPercent);
+    u32 fetches = 0;
+    while (pace.isWorthIt("slow", now)) {
+        pace.note("slow", 80ms, 900ms, now);
+        pace.note("sound", 80ms, 20ms, now);
+        now += 20ms;
+        REQUIRE(++fetches < 10);
+    }
+    CHECK(pace.isWorthIt("sound", now));
+    CHECK(pace.percentAt("sound", now) == doctest::Approx(policy.usualPercent));
+    CHECK_FALSE(pace.isWorthIt("slow", now + 50ms));
+    CHECK(pace.isWorthIt("slow", now + 4s));
+    // What one stalled fetch took is bounded, so that it alone stops nothing.
+    cache::StorePace other(policy);
+    other.note("slow", 80ms, 60s, now);
+    CHECK(other.isWorthIt("slow", now));
+}
+
 TEST_CASE("a memory guess forgets what was used least recently")
 {
     cache::MemoryGuess guess;
