--- a/soak/back_end.cpp
+++ b/soak/back_end.cpp
@@ -28,11 +28,6 @@
 constexpr const char *PoisonTarget = "/read/poison";
 constexpr const char *NotRun = "X-Not-Executed: 1\r\n";
 
-TimePoint now()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 BackEnd::BackEnd(boost::asio::io_context &workers, standins::ObjectStore &store, Ledger &ledger, std::string id, std::string service,
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -22,11 +22,6 @@
 constexpr std::array<const char *, 4> Paths{"/once/x", "/read/x", "/prompts/x", "/read/poison"};
 constexpr u32 SoundKinds = 3;
 
-TimePoint now()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 KeyRing::KeyRing(std::string lasting)
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -4,6 +4,7 @@
 
 #include <support/ports.hpp>
 #include <support/users_objects.hpp>
+#include <support/wait_until.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/strand.hpp>
@@ -20,7 +21,6 @@
 namespace http = runtime::http;
 
 constexpr u32 PoolThreads = 3;
-constexpr Duration Poll = std::chrono::milliseconds(20);
 constexpr Duration CalmAfter = std::chrono::milliseconds(3000);
 constexpr Duration ReadinessTimeout = std::chrono::milliseconds(500);
 constexpr Duration StartPatience = std::chrono::seconds(20);
@@ -34,19 +34,6 @@
     return number % 2 == 0 ? "zone-a" : "zone-b";
 }
 
-template <typename Condition>
-bool waitUntil(Duration patience, Condition condition)
-{
-    const auto until = std::chrono::steady_clock::now() + patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= until) {
-            return false;
-        }
-        std::this_thread::sleep_for(Poll);
-    }
-    return true;
-}
-
 } // namespace
 
 GatewaySlot::GatewaySlot(asio::io_context &workers, u32 number, const standins::ObjectStore &store)
@@ -84,6 +71,11 @@
     return std::move(m_ownFace);
 }
 
+std::string GatewaySlot::keepLog()
+{
+    return m_gateway.keepLog();
+}
+
 const support::GatewayProcess &GatewaySlot::gateway() const
 {
     return m_gateway;
@@ -153,9 +145,10 @@
 
 bool Deployment::awaitAllReady(Duration patience)
 {
-    return waitUntil(patience, [this] {
+    const auto areReady = [this] {
         return std::all_of(m_gateways.begin(), m_gateways.end(), [this](const auto &slot) { return readinessOf(*slot) == Ok; });
-    });
+    };
+    return support::waitUntil(areReady, patience);
 }
 
 u16 Deployment::readinessOf(const GatewaySlot &slot)
@@ -171,12 +164,13 @@
 
 bool Deployment::awaitWeights(u64 version, Duration patience)
 {
-    return waitUntil(patience, [this, version] {
+    const auto areLoaded = [this, version] {
         refreshEntries();
         return std::all_of(m_endpoints.begin(), m_endpoints.end(), [version](const auto &endpoint) {
             return !endpoint->isEngine() || endpoint->isDraining() || endpoint->weights() >= version;
         });
-    });
+    };
+    return support::waitUntil(areLoaded, patience);
 }
 
 u32 Deployment::countUnserved(const std::string &key, u32 callsEach)
@@ -215,6 +209,15 @@
     }
 }
 
+std::vector<std::string> Deployment::keepLogs()
+{
+    std::vector<std::string> paths;
+    for (const auto &slot : m_gateways) {
+        paths.push_back(slot->keepLog());
+    }
+    return paths;
+}
+
 Ledger &Deployment::ledger()
 {
     return m_ledger;
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -32,6 +32,7 @@
     [[nodiscard]] GatewayFace &face();
     [[nodiscard]] std::unique_ptr<GatewayFace> takeFace();
     [[nodiscard]] const support::GatewayProcess &gateway() const;
+    [[nodiscard]] std::string keepLog();
 
 private:
     std::unique_ptr<standins::FaultProxy> m_storeProxy;
@@ -68,6 +69,9 @@
     /** @brief Lets what engines loaded meanwhile be seen in their entries. */
     void refreshEntries();
 
+    /** @brief Keeps the logs of the gateways after the end, for a run that broke a promise; their paths. */
+    [[nodiscard]] std::vector<std::string> keepLogs();
+
     [[nodiscard]] Ledger &ledger();
     [[nodiscard]] Disturbances &disturbances();
     [[nodiscard]] standins::ObjectStore &store();
--- a/soak/disturbances.cpp
+++ b/soak/disturbances.cpp
@@ -9,19 +9,19 @@
 {
 }
 
-void Disturbances::begin(const std::string &subject, Plan plan, TimePoint now)
+void Disturbances::begin(const std::string &subject, Plan plan, TimePoint at)
 {
     const std::lock_guard lock(m_mutex);
-    m_spans.push_back({subject, plan, now, std::nullopt});
+    m_spans.push_back({subject, plan, at, std::nullopt});
 }
 
-void Disturbances::end(const std::string &subject, TimePoint now)
+void Disturbances::end(const std::string &subject, TimePoint at)
 {
     const std::lock_guard lock(m_mutex);
     // Disturbances of one subject may overlap; the earliest open one ends, so that the subject stays disturbed until the last has.
     const auto open = std::find_if(m_spans.begin(), m_spans.end(), [&](const Span &span) { return span.subject == subject && !span.to; });
     if (open != m_spans.end()) {
-        open->to = now;
+        open->to = at;
     }
 }
 
@@ -35,19 +35,6 @@
     return isFree(subject, from, to, true);
 }
 
-std::optional<Duration> Disturbances::calmFor(const std::string &subject, TimePoint at) const
-{
-    const std::lock_guard lock(m_mutex);
-    std::optional<Duration> calm;
-    for (const auto &span : m_spans) {
-        if (span.subject == subject && span.plan == Plan::Unplanned && span.from <= at) {
-            const auto since = span.to && *span.to < at ? at - *span.to : Duration::zero();
-            calm = calm ? std::min(*calm, since) : since;
-        }
-    }
-    return calm;
-}
-
 bool Disturbances::isFree(const std::string &subject, TimePoint from, TimePoint to, bool countsPlanned) const
 {
     const std::lock_guard lock(m_mutex);
--- a/soak/disturbances.hpp
+++ b/soak/disturbances.hpp
@@ -12,6 +12,12 @@
 
 using namespace burdock;
 
+/** @brief The clock that callers, endpoints and faults share. */
+[[nodiscard]] inline TimePoint now()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
 /** @brief Whether an operator plans a disturbance; what is planned must cut nothing. */
 enum class Plan : u8 {
     Planned,
@@ -25,8 +31,8 @@
     /** @param calmAfter time after a disturbance until its subject counts as left alone again */
     explicit Disturbances(Duration calmAfter);
 
-    void begin(const std::string &subject, Plan plan, TimePoint now);
-    void end(const std::string &subject, TimePoint now);
+    void begin(const std::string &subject, Plan plan, TimePoint at);
+    void end(const std::string &subject, TimePoint at);
 
     /** @brief Whether no unplanned disturbance of the subject touched the time span, or the time before it that still counts. */
     [[nodiscard]] bool wasCalm(const std::string &subject, TimePoint from, TimePoint to) const;
@@ -34,9 +40,6 @@
     /** @brief The same for all disturbances, planned ones included. */
     [[nodiscard]] bool wasUntouched(const std::string &subject, TimePoint from, TimePoint to) const;
 
-    /** @brief How long the subject had been without unplanned disturbance at a time; nothing if it never had one. */
-    [[nodiscard]] std::optional<Duration> calmFor(const std::string &subject, TimePoint at) const;
-
 private:
     struct Span
     {
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -34,11 +34,6 @@
 constexpr Duration Linger = std::chrono::milliseconds(2500);
 constexpr u32 FewestEndpointsOfKind = 2;
 
-TimePoint now()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 std::string_view toString(Fault fault)
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -62,6 +62,11 @@
     if (poison != counted.end() && poison->second > PoisonCrashes * FLAGS_gateways * (1 + faults.times(Fault::AllGatewaysKill))) {
         ledger.broken("a poisonous request is stopped", fmt::format("it ran {} times", poison->second));
     }
+    if (!ledger.violations().empty()) {
+        for (const auto &path : deployment.keepLogs()) {
+            std::cout << "  log " << path << "\n";
+        }
+    }
     if (FLAGS_story || !ledger.violations().empty()) {
         for (const auto &line : faults.story()) {
             std::cout << "  " << line << "\n";
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -33,18 +33,6 @@
     return std::string("zone-") + static_cast<char>('a' + number);
 }
 
-bool waitUntil(const std::function<bool()> &condition, Duration patience)
-{
-    const auto until = std::chrono::steady_clock::now() + patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= until) {
-            return false;
-        }
-        std::this_thread::sleep_for(Poll);
-    }
-    return true;
-}
-
 Deployment::Deployment(const DeploymentOptions &options)
     : m_options(options)
     , m_signingKey(schema::makeSigningKey())
--- a/tests/integration/support/deployment.hpp
+++ b/tests/integration/support/deployment.hpp
@@ -14,6 +14,7 @@
 #include <standins/service.hpp>
 #include <standins/store.hpp>
 #include <support/child_process.hpp>
+#include <support/wait_until.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/strand.hpp>
@@ -136,7 +137,4 @@
     std::map<std::string, Daemon> m_daemons;
 };
 
-/** @brief Waits until a condition holds; false if it does not in time. */
-[[nodiscard]] bool waitUntil(const std::function<bool()> &condition, Duration patience = std::chrono::seconds(20));
-
 } // namespace support
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -2,6 +2,7 @@
 
 #include <support/ports.hpp>
 #include <support/users_objects.hpp>
+#include <support/wait_until.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,7 +12,6 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 #include <csignal>
-#include <thread>
 
 namespace support {
 
@@ -23,7 +23,6 @@
 constexpr u32 PoolThreads = 2;
 constexpr Duration CallTimeout = std::chrono::seconds(20);
 constexpr Duration Patience = std::chrono::seconds(10);
-constexpr Duration Poll = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -117,14 +116,7 @@
 
 bool GatewayDeployment::waitFor(const std::function<bool()> &condition)
 {
-    const auto until = std::chrono::steady_clock::now() + Patience;
-    while (std::chrono::steady_clock::now() < until) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(Poll);
-    }
-    return condition();
+    return waitUntil(condition, Patience);
 }
 
 http::Request GatewayDeployment::toRequest(const GatewayCall &call) const
--- a/tests/integration/support/gateway_process.cpp
+++ b/tests/integration/support/gateway_process.cpp
@@ -49,6 +49,15 @@
     std::ofstream(logPath(m_folder)).flush();
 }
 
+GatewayProcess::~GatewayProcess()
+{
+    m_process.reset();
+    if (!m_isLogKept) {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+    }
+}
+
 void GatewayProcess::start()
 {
     m_process.reset();
@@ -84,4 +93,10 @@
     return text.str();
 }
 
+std::string GatewayProcess::keepLog()
+{
+    m_isLogKept = true;
+    return logPath(m_folder);
+}
+
 } // namespace support
--- a/tests/integration/support/gateway_process.hpp
+++ b/tests/integration/support/gateway_process.hpp
@@ -18,6 +18,10 @@
      */
     GatewayProcess(const std::string &name, const std::string &zone, const std::string &platform, const boost::json::object &changes = {});
 
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess &) = delete;
+    GatewayProcess &operator=(const GatewayProcess &) = delete;
+
     /** @brief Starts the process; an earlier one must have ended. */
     void start();
 
@@ -29,8 +33,12 @@
     /** @brief All that it wrote, over all its starts. */
     [[nodiscard]] std::string log() const;
 
+    /** @brief Leaves the log where it is after the end; its path. */
+    [[nodiscard]] std::string keepLog();
+
 private:
     std::string m_folder;
+    bool m_isLogKept = false;
     std::string m_callers;
     std::string m_readiness;
     std::string m_metrics;
