--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -208,8 +208,12 @@
         const auto now = m_parts.clock.now();
         m_isPrefillPending = false;
         const auto readTime = fromMilliseconds(m_state.endpoints.policy().delayPerTokenMs);
-        const bool isFetch = m_planner->noteFirstEvent(now - m_sentAt, m_choice.expectedDelay, readTime, now);
-        const auto lesson = isFetch ? endpoints::DelayLesson::Ignore : endpoints::DelayLesson::Learn;
+        const auto fetch = m_planner->noteFirstEvent(now - m_sentAt, m_choice.expectedDelay, readTime, now);
+        if (fetch.hasTurnedSlow) {
+            m_parts.logger.event(LogLevel::Warning, "cache_store_slow",
+                                 {{"store", fetch.store}, {"id", m_facts.attemptId}, {"percent_of_reading", fetch.percent}});
+        }
+        const auto lesson = fetch.store.empty() ? endpoints::DelayLesson::Learn : endpoints::DelayLesson::Ignore;
         m_state.endpoints.noteFirstEvent(id, m_choice, now - m_sentAt, lesson, now);
     }
 }
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -189,6 +189,8 @@
         for (const auto &store : m_state.parts.stores()) {
             m_parts.metrics.set("burdock_kept_tokens", static_cast<double>(m_state.parts.keptTokens(store.address)),
                                 {{"store", store.address}});
+            const double percent = m_state.storePace.percentAt(store.address, m_parts.clock.now());
+            m_parts.metrics.set("burdock_fetch_percent_of_reading", percent, {{"store", store.address}});
         }
         http::Response response;
         response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -204,7 +204,9 @@
         const retry::SuspectRecord record{suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())};
         m_state.quarantine.merge(record, m_parts.clock.now());
     }
-    m_state.endpoints.peers().take(read.entry(), std::move(report), m_parts.clock.now());
+    for (const auto &id : m_state.endpoints.takeReport(read.entry(), std::move(report), m_parts.clock.now())) {
+        m_parts.logger.event(runtime::LogLevel::Info, "endpoint_silent_elsewhere", {{"endpoint", id}, {"told_by", read.entry()}});
+    }
 }
 
 Duration LoadExchange::period() const
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -158,16 +158,18 @@
     }
 }
 
-bool PromptPlanner::noteFirstEvent(Duration delay, Duration expected, Duration readTimePerToken, TimePoint now)
+PromptPlanner::FetchLesson PromptPlanner::noteFirstEvent(Duration delay, Duration expected, Duration readTimePerToken, TimePoint now)
 {
     if (m_fetchedTokens < TellingFetch) {
-        return false;
+        return {};
     }
+    const bool wasWorthIt = m_state.storePace.isWorthIt(m_fetchedFrom, now);
     const auto readTime = readTimePerToken * static_cast<i64>(m_fetchedTokens);
     const auto fetchShare = m_state.storePace.percentAt(m_fetchedFrom, m_now) / 100.0;
     const auto expectedFetch = std::chrono::duration_cast<Duration>(readTime * fetchShare);
     m_state.storePace.note(m_fetchedFrom, readTime, delay - (expected - expectedFetch), now);
-    return true;
+    const bool hasTurnedSlow = wasWorthIt && !m_state.storePace.isWorthIt(m_fetchedFrom, now);
+    return {m_fetchedFrom, m_state.storePace.percentAt(m_fetchedFrom, now), hasTurnedSlow};
 }
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/prompt_planner.hpp
+++ b/lib/libburdock-gateway/source/prompt_planner.hpp
@@ -23,13 +23,20 @@
     /** @brief Fills in what an endpoint is told of the prompt's kept parts, and takes note of what it will have. */
     void instruct(const endpoints::Endpoint &endpoint, Instructions &told, TimePoint now);
 
+    /** @brief What the first event of a prompt told of a store. */
+    struct FetchLesson
+    {
+        std::string_view store; ///< empty if no fetch can explain the delay, so that it tells of the engine
+        double percent = 0; ///< what fetching takes there now, in percent of reading
+        bool hasTurnedSlow = false; ///< fetching there isn't worth it from now on
+    };
+
     /**
      * @brief Takes note of the first event after instruct(), and learns from it how long fetches take.
      * @param delay    from the send to the event
      * @param expected the same, as it was expected with the prefill of the choice
-     * @return whether a fetch may explain the delay, so that it says little of the engine
      */
-    bool noteFirstEvent(Duration delay, Duration expected, Duration readTimePerToken, TimePoint now);
+    FetchLesson noteFirstEvent(Duration delay, Duration expected, Duration readTimePerToken, TimePoint now);
 
 private:
     /** @brief The prompt's shared parts under the salt of one version of the weights. */
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -198,6 +198,12 @@
     /** @brief What the other entries say of their work. */
     [[nodiscard]] PeerLoads &peers();
 
+    /**
+     * @brief Takes over what another entry says.
+     * @return ids of endpoints that enough entries find unresponsive from now on
+     */
+    std::vector<std::string> takeReport(const std::string &entry, PeerLoads::Report report, TimePoint now);
+
     /** @brief The work of this entry, for the others. */
     [[nodiscard]] LoadsById ownLoads() const;
 
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -337,6 +337,24 @@
     return m_peers;
 }
 
+std::vector<std::string> EndpointTable::takeReport(const std::string &entry, PeerLoads::Report report, TimePoint now)
+{
+    std::vector<std::pair<u64, std::size_t>> before;
+    for (const u64 endpoint : report.unresponsive) {
+        before.emplace_back(endpoint, m_peers.findUnresponsive(endpoint));
+    }
+    m_peers.take(entry, std::move(report), now);
+    std::vector<std::string> ids;
+    for (const auto &[endpoint, found] : before) {
+        const auto known = m_byHash.find(endpoint);
+        const bool isNews = found < m_policy.believedReports && m_peers.findUnresponsive(endpoint) >= m_policy.believedReports;
+        if (isNews && known != m_byHash.end()) {
+            ids.push_back(known->second->registration.id);
+        }
+    }
+    return ids;
+}
+
 LoadsById EndpointTable::ownLoads() const
 {
     LoadsById loads;
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -143,7 +143,7 @@
         report.boot = 1;
         report.sequence = 1;
         report.unresponsive.insert(dark);
-        table.peers().take(peer, report, at(2s));
+        return table.takeReport(peer, report, at(2s));
     };
     const auto isChosen = [&](const std::string &id, TimePoint now) {
         for (u64 home = 0; home < 50; ++home) {
@@ -153,9 +153,9 @@
         }
         return false;
     };
-    tell("one");
+    CHECK(tell("one").empty());
     CHECK(isChosen("engine-0", at(2s)));
-    tell("two");
+    CHECK(tell("two") == std::vector<std::string>{"engine-0"});
     CHECK_FALSE(isChosen("engine-0", at(2s)));
     CHECK(isChosen("engine-1", at(2s)));
     table.noteHeard("engine-0", at(2s));
