--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -12,7 +12,6 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
-#include <thread>
 #include <unistd.h>
 
 namespace support {
@@ -24,8 +23,6 @@
 // Entries that keep a link to each endpoint.
 constexpr u32 Attendants = 3;
 
-constexpr auto Poll = std::chrono::milliseconds(10);
-
 } // namespace
 
 std::string zoneName(u32 number)
