Put off the trial of a suspected request by trials that failed, not by crashes

Crashes within two seconds are one sign now; a later one of a request that is refused can only come of a trial, here or at another gateway. And only a trial that was taken is given back: before, a caller who left made a trial due beside the others' crashes. The unit test failed before in both places.

--- a/lib/libburdock/include/burdock/retry/quarantine.hpp
+++ b/lib/libburdock/include/burdock/retry/quarantine.hpp
@@ -23,7 +23,7 @@
 struct TrialPolicy
 {
     u32 crashes = 3; ///< from which it is refused
-    /** Time without a further crash until one run is tried again; doubles with each crash beyond the first refusal. */
+    /** Time without a further crash until one run is tried again; doubles with each trial that failed, here or elsewhere. */
     Duration firstPause = std::chrono::seconds(10);
 };
 
@@ -67,7 +67,7 @@
      */
     [[nodiscard]] bool tryBegin(u64 fingerprint, const TrialPolicy &policy, TimePoint now);
 
-    /** @brief Gives back what tryBegin() took for a run that came to no end which tells anything; changes nothing for other requests. */
+    /** @brief Gives back a trial that tryBegin() let through and whose end tells nothing; changes nothing where none was taken. */
     void giveBack(u64 fingerprint, const TrialPolicy &policy, TimePoint now);
 
     void noteCrash(u64 fingerprint, TimePoint now);
@@ -101,11 +101,15 @@
     struct Entry
     {
         u32 crashes = 0;
-        TimePoint touched{};
+        u32 failedTrials = 0;
+        bool isTrialUnderWay = false;
+        TimePoint touched{}; ///< by a crash or a trial
+        TimePoint crashedAt{};
         u64 sequence = 0; ///< of the last change
     };
 
-    [[nodiscard]] static Duration pauseAfter(u32 crashes, const TrialPolicy &policy);
+    [[nodiscard]] static Duration pauseOf(const Entry &entry, const TrialPolicy &policy);
+    static void noteCrashes(Entry &entry, u32 crashes, TimePoint at);
     void dropOldest();
 
     Duration m_forgetAfter;
--- a/lib/libburdock/source/retry/quarantine.cpp
+++ b/lib/libburdock/source/retry/quarantine.cpp
@@ -8,6 +8,8 @@
 
 /** Keeps the pause between trials from running over. */
 constexpr u32 MostDoublings = 10;
+/** Crashes within this time of each other are one sign: many runs are under way when an endpoint goes. */
+constexpr Duration SameMoment = std::chrono::seconds(2);
 
 } // namespace
 
@@ -42,24 +44,38 @@
         return true;
     }
     auto &entry = m_entries.at(fingerprint);
-    if (now - entry.touched < pauseAfter(count, policy)) {
+    if (now - entry.touched < pauseOf(entry, policy)) {
         return false;
     }
     entry.touched = now;
+    entry.isTrialUnderWay = true;
     return true;
 }
 
 void Quarantine::giveBack(u64 fingerprint, const TrialPolicy &policy, TimePoint now)
 {
-    const u32 count = crashes(fingerprint, now);
-    if (count >= policy.crashes) {
-        m_entries.at(fingerprint).touched = now - pauseAfter(count, policy);
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end() && found->second.isTrialUnderWay) {
+        found->second.isTrialUnderWay = false;
+        found->second.touched = now - pauseOf(found->second, policy);
     }
 }
 
-Duration Quarantine::pauseAfter(u32 crashes, const TrialPolicy &policy)
+Duration Quarantine::pauseOf(const Entry &entry, const TrialPolicy &policy)
 {
-    return policy.firstPause * (1U << std::min(crashes - policy.crashes, MostDoublings));
+    return policy.firstPause * (1U << std::min(entry.failedTrials, MostDoublings));
+}
+
+// A crash long after the one before it, of a request that was refused meanwhile, can only come of a trial, here or elsewhere.
+void Quarantine::noteCrashes(Entry &entry, u32 crashes, TimePoint at)
+{
+    if (entry.crashes >= TrialPolicy{}.crashes && at - entry.crashedAt > SameMoment) {
+        ++entry.failedTrials;
+    }
+    entry.crashes = crashes;
+    entry.isTrialUnderWay = false;
+    entry.touched = at;
+    entry.crashedAt = at;
 }
 
 void Quarantine::noteCrash(u64 fingerprint, TimePoint now)
@@ -69,10 +85,9 @@
     }
     auto &entry = m_entries[fingerprint];
     if (entry.touched + m_forgetAfter < now) {
-        entry.crashes = 0;
+        entry = Entry{};
     }
-    ++entry.crashes;
-    entry.touched = now;
+    noteCrashes(entry, entry.crashes + 1, now);
     entry.sequence = ++m_sequence;
     dropOldest();
 }
@@ -99,8 +114,7 @@
     if (record.crashes <= entry.crashes) {
         return false;
     }
-    entry.crashes = record.crashes;
-    entry.touched = now - record.age;
+    noteCrashes(entry, record.crashes, now - record.age);
     entry.sequence = ++m_sequence;
     dropOldest();
     return true;
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -345,6 +345,28 @@
     CHECK(quarantine.tryBegin(7, policy, Start + std::chrono::minutes(1)));
 }
 
+// All gateways have just started, and one endpoint breaks off under twelve callers who send the same prompt at once. Twelve crashes
+// of one moment are one sign; were each to double the pause, the prompt would be refused for an hour.
+TEST_CASE("crashes of one moment put off the next trial once, and only a trial that was taken is given back")
+{
+    const retry::TrialPolicy policy;
+    retry::Quarantine quarantine(std::chrono::hours(2), 100);
+    for (u32 i = 0; i < 12; ++i) {
+        quarantine.noteCrash(7, Start + std::chrono::milliseconds(10 * i));
+    }
+    const auto soon = Start + std::chrono::seconds(1);
+    quarantine.giveBack(7, policy, soon);
+    CHECK_FALSE(quarantine.tryBegin(7, policy, soon));
+    const auto first = Start + std::chrono::seconds(11);
+    REQUIRE(quarantine.tryBegin(7, policy, first));
+    quarantine.noteCrash(7, first);
+    CHECK_FALSE(quarantine.tryBegin(7, policy, first + std::chrono::seconds(11)));
+    // A trial that failed at another gateway counts like one of this one's.
+    CHECK(quarantine.merge({7, 14, Duration::zero()}, first + std::chrono::seconds(15)));
+    CHECK_FALSE(quarantine.tryBegin(7, policy, first + std::chrono::seconds(40)));
+    CHECK(quarantine.tryBegin(7, policy, first + std::chrono::seconds(56)));
+}
+
 // A hundred suspects in every heartbeat multiply control traffic by ten; a beat that drops what the peer has not heard lets a
 // poisonous request crash one more endpoint. Messages are lost and processes replaced meanwhile.
 TEST_CASE("a peer hears of every suspect once, through lost messages and new processes")
