Show which names of weights a gateway knows, and since when at most

Now a metric gives the age of each name by model and version, weights_named and weights_age_learnt give the age that was taken over, and placed says which is the oldest version that the request may begin on.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -447,6 +447,7 @@
                           {"expected_ms", toMilliseconds(m_choice.expectedDelay)},
                           {"weights", told.weightVersion.value_or(0)},
                           {"wanted_weights", m_state.wantedVersion(m_facts.model)},
+                          {"oldest_weights", m_state.oldestVersion(m_facts.model, m_parts.clock.now(), m_settings)},
                           {"config", m_routes->configuration().version},
                           {"config_age_ms", toMilliseconds(m_parts.clock.now() - m_state.configurationAsOf)},
                           {"left_ms", toMilliseconds(told.timeLeft)}});
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -192,6 +192,13 @@
             const double percent = m_state.storePace.percentAt(store.address, m_parts.clock.now());
             m_parts.metrics.set("burdock_fetch_percent_of_reading", percent, {{"store", store.address}});
         }
+        for (const auto &[model, named] : m_state.weights) {
+            for (const auto &version : named.all()) {
+                const auto age = m_parts.clock.now() - version.notBefore;
+                m_parts.metrics.set("burdock_named_weights_age_seconds", toMilliseconds(age) / 1000.0,
+                                    {{"model", model}, {"version", std::to_string(version.version)}});
+            }
+        }
         http::Response response;
         response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
         response.body = m_parts.metrics.text();
@@ -373,7 +380,8 @@
         const auto now = m_parts.clock.now();
         const auto notBefore = m_hasWeights ? m_state.weightsAsOf : now - AssumedAgeAtStart;
         if (m_state.weights[named->model].note(named->version, notBefore, now)) {
-            m_parts.logger.event(LogLevel::Info, "weights_named", {{"model", named->model}, {"version", named->version}});
+            m_parts.logger.event(LogLevel::Info, "weights_named",
+                                 {{"model", named->model}, {"version", named->version}, {"age_ms", toMilliseconds(now - notBefore)}});
         }
     }
 
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -134,6 +134,8 @@
         const u64 ageMs = wallNow > naming.unixMs ? wallNow - naming.unixMs : 0;
         const auto age = std::min<Duration>(std::chrono::milliseconds(ageMs), LongestNamingAge) + ClockDisagreement;
         m_state.weights[model].noteEarlier(naming.version, m_parts.clock.now() - age);
+        m_parts.logger.event(LogLevel::Info, "weights_age_learnt",
+                             {{"model", model}, {"version", naming.version}, {"age_ms", toMilliseconds(age)}});
     }
 }
 
--- a/lib/libburdock/include/burdock/weights/named_weights.hpp
+++ b/lib/libburdock/include/burdock/weights/named_weights.hpp
@@ -40,6 +40,9 @@
     /** @brief The first version that was named after the given one, or null. */
     [[nodiscard]] const Named *successorOf(u64 version) const;
 
+    /** @brief All versions that are known to have been named, the oldest first. */
+    [[nodiscard]] const std::vector<Named> &all() const;
+
 private:
     std::vector<Named> m_named; // oldest first
 };
--- a/lib/libburdock/source/weights/named_weights.cpp
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -58,4 +58,9 @@
     return nullptr;
 }
 
+const std::vector<NamedWeights::Named> &NamedWeights::all() const
+{
+    return m_named;
+}
+
 } // namespace burdock::weights
