Show a restarted gateway that lets old weights count from the newest naming

A gateway is killed and starts again after a second naming. Until then prompts on version 1 end by the bound of version 2; afterwards they go on until that of version 3. The log of the new process names version 3 only.

--- /dev/null
+++ b/tests/integration/gateway_weights_test.cpp
@@ -0,0 +1,113 @@
+#include <support/gateway_deployment.hpp>
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace burdock;
+using namespace support;
+using standins::AfterAnswer;
+using standins::ReceivedRequest;
+using standins::Replica;
+using standins::ReplicaConnection;
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr Duration Bound = std::chrono::seconds(8);
+constexpr const char *BoundSetting = R"({"weights_ms":8000})";
+constexpr Duration PromptPeriod = std::chrono::milliseconds(100);
+
+/** @brief An engine that keeps its first weights whatever it is ordered, and knows when it began its latest prompt. */
+class StubbornEngine
+{
+public:
+    StubbornEngine()
+        : m_replica([this](const ReceivedRequest &request, ReplicaConnection &connection) { return answer(request, connection); })
+    {
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return m_replica.address();
+    }
+
+    [[nodiscard]] u32 begun() const
+    {
+        return m_begun;
+    }
+
+    [[nodiscard]] SteadyClock::time_point latestBegin() const
+    {
+        return m_latestBegin;
+    }
+
+private:
+    AfterAnswer answer(const ReceivedRequest &request, ReplicaConnection &connection)
+    {
+        if (request.target == "/order") {
+            connection.write(wholeAnswer(request, 409, ""));
+        } else if (request.target == "/report") {
+            const std::string report = R"({"busy":false,"seq":0,"running":0,"models":[{"name":"m","version":1}]})";
+            connection.write(wholeAnswer(request, 200, report));
+        } else {
+            ++m_begun;
+            m_latestBegin = SteadyClock::now();
+            connection.write(standins::streamHead(request));
+            connection.write(standins::eventChunk(1, "x"));
+            connection.write(standins::StreamEnd);
+        }
+        return AfterAnswer::Keep;
+    }
+
+    std::atomic<u32> m_begun{0};
+    std::atomic<SteadyClock::time_point> m_latestBegin{};
+    Replica m_replica;
+};
+
+GatewayCall prompt(u32 number)
+{
+    GatewayCall call;
+    call.path = "/prompts/1";
+    call.attempt = "attempt-" + std::to_string(number);
+    call.further = {{"X-Model-Id", "m"}, {"X-Token-Usage", "10,4"}, {"X-Prompt-Prefix", "aa:6,bb:4"}};
+    return call;
+}
+
+void nameWeights(GatewayDeployment &gateway, u64 version)
+{
+    gateway.store().put("versions", "m", {{"model", "m"}, {"version", version}});
+}
+
+bool isKnown(const GatewayDeployment &gateway, u64 version)
+{
+    return gateway.log().find(R"("event":"weights_named","model":"m","version":)" + std::to_string(version)) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a restarted gateway that counts the bound of old weights from the newest naming in place of the first one.
+TEST_CASE("a gateway that restarts after a second naming begins no prompt past the first one's bound")
+{
+    GatewayDeployment gateway(BoundSetting);
+    StubbornEngine engine;
+    gateway.configure(3);
+    gateway.registerReplica("r1", "engines", engine.address());
+    gateway.awaitReady();
+
+    nameWeights(gateway, 2);
+    const auto named = SteadyClock::now();
+    REQUIRE(gateway.call(prompt(0)).response.status == 200);
+    std::this_thread::sleep_until(named + std::chrono::milliseconds(6300)); // beyond the age that could be assumed at a start
+    nameWeights(gateway, 3);
+    REQUIRE(GatewayDeployment::waitFor([&] { return isKnown(gateway, 3) && gateway.store().count("burdock-duties") == 1; }));
+    gateway.restart();
+    gateway.awaitReady();
+    for (u32 number = 1; SteadyClock::now() < named + Bound + std::chrono::milliseconds(1200); ++number) {
+        static_cast<void>(gateway.call(prompt(number)));
+        std::this_thread::sleep_for(PromptPeriod);
+    }
+    CHECK(engine.begun() > 0);
+    CHECK(std::chrono::duration<double>(engine.latestBegin() - named).count() < 8.0);
+}
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -114,6 +114,13 @@
     return m_gateway.process();
 }
 
+void GatewayDeployment::restart()
+{
+    m_gateway.process().signal(SIGKILL);
+    static_cast<void>(m_gateway.process().waitForEnd(Patience));
+    m_gateway.start();
+}
+
 bool GatewayDeployment::waitFor(const std::function<bool()> &condition)
 {
     return waitUntil(condition, Patience);
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] std::string log() const;
     [[nodiscard]] ChildProcess &process();
 
+    /** @brief Kills the gateway and starts it again with the settings that it had. */
+    void restart();
+
     /** @brief Waits until a condition holds; false if it did not within ten seconds. */
     [[nodiscard]] static bool waitFor(const std::function<bool()> &condition);
 
