Keep superseded names of weights, and tell a gateway that starts since when they are in force

Callers got answers made on weights that had been replaced for longer than the bound: version 1 up to 12.25 s after version 2 was acknowledged (bound 12 s).

Cause: weights expire by the bound after their first successor was named, but a process that started after several namings knew the newest one only. The store keeps no other, nor did the record of the duty; its age at the start was assumed to be 5 s. So version 1 lived until the bound of version 4.

Each process keeps the history of names with lower bounds of their times, tells it to one that asks, and the record of the duty holds it too. Two true lower bounds make the later one true; a bound that nobody knows means long ago, so what is missing errs towards the newer weights. An age is counted from the question, so an answer that lay in a socket while its reader stood still makes nothing younger. The record rests on clocks of several VMs and counts only where nobody answers.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -48,9 +48,9 @@
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusNotFound = 404;
 constexpr u16 StatusUnavailable = 503;
+/** Shown in place of an age that is not known. */
+constexpr double UnknownAge = -1;
 
-/** Age of weights that were named before the process started. */
-constexpr Duration AssumedAgeAtStart = std::chrono::seconds(5);
 constexpr const char *LoadAddressField = "load_address";
 
 std::string addressText(const http::Address &address)
@@ -193,10 +193,10 @@
             m_parts.metrics.set("burdock_fetch_percent_of_reading", percent, {{"store", store.address}});
         }
         for (const auto &[model, named] : m_state.weights) {
-            for (const auto &version : named.all()) {
-                const auto age = m_parts.clock.now() - version.notBefore;
-                m_parts.metrics.set("burdock_named_weights_age_seconds", toMilliseconds(age) / 1000.0,
-                                    {{"model", model}, {"version", std::to_string(version.version)}});
+            for (const auto &naming : named.believed()) {
+                const auto age = m_parts.clock.now().time_since_epoch() - naming.notBefore.value_or(Duration::zero());
+                m_parts.metrics.set("burdock_named_weights_age_seconds", naming.notBefore ? toMilliseconds(age) / 1000.0 : UnknownAge,
+                                    {{"model", model}, {"version", std::to_string(naming.version)}});
             }
         }
         http::Response response;
@@ -356,7 +356,7 @@
         };
         const auto takeList = [this, takeAll](const std::vector<StoredObject> &items) {
             takeAll(items);
-            m_hasWeights = true;
+            m_state.hasWeights = true;
         };
         const auto onCurrent = [this](TimePoint asOf) {
             m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf);
@@ -376,12 +376,15 @@
             return;
         }
         // Counted from when it was known last that nothing newer was named, as a process that was frozen or cut off hears late.
-        // What was named before this process ran has been so for some time; how long, nobody says.
+        // How long ago something was named before this process ran, the store does not say.
         const auto now = m_parts.clock.now();
-        const auto notBefore = m_hasWeights ? m_state.weightsAsOf : now - AssumedAgeAtStart;
+        const auto notBefore = m_state.hasWeights ? std::optional(m_state.weightsAsOf) : std::nullopt;
         if (m_state.weights[named->model].note(named->version, notBefore, now)) {
             m_parts.logger.event(LogLevel::Info, "weights_named",
-                                 {{"model", named->model}, {"version", named->version}, {"age_ms", toMilliseconds(now - notBefore)}});
+                                 {{"model", named->model},
+                                  {"version", named->version},
+                                  {"is_age_known", notBefore.has_value()},
+                                  {"age_ms", toMilliseconds(now - notBefore.value_or(now))}});
         }
     }
 
@@ -456,7 +459,6 @@
     ConnectionPool m_pool;
     WeightDuty m_weightDuty;
     LoadExchange m_loads;
-    bool m_hasWeights = false; ///< the list of named weights came
     std::set<std::string, std::less<>> m_evacuated;
     std::set<std::string> m_followed;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/runtime/sleep.hpp>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,6 +23,8 @@
 /** For how long a crash is told with each message, so that some of these may be lost; and of how many requests at most. */
 constexpr Duration SuspectsToldFor = std::chrono::milliseconds(800);
 constexpr std::size_t SuspectsAtMost = 200;
+/** Ages beyond this mean the same. */
+constexpr u64 LongestAgeUs = 3'600'000'000;
 
 Udp::endpoint toEndpoint(const runtime::http::Address &address)
 {
@@ -53,6 +56,7 @@
     , m_state(state)
     , m_socket(parts.context, toEndpoint(settings.loads))
     , m_boot(parts.random.word())
+    , m_started(parts.clock.now())
 {
 }
 
@@ -73,7 +77,8 @@
 {
     while (true) {
         // What this entry knows is told also while it has nothing under way.
-        co_await runtime::sleepFor(m_state.underWay == 0 ? std::max(IdlePeriod, period()) : period());
+        const bool isBusy = m_state.underWay > 0 || asksForNamings();
+        co_await runtime::sleepFor(isBusy ? period() : std::max(IdlePeriod, period()));
         const std::string message = nextMessage();
         for (const auto &peer : m_peers) {
             // A datagram that finds no room is lost like any other; the next message makes up for it.
@@ -93,7 +98,7 @@
             co_return;
         }
         if (!error) {
-            take(std::string_view(buffer.data(), size));
+            take(std::string_view(buffer.data(), size), sender);
         }
     }
 }
@@ -134,6 +139,9 @@
     for (const auto &[model, named] : m_state.weights) {
         (*message.mutable_named_weights())[model] = named.wanted();
     }
+    if (asksForNamings()) {
+        message.set_naming_question(static_cast<u64>(m_parts.clock.now().time_since_epoch().count()));
+    }
     for (const u64 endpoint : m_state.endpoints.loading()) {
         message.add_loading(endpoint);
     }
@@ -173,13 +181,81 @@
     }
 }
 
-void LoadExchange::take(std::string_view message)
+bool LoadExchange::asksForNamings() const
+{
+    const bool isUseful = m_parts.clock.now() - m_started < m_settings.weightBound;
+    return isUseful
+        && std::any_of(m_state.weights.begin(), m_state.weights.end(), [](const auto &named) { return named.second.isIncomplete(); });
+}
+
+void LoadExchange::answerNamings(const schema::EntryLoad &question, const Udp::endpoint &asker)
+{
+    schema::EntryLoad message;
+    message.set_entry(m_settings.name);
+    message.set_boot_id(m_boot);
+    auto *answer = message.mutable_naming_answer();
+    answer->set_asker_boot_id(question.boot_id());
+    answer->set_naming_question(question.naming_question());
+    const auto now = m_parts.clock.now().time_since_epoch();
+    for (const auto &[model, named] : m_state.weights) {
+        auto *told = answer->add_models();
+        told->set_model(model);
+        for (const auto &naming : named.history()) {
+            auto *version = told->add_versions();
+            version->set_version(naming.version);
+            if (naming.notBefore) {
+                version->set_longest_age_us(static_cast<u64>((now - *naming.notBefore).count()));
+            }
+        }
+    }
+    boost::system::error_code ignored; // the asker asks again
+    m_socket.send_to(asio::buffer(message.SerializeAsString()), asker, 0, ignored);
+}
+
+// Guards against an answer that lay in a socket while this process stood still: it shows as an age that grew since. Counting the
+// age from the question holds, as the answer was written later.
+void LoadExchange::takeNamings(const std::string &teller, const schema::NamingAnswer &answer)
+{
+    const TimePoint asked(Duration(static_cast<i64>(answer.naming_question())));
+    const auto now = m_parts.clock.now();
+    const bool isOwnQuestion = answer.asker_boot_id() == m_boot && asked >= m_started && asked <= now;
+    if (!isOwnQuestion) {
+        return;
+    }
+    for (const auto &told : answer.models()) {
+        weights::NamingHistory history;
+        for (const auto &version : told.versions()) {
+            const Duration age(static_cast<i64>(std::min(version.longest_age_us(), LongestAgeUs)));
+            const auto notBefore = version.has_longest_age_us() ? std::optional(asked.time_since_epoch() - age) : std::nullopt;
+            history.push_back({version.version(), notBefore});
+        }
+        const auto known = m_state.weights.find(told.model());
+        if (known == m_state.weights.end() || !weights::isOrdered(history)) {
+            continue;
+        }
+        const auto before = known->second.history();
+        known->second.learn(history, now);
+        if (known->second.history() != before) {
+            m_parts.logger.event(runtime::LogLevel::Info, "weights_age_learnt",
+                                 {{"model", told.model()}, {"told_by", teller}, {"versions", u64{history.size()}}});
+        }
+    }
+}
+
+void LoadExchange::take(std::string_view message, const Udp::endpoint &sender)
 {
     schema::EntryLoad read;
     if (!read.ParseFromArray(message.data(), static_cast<int>(message.size())) || read.entry() == m_settings.name) {
         m_parts.metrics.count("burdock_loads_unreadable_total");
         return;
     }
+    if (read.has_naming_answer()) {
+        takeNamings(read.entry(), read.naming_answer());
+        return;
+    }
+    if (read.naming_question() > 0) {
+        answerNamings(read, sender);
+    }
     endpoints::PeerLoads::Report report;
     report.boot = read.boot_id();
     report.sequence = read.sequence();
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -31,7 +31,10 @@
 private:
     [[nodiscard]] std::string nextMessage();
     void addSuspects(schema::EntryLoad &message) const;
-    void take(std::string_view message);
+    void take(std::string_view message, const boost::asio::ip::udp::endpoint &sender);
+    [[nodiscard]] bool asksForNamings() const;
+    void answerNamings(const schema::EntryLoad &question, const boost::asio::ip::udp::endpoint &asker);
+    void takeNamings(const std::string &teller, const schema::NamingAnswer &answer);
     void takeStoreEvents(const schema::StoreEvents &told);
     [[nodiscard]] Duration period() const;
 
@@ -41,6 +44,7 @@
     boost::asio::ip::udp::socket m_socket;
     std::vector<boost::asio::ip::udp::endpoint> m_peers;
     u64 m_boot;
+    TimePoint m_started;
     u64 m_sequence = 0;
 };
 
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -66,6 +66,7 @@
     cache::StorePace storePace;
     std::map<std::string, weights::NamedWeights, std::less<>> weights;
     TimePoint weightsAsOf{}; ///< all weights that were named before are known
+    bool hasWeights = false; ///< the list of named weights came
     /** What the endpoints' clock is ahead of this process's, in ms; at most, so that times told by it are not too late. */
     std::optional<i64> endpointClockAheadMs;
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -30,17 +30,41 @@
 constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 /** Reads of the record at the start; there is none before the first weights are named. */
 constexpr u32 NamingTimeTries = 3;
-/** Age from which it no longer matters when weights were named. */
-constexpr Duration LongestNamingAge = std::chrono::minutes(10);
 /** How far the times of day of two VMs may lie apart. */
 constexpr Duration ClockDisagreement = std::chrono::milliseconds(2500);
 constexpr const char *LeaseName = "weights";
 
+boost::json::array toJson(const weights::NamingHistory &history)
+{
+    boost::json::array items;
+    for (const auto &naming : history) {
+        boost::json::object item{{"version", naming.version}};
+        if (naming.notBefore) {
+            item["unix_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*naming.notBefore).count();
+        }
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+weights::NamingHistory historyFrom(const boost::json::array &items)
+{
+    weights::NamingHistory history;
+    for (const auto &value : items) {
+        if (const auto *item = value.if_object()) {
+            const u64 unixMs = clients::numberOf(*item, "unix_ms");
+            const auto notBefore = unixMs > 0 ? std::optional<Duration>(std::chrono::milliseconds(unixMs)) : std::nullopt;
+            history.push_back({clients::numberOf(*item, "version"), notBefore});
+        }
+    }
+    return weights::isOrdered(history) ? history : weights::NamingHistory();
+}
+
 boost::json::value toJson(const weights::LeaseRecord &record)
 {
     boost::json::object named;
     for (const auto &[model, naming] : record.named) {
-        named[model] = {{"version", naming.version}, {"unix_ms", naming.unixMs}};
+        named[model] = toJson(naming);
     }
     boost::json::array subjects(record.subjects.begin(), record.subjects.end());
     return {{"vm", record.vm},
@@ -69,8 +93,8 @@
         }
     }
     for (const auto &[model, value] : clients::objectOf(*object, "named")) {
-        if (const auto *naming = value.if_object()) {
-            record.named[std::string(model)] = {clients::numberOf(*naming, "version"), clients::numberOf(*naming, "unix_ms")};
+        if (const auto *namings = value.if_array()) {
+            record.named[std::string(model)] = historyFrom(*namings);
         }
     }
     return record;
@@ -82,10 +106,11 @@
     return version == endpoint.registration.weightVersions.end() ? 0 : version->second;
 }
 
-u64 unixMs()
+/** @brief How far the time of day is ahead of a clock that shows the given time. */
+Duration timeOfDayAhead(TimePoint now)
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<u64>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    const auto timeOfDay = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Duration>(timeOfDay) - now.time_since_epoch();
 }
 
 } // namespace
@@ -119,23 +144,25 @@
     }
 }
 
-// A process that starts while replicas load weights learns since when these were named from the record of the duty.
+// Where all processes were killed at once, nobody remembers since when weights are named; the record of the duty says about when.
 boost::asio::awaitable<void> WeightDuty::learnNamingTimes()
 {
     for (u32 tries = 0; tries < NamingTimeTries && m_lease.record() == nullptr; ++tries) {
         co_await readLease();
         co_await runtime::sleepFor(IdlePeriod);
     }
+    while (!m_state.hasWeights) {
+        co_await runtime::sleepFor(IdlePeriod);
+    }
     if (m_lease.record() == nullptr) {
         co_return;
     }
-    const u64 wallNow = unixMs();
-    for (const auto &[model, naming] : m_lease.record()->named) {
-        const u64 ageMs = wallNow > naming.unixMs ? wallNow - naming.unixMs : 0;
-        const auto age = std::min<Duration>(std::chrono::milliseconds(ageMs), LongestNamingAge) + ClockDisagreement;
-        m_state.weights[model].noteEarlier(naming.version, m_parts.clock.now() - age);
+    const auto now = m_parts.clock.now();
+    for (const auto &[model, named] : m_lease.record()->named) {
+        const auto estimate = weights::shiftedBy(named, -timeOfDayAhead(now) - ClockDisagreement);
+        m_state.weights[model].setEstimate(estimate, now);
         m_parts.logger.event(LogLevel::Info, "weights_age_learnt",
-                             {{"model", model}, {"version", naming.version}, {"age_ms", toMilliseconds(age)}});
+                             {{"model", model}, {"told_by", LeaseName}, {"versions", u64{estimate.size()}}});
     }
 }
 
@@ -235,7 +262,7 @@
     const auto now = m_parts.clock.now();
     std::vector<DueOrder> orders;
     for (const auto &[model, named] : m_state.weights) {
-        m_lease.setNamed(model, {named.wanted(), unixMs()});
+        m_lease.setNamed(model, weights::shiftedBy(named.history(), timeOfDayAhead(now)));
         auto &rollout = m_rollouts.try_emplace(model, OrderAgainAfter).first->second;
         auto replicas = replicasOf(model);
         for (const auto &id : rollout.due(named.wanted(), replicas, now)) {
--- a/lib/libburdock/include/burdock/weights/duty_lease.hpp
+++ b/lib/libburdock/include/burdock/weights/duty_lease.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/types.hpp>
+#include <burdock/weights/naming_history.hpp>
 
 #include <map>
 #include <optional>
@@ -10,13 +10,6 @@
 
 namespace burdock::weights {
 
-/** @brief When weights were named, as their first holder of the duty saw it. */
-struct NamingTime
-{
-    u64 version = 0;
-    u64 unixMs = 0; ///< by the time of day, which may be seconds off
-};
-
 /** @brief The lease of a duty as it stands in the platform's store. */
 struct LeaseRecord
 {
@@ -25,7 +18,7 @@
     u64 token = 0; ///< fencing number, rises with each holder
     u64 beat = 0; ///< rises with each renewal
     std::set<std::string> subjects; ///< on which its holder acts or acted a short while ago
-    std::map<std::string, NamingTime> named; ///< by model; for processes that start later
+    std::map<std::string, NamingHistory> named; ///< by model, on the time of day, which may be seconds off; for processes that start later
 };
 
 /**
@@ -76,8 +69,8 @@
 
     [[nodiscard]] u64 token() const;
 
-    /** @brief Sets what is told of named weights from the next write on. */
-    void setNamed(const std::string &model, const NamingTime &named);
+    /** @brief Sets what is told of named weights from the next write on, with bounds on the time of day. */
+    void setNamed(const std::string &model, const NamingHistory &named);
 
     /** @brief The record as it was seen last; null if there is none. */
     [[nodiscard]] const LeaseRecord *record() const;
@@ -94,7 +87,7 @@
     bool m_isObserved = false;
     TimePoint m_changedAt{};
     std::optional<TimePoint> m_renewedAt; ///< start of the last acknowledged write of this process
-    std::map<std::string, NamingTime> m_named;
+    std::map<std::string, NamingHistory> m_named;
     std::map<std::string, TimePoint> m_acts; ///< of this process
     std::map<std::string, TimePoint> m_blockedUntil; ///< by subject of a predecessor
 };
--- a/lib/libburdock/include/burdock/weights/named_weights.hpp
+++ b/lib/libburdock/include/burdock/weights/named_weights.hpp
@@ -1,27 +1,33 @@
 #pragma once
 
-#include <burdock/types.hpp>
+#include <burdock/weights/naming_history.hpp>
 
-#include <vector>
+#include <map>
+#include <optional>
 
 namespace burdock::weights {
 
 /**
  * @brief The weights that were named for one model, and since when each is known here. Not thread-safe.
+ *
+ * Superseded versions count too: weights expire by the bound after the first newer version was named, whatever was named later.
  */
 class NamedWeights
 {
 public:
     /**
      * @brief Takes note of a named version; versions that are not newer than the newest are ignored.
-     * @param notBefore it was certainly not named before
+     * @param notBefore neither it nor a version since the newest was named before; nothing if that is unknown
      * @param heard     when it was heard of, so that it was certainly named by then
      * @return true if it is the newest
      */
-    bool note(u64 version, TimePoint notBefore, TimePoint heard);
+    bool note(u64 version, std::optional<TimePoint> notBefore, TimePoint heard);
 
-    /** @brief Takes note that a version was named earlier than was known. */
-    void noteEarlier(u64 version, TimePoint notBefore);
+    /** @brief Takes over what another process knows for certain, with bounds on this process's clock. */
+    void learn(const NamingHistory &told, TimePoint heard);
+
+    /** @brief Sets bounds that are less than certain, as they rest on clocks of several VMs; used where nothing better is known. */
+    void setEstimate(const NamingHistory &estimate, TimePoint heard);
 
     /** @brief The newest version; zero if none was named. */
     [[nodiscard]] u64 wanted() const;
@@ -29,22 +35,32 @@
     /** @brief The oldest version on which requests may still begin, if newer ones must be in force after the given time. */
     [[nodiscard]] u64 oldestAllowed(Duration bound, TimePoint now) const;
 
+    /** @brief Whether another process may know better since when versions are named. */
+    [[nodiscard]] bool isIncomplete() const;
+
     /** @brief A version, and between which times it was named. */
     struct Named
     {
         u64 version = 0;
-        TimePoint notBefore{};
+        std::optional<TimePoint> notBefore; ///< nothing if it is unknown
         TimePoint heard{};
     };
 
-    /** @brief The first version that was named after the given one, or null. */
-    [[nodiscard]] const Named *successorOf(u64 version) const;
+    /** @brief The first version that was named after the given one. */
+    [[nodiscard]] std::optional<Named> successorOf(u64 version) const;
 
-    /** @brief All versions that are known to have been named, the oldest first. */
-    [[nodiscard]] const std::vector<Named> &all() const;
+    /** @brief What is known for certain, on this process's clock. */
+    [[nodiscard]] const NamingHistory &history() const;
+
+    /** @brief What is taken to be so, certain or estimated. */
+    [[nodiscard]] NamingHistory believed() const;
 
 private:
-    std::vector<Named> m_named; // oldest first
+    void setHistory(NamingHistory history, TimePoint heard);
+
+    NamingHistory m_history;
+    NamingHistory m_estimate;
+    std::map<u64, TimePoint> m_heard; ///< by version
 };
 
 } // namespace burdock::weights
--- /dev/null
+++ b/lib/libburdock/include/burdock/weights/naming_history.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace burdock::weights {
+
+/** @brief One version of a model's weights in the history of their names. */
+struct Naming
+{
+    u64 version = 0;
+    /**
+     * Lower bound of the time of naming, of this version and of each other one since the entry before; nothing if it is unknown.
+     * On a clock that all entries of the history share.
+     */
+    std::optional<Duration> notBefore;
+
+    bool operator==(const Naming &) const = default;
+};
+
+/**
+ * @brief The versions of one model that are known to have been named, the oldest first.
+ *
+ * A process may miss versions that are superseded while it is away; the bound of the next entry covers these. What is unknown
+ * counts as named long ago.
+ */
+using NamingHistory = std::vector<Naming>;
+
+/** @brief Lower bound of the time at which the first version after the given one was named; nothing if it is unknown. */
+[[nodiscard]] std::optional<Duration> firstNamedAfter(const NamingHistory &history, u64 version);
+
+/**
+ * @brief All that two histories on one clock say; where both have a bound, the later one, as both hold.
+ *
+ * Versions are named in order, so that the bound of a version holds for those after it too.
+ */
+[[nodiscard]] NamingHistory tightest(const NamingHistory &left, const NamingHistory &right);
+
+/** @brief The first history, completed by a second one on the same clock where the first knows nothing. */
+[[nodiscard]] NamingHistory completed(const NamingHistory &history, const NamingHistory &further);
+
+/** @brief The history on another clock, which is ahead by the given time. */
+[[nodiscard]] NamingHistory shiftedBy(const NamingHistory &history, Duration ahead);
+
+/** @brief The entries up to a version. */
+[[nodiscard]] NamingHistory upTo(const NamingHistory &history, u64 version);
+
+/** @brief Whether versions rise and bounds don't fall, as in every history that a process keeps. */
+[[nodiscard]] bool isOrdered(const NamingHistory &history);
+
+/** @brief Drops the oldest entries until no more than so many are left; their bound passes to the oldest one that stays. */
+void keepNewest(NamingHistory &history, std::size_t entries);
+
+} // namespace burdock::weights
--- a/lib/libburdock/source/cache/part_retirement.cpp
+++ b/lib/libburdock/source/cache/part_retirement.cpp
@@ -22,15 +22,15 @@
     if (now - asOf > m_policy.knowledge) {
         return false;
     }
-    const auto *successor = named.successorOf(version);
-    return successor == nullptr || now < successor->notBefore + ageAtRetirement(part);
+    const auto successor = named.successorOf(version);
+    return !successor || (successor->notBefore && now < *successor->notBefore + ageAtRetirement(part));
 }
 
 bool PartRetirement::mayFree(const weights::NamedWeights &named, u64 version, std::string_view part, std::optional<TimePoint> knownToAll,
                              TimePoint now) const
 {
-    const auto *successor = named.successorOf(version);
-    if (successor == nullptr) {
+    const auto successor = named.successorOf(version);
+    if (!successor) {
         return false;
     }
     const auto retired = successor->heard + ageAtRetirement(part);
--- a/lib/libburdock/source/weights/duty_lease.cpp
+++ b/lib/libburdock/source/weights/duty_lease.cpp
@@ -9,6 +9,8 @@
 /** Parts of the pause after which a holder renews, and for which it acts after a renewal. */
 constexpr int RenewalsPerPause = 12;
 constexpr int ActsPerPause = 5;
+/** Versions of a model in the record. */
+constexpr std::size_t MostVersionsTold = 8;
 
 /** Covers a renewal that is answered slowly, and the time between a change of the record and its sight here. */
 constexpr Duration ObservationMargin = std::chrono::milliseconds(700);
@@ -44,10 +46,9 @@
     next.subjects.insert(subjects.begin(), subjects.end());
     for (const auto &[model, named] : m_named) {
         auto &told = next.named[model];
-        // The first holder saw it first.
-        if (named.version > told.version) {
-            told = named;
-        }
+        // What an earlier holder told stays: clocks of two VMs differ, and it was nearer to the naming.
+        told = completed(told, named);
+        keepNewest(told, MostVersionsTold);
     }
     if (!m_record) {
         return Write{next, std::nullopt};
@@ -118,12 +119,9 @@
     return m_record ? m_record->token : 0;
 }
 
-void DutyLease::setNamed(const std::string &model, const NamingTime &named)
+void DutyLease::setNamed(const std::string &model, const NamingHistory &named)
 {
-    auto &known = m_named[model];
-    if (named.version > known.version) {
-        known = named;
-    }
+    m_named[model] = named;
 }
 
 const LeaseRecord *DutyLease::record() const
--- a/lib/libburdock/source/weights/named_weights.cpp
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -6,61 +6,89 @@
 
 namespace {
 
-/** Versions that are remembered; the oldest bind no one any more. */
+/** Versions that are remembered; older ones bind no one any more. */
 constexpr std::size_t MaxRemembered = 16;
 
 } // namespace
 
-bool NamedWeights::note(u64 version, TimePoint notBefore, TimePoint heard)
+bool NamedWeights::note(u64 version, std::optional<TimePoint> notBefore, TimePoint heard)
 {
     if (version <= wanted()) {
         return false;
     }
-    m_named.push_back({version, notBefore, heard});
-    if (m_named.size() > MaxRemembered) {
-        m_named.erase(m_named.begin());
-    }
+    auto history = m_history;
+    history.push_back({version, notBefore ? std::optional(notBefore->time_since_epoch()) : std::nullopt});
+    setHistory(tightest(history, {}), heard);
     return true;
 }
 
-void NamedWeights::noteEarlier(u64 version, TimePoint notBefore)
+void NamedWeights::learn(const NamingHistory &told, TimePoint heard)
 {
-    for (auto &named : m_named) {
-        if (named.version == version) {
-            named.notBefore = std::min(named.notBefore, notBefore);
-        }
+    setHistory(tightest(m_history, upTo(told, wanted())), heard);
+}
+
+void NamedWeights::setEstimate(const NamingHistory &estimate, TimePoint heard)
+{
+    m_estimate = upTo(estimate, wanted());
+    NamingHistory versions = m_estimate;
+    for (auto &naming : versions) {
+        naming.notBefore.reset();
     }
+    setHistory(tightest(m_history, versions), heard);
 }
 
 u64 NamedWeights::wanted() const
 {
-    return m_named.empty() ? 0 : m_named.back().version;
+    return m_history.empty() ? 0 : m_history.back().version;
 }
 
 u64 NamedWeights::oldestAllowed(Duration bound, TimePoint now) const
 {
     u64 oldest = 0;
-    for (const auto &named : m_named) {
-        if (now - named.notBefore >= bound) {
-            oldest = named.version;
+    for (const auto &naming : believed()) {
+        if (!naming.notBefore || now.time_since_epoch() - *naming.notBefore >= bound) {
+            oldest = naming.version;
         }
     }
     return oldest;
 }
 
-const NamedWeights::Named *NamedWeights::successorOf(u64 version) const
+bool NamedWeights::isIncomplete() const
 {
-    for (const auto &named : m_named) {
-        if (named.version > version) {
-            return &named;
-        }
+    // Nobody can tell more of the oldest version, unless it is the only one.
+    const auto first = m_history.size() > 1 ? m_history.begin() + 1 : m_history.begin();
+    return std::any_of(first, m_history.end(), [](const Naming &naming) { return !naming.notBefore; });
+}
+
+std::optional<NamedWeights::Named> NamedWeights::successorOf(u64 version) const
+{
+    const auto next
+        = std::find_if(m_history.begin(), m_history.end(), [version](const Naming &naming) { return naming.version > version; });
+    if (next == m_history.end()) {
+        return std::nullopt;
     }
-    return nullptr;
+    const auto notBefore = next->notBefore ? std::optional(TimePoint(*next->notBefore)) : std::nullopt;
+    return Named{next->version, notBefore, m_heard.at(next->version)};
+}
+
+const NamingHistory &NamedWeights::history() const
+{
+    return m_history;
 }
 
-const std::vector<NamedWeights::Named> &NamedWeights::all() const
+NamingHistory NamedWeights::believed() const
 {
-    return m_named;
+    return completed(m_history, m_estimate);
+}
+
+void NamedWeights::setHistory(NamingHistory history, TimePoint heard)
+{
+    m_history = std::move(history);
+    keepNewest(m_history, MaxRemembered);
+    for (const auto &naming : m_history) {
+        m_heard.try_emplace(naming.version, heard);
+    }
+    m_heard.erase(m_heard.begin(), m_heard.lower_bound(m_history.empty() ? 0 : m_history.front().version));
 }
 
 } // namespace burdock::weights
--- a/tests/integration/gateway_weights_test.cpp
+++ b/tests/integration/gateway_weights_test.cpp
@@ -111,3 +111,41 @@
     CHECK(engine.begun() > 0);
     CHECK(std::chrono::duration<double>(engine.latestBegin() - named).count() < 8.0);
 }
+
+// Guards against a restarted gateway that has to guess although another one saw the weights being named.
+TEST_CASE("a gateway that restarts is told by the others since when weights are named")
+{
+    GatewayDeployment gateway(BoundSetting);
+    GatewayProcess other("vm-2", "zone-a", gateway.store().address(), {{"weights_ms", 8000}});
+    other.start();
+    StubbornEngine engine;
+    gateway.configure(3);
+    gateway.registerReplica("r1", "engines", engine.address());
+    gateway.awaitReady();
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.store().count("burdock-entries") == 2; }));
+
+    nameWeights(gateway, 2);
+    REQUIRE(GatewayDeployment::waitFor([&] { return isKnown(gateway, 2) && other.log().find("weights_named") != std::string::npos; }));
+    gateway.restart();
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("told_by":"vm-2")") != std::string::npos; }));
+    gateway.awaitReady();
+    CHECK(gateway.call(prompt(1)).response.status == 200);
+}
+
+// Guards against old weights in use at a process that nobody can tell for how long newer ones are named.
+TEST_CASE("a gateway that can't know since when weights are named begins no prompt on older ones")
+{
+    GatewayDeployment gateway(BoundSetting);
+    gateway.configure(3);
+    nameWeights(gateway, 2);
+    REQUIRE(GatewayDeployment::waitFor([&] { return isKnown(gateway, 2); }));
+    REQUIRE(gateway.store().count("burdock-duties") == 0);
+    gateway.restart();
+    gateway.awaitReady();
+    StubbornEngine engine;
+    gateway.registerReplica("r1", "engines", engine.address());
+    REQUIRE(
+        GatewayDeployment::waitFor([&] { return gateway.log().find(R"("event":"endpoint_seen","endpoint":"r1")") != std::string::npos; }));
+    CHECK(gateway.call(prompt(1)).response.status == 503);
+    CHECK(engine.begun() == 0);
+}
--- /dev/null
+++ b/tests/unit/naming_history_test.cpp
@@ -0,0 +1,149 @@
+#include <burdock/weights/duty_lease.hpp>
+#include <burdock/weights/named_weights.hpp>
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace burdock;
+using namespace burdock::weights;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration Bound = 12s;
+
+TimePoint at(Duration since)
+{
+    return TimePoint(std::chrono::hours(1)) + since;
+}
+
+std::optional<Duration> bound(Duration since)
+{
+    return at(since).time_since_epoch();
+}
+
+/** @brief A process that watched three versions being named. */
+NamedWeights witness()
+{
+    NamedWeights named;
+    named.note(1, std::nullopt, at(-60s));
+    named.note(2, at(6s), at(6s));
+    named.note(3, at(8s), at(8s));
+    named.note(4, at(10s), at(10s));
+    return named;
+}
+
+} // namespace
+
+// Guards against a restarted process that counts the bound of old weights from the newest naming in place of the first one.
+TEST_CASE("a process that missed the first of several names learns from others when old weights expire")
+{
+    NamedWeights restarted;
+    restarted.note(4, std::nullopt, at(13s));
+    restarted.learn(witness().history(), at(14s));
+    CHECK(restarted.oldestAllowed(Bound, at(17900ms)) == 1);
+    CHECK(restarted.oldestAllowed(Bound, at(18s)) == 2);
+    CHECK(restarted.oldestAllowed(Bound, at(20s)) == 3);
+    CHECK(restarted.oldestAllowed(Bound, at(22s)) == 4);
+}
+
+// Guards against old weights in use at a process that can't know for how long newer ones are named.
+TEST_CASE("weights count as expired while nobody knows since when newer ones are named")
+{
+    NamedWeights restarted;
+    restarted.note(4, std::nullopt, at(13s));
+    CHECK(restarted.isIncomplete());
+    CHECK(restarted.oldestAllowed(Bound, at(13s)) == 4);
+    NamedWeights other;
+    other.note(4, std::nullopt, at(13s));
+    restarted.learn(other.history(), at(14s));
+    CHECK(restarted.oldestAllowed(Bound, at(14s)) == 4);
+    CHECK(restarted.note(5, at(15s), at(15s)));
+    CHECK(restarted.oldestAllowed(Bound, at(15s)) == 4);
+    CHECK(restarted.oldestAllowed(Bound, at(27s)) == 5);
+}
+
+// Guards against an estimate by the times of day that outlives better knowledge.
+TEST_CASE("an estimate counts only where nothing is certain")
+{
+    NamedWeights restarted;
+    restarted.note(4, std::nullopt, at(13s));
+    restarted.setEstimate({{2, bound(3500ms)}, {3, bound(5500ms)}, {4, bound(7500ms)}, {5, bound(9s)}}, at(13s));
+    CHECK(restarted.wanted() == 4);
+    CHECK(restarted.isIncomplete());
+    CHECK(restarted.oldestAllowed(Bound, at(15400ms)) == 0);
+    CHECK(restarted.oldestAllowed(Bound, at(15500ms)) == 2);
+    restarted.learn(witness().history(), at(14s));
+    CHECK_FALSE(restarted.isIncomplete());
+    CHECK(restarted.oldestAllowed(Bound, at(17900ms)) == 1);
+    CHECK(restarted.oldestAllowed(Bound, at(18s)) == 2);
+}
+
+// Guards against knowledge of several processes that together allow more than the true times do.
+TEST_CASE("whatever processes miss and tell each other, no version is allowed past the bound of its first successor")
+{
+    std::minstd_rand random(7);
+    for (u32 round = 0; round < 500; ++round) {
+        std::vector<NamedWeights> processes(3);
+        for (auto &process : processes) {
+            process.note(1, std::nullopt, at(0s));
+        }
+        std::vector<TimePoint> asOf(3, at(0s));
+        std::vector<TimePoint> namedAt{at(-1h)};
+        for (u32 step = 1; step < 120; ++step) {
+            const auto now = at(step * 250ms);
+            if (random() % 10 == 0) {
+                namedAt.push_back(now);
+            }
+            const std::size_t index = random() % processes.size();
+            auto &process = processes[index];
+            switch (random() % 4) {
+            case 0: // starts again, and reads the store
+                process = NamedWeights();
+                process.note(namedAt.size(), std::nullopt, now);
+                asOf[index] = now;
+                break;
+            case 1: // hears of the newest name only
+                process.note(namedAt.size(), asOf[index], now);
+                asOf[index] = now;
+                break;
+            default: // is told by another one, by an answer to a question that was asked a while ago
+                process.learn(shiftedBy(processes[random() % processes.size()].history(), -Duration(random() % 2000000)), now);
+            }
+            for (const auto &asked : processes) {
+                REQUIRE(isOrdered(asked.history()));
+                const u64 oldest = asked.oldestAllowed(Bound, now);
+                for (u64 version = std::max<u64>(1, oldest); version < asked.wanted(); ++version) {
+                    REQUIRE(now - namedAt[version] < Bound);
+                }
+            }
+        }
+    }
+}
+
+// Guards against a version that outlives its bound because the entry which bounds it was dropped.
+TEST_CASE("the bound of a dropped entry passes to the oldest one that stays")
+{
+    NamingHistory history{{2, bound(1s)}, {3, bound(2s)}, {4, bound(3s)}};
+    keepNewest(history, 2);
+    CHECK(history == NamingHistory{{3, bound(1s)}, {4, bound(3s)}});
+}
+
+// Guards against a holder that started late and overwrites what the holder before it saw.
+TEST_CASE("the record of the duty keeps superseded names over a change of the holder")
+{
+    constexpr Duration Pause = 3s;
+    DutyLease first("vm-1", 1, Pause);
+    first.observe(std::nullopt, 0, at(0s));
+    first.setNamed("m", {{2, 6s}, {3, 8s}});
+    const auto write = first.due({}, at(0s));
+    REQUIRE(write);
+    DutyLease second("vm-2", 2, Pause);
+    second.observe(write->record, 1, at(0s));
+    second.setNamed("m", {{3, std::nullopt}, {4, 10s}});
+    const auto next = second.due({}, at(2s));
+    REQUIRE(next);
+    CHECK(next->record.named.at("m") == NamingHistory{{2, 6s}, {3, 8s}, {4, 10s}});
+}
