Count the wait inside an engine when weights expire, and cut off what it has not begun by then

A prompt now goes to an engine with expiring weights only if twice the expected delay and 0.35 s still lie before the expiry. One that the engine has not begun 100 ms before the bound is cut off; the caller gets 502 weights_expired, as it may just have begun. An idle engine may be used longer than before, a full one less.

Tests seen failing without: the delay left out, 2 checks of the unit test; the cut left out, the engine's connection closed 3.10 s after the naming (bound 2.5 s).

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -197,11 +197,27 @@
     need.target = m_route->isPrompt ? m_route->target : Duration::zero();
     need.model = m_facts.model;
     need.wantedVersion = m_state.wantedVersion(m_facts.model);
-    need.oldestVersion = m_state.oldestVersion(m_facts.model, m_parts.clock.now(), m_settings);
+    if (m_route->isPrompt) {
+        need.expiry = [this](u64 version) {
+            return m_state.weightExpiry(m_facts.model, version, m_settings);
+        };
+    }
     need.tried = m_tried;
     return need;
 }
 
+// Guards against a prompt that waits inside an engine until its weights have expired: it shows as an answer made on weights that had
+// been replaced for longer than allowed. Cutting it off holds, as an engine drops what it has not begun when the connection closes.
+TimePoint CallDriver::beginBy(const endpoints::Endpoint &endpoint) const
+{
+    const auto version = endpoint.registration.weightVersions.find(m_facts.model);
+    const bool isStream = m_route->kind == routing::CallKind::Stream;
+    if (!m_route->isPrompt || !isStream || version == endpoint.registration.weightVersions.end()) {
+        return m_deadline;
+    }
+    return std::min(m_deadline, m_state.weightExpiry(m_facts.model, version->second, m_settings).value_or(m_deadline));
+}
+
 void CallDriver::noteFirstEvent(const std::string &id)
 {
     if (m_isPrefillPending) {
@@ -223,6 +239,7 @@
     Attempt attempt;
     attempt.answer.status = 0;
     const auto *endpoint = m_state.endpoints.find(id);
+    m_beginBy = beginBy(*endpoint);
     const auto request = instruct(*endpoint);
     m_sentAt = m_parts.clock.now();
     m_isPrefillPending = m_route->isPrompt;
@@ -272,11 +289,14 @@
     if (!isConnected) {
         co_return Outcome::Unreachable;
     }
+    if (m_parts.clock.now() >= m_beginBy) {
+        co_return Outcome::Declined;
+    }
     m_connection->startSend(request);
     AnswerFacts facts;
     const bool isAnswered = co_await readOwnHead(id, facts);
     if (!isAnswered) {
-        const bool isOurs = m_isGone || timeLeft() <= Duration::zero();
+        const bool isOurs = m_isGone || m_parts.clock.now() >= m_beginBy;
         co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
     }
     attempt.answer = m_parts.dialect.forCaller(m_connection->head());
@@ -334,8 +354,8 @@
 // one's is expected: it shows as another attempt id. Passing over such answers holds, as each bears the id of its request.
 boost::asio::awaitable<bool> CallDriver::readOwnHead(const std::string &id, AnswerFacts &facts)
 {
-    while (timeLeft() > Duration::zero()) {
-        const bool isRead = co_await m_connection->readHead(timeLeft());
+    while (m_parts.clock.now() < m_beginBy) {
+        const bool isRead = co_await m_connection->readHead(m_beginBy - m_parts.clock.now());
         if (!isRead) {
             co_return false;
         }
@@ -447,7 +467,7 @@
                           {"expected_ms", toMilliseconds(m_choice.expectedDelay)},
                           {"weights", told.weightVersion.value_or(0)},
                           {"wanted_weights", m_state.wantedVersion(m_facts.model)},
-                          {"oldest_weights", m_state.oldestVersion(m_facts.model, m_parts.clock.now(), m_settings)},
+                          {"begin_within_ms", toMilliseconds(m_beginBy - m_parts.clock.now())},
                           {"config", m_routes->configuration().version},
                           {"config_age_ms", toMilliseconds(m_parts.clock.now() - m_state.configurationAsOf)},
                           {"left_ms", toMilliseconds(told.timeLeft)}});
@@ -487,8 +507,13 @@
         co_await reject(rejection);
         co_return;
     }
-    const bool isLate = timeLeft() <= Duration::zero();
-    const Rejection rejection{static_cast<u16>(isLate ? 504 : 502), isLate ? "time_up" : "endpoint_lost", {}};
+    if (timeLeft() <= Duration::zero()) {
+        const Rejection rejection{504, "time_up", {}};
+        co_await reject(rejection);
+        co_return;
+    }
+    const bool hasExpired = attempt.outcome == Outcome::Abandoned;
+    const Rejection rejection{502, hasExpired ? "weights_expired" : "endpoint_lost", {}};
     co_await reject(rejection);
 }
 
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -43,6 +43,7 @@
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
     [[nodiscard]] endpoints::Need needOf() const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
+    [[nodiscard]] TimePoint beginBy(const endpoints::Endpoint &endpoint) const;
     void noteFirstEvent(const std::string &id);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> exchange(const std::string &id, const runtime::http::Request &request,
                                                                       Attempt &attempt);
@@ -78,6 +79,7 @@
     u64 m_memory = 0; ///< tokens of the prompt with its answer
     endpoints::Choice m_choice; ///< of the attempt under way
     TimePoint m_sentAt{};
+    TimePoint m_beginBy{}; ///< of the attempt under way: when it must have begun
     bool m_isPrefillPending = false;
     u64 m_fingerprint = 0;
     std::set<std::string, std::less<>> m_tried;
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -16,8 +16,8 @@
 constexpr double BudgetUse = 0.7;
 /** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
 constexpr int KeyAgePercent = 78;
-/** Part of the time for new weights after which older ones are not used any more, in percent. */
-constexpr int WeightBoundPercent = 96;
+/** Covers the way of a request to an engine, and that of the answer by which its begin is known. */
+constexpr Duration WeightExpiryMargin = std::chrono::milliseconds(100);
 constexpr double Percent = 100.0;
 
 /** Differences of an estimate of the endpoints' clock that come from the way of an answer. */
@@ -90,10 +90,10 @@
     return found == weights.end() ? 0 : found->second.wanted();
 }
 
-u64 State::oldestVersion(std::string_view model, TimePoint now, const GatewaySettings &settings) const
+std::optional<TimePoint> State::weightExpiry(std::string_view model, u64 version, const GatewaySettings &settings) const
 {
     const auto found = weights.find(model);
-    return found == weights.end() ? 0 : found->second.oldestAllowed(settings.weightBound * WeightBoundPercent / 100, now);
+    return found == weights.end() ? std::nullopt : found->second.expiryOf(version, settings.weightBound - WeightExpiryMargin);
 }
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -47,8 +47,8 @@
     /** @brief The weights that new requests of a model should get; zero if none were named. */
     [[nodiscard]] u64 wantedVersion(std::string_view model) const;
 
-    /** @brief The oldest weights of a model on which requests may begin now. */
-    [[nodiscard]] u64 oldestVersion(std::string_view model, TimePoint now, const GatewaySettings &settings) const;
+    /** @brief Until when requests may begin on a version of a model's weights; nothing if it is the newest. */
+    [[nodiscard]] std::optional<TimePoint> weightExpiry(std::string_view model, u64 version, const GatewaySettings &settings) const;
 
     /** @brief A time on the endpoints' clock, if that is known. */
     [[nodiscard]] std::optional<u64> endpointClockMs(TimePoint time) const;
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -71,6 +71,9 @@
     Duration equalWithin = std::chrono::milliseconds(30);
     /** Longest expected delay with which a prompt is let in, in percent of the time in which callers want its first event. */
     u32 admitPercent = 100;
+    /** Time within which prompts begin, with few exceptions: a share of the delay that is expected, and a part that it does not tell. */
+    u32 beginPercent = 200;
+    Duration beginSlack = std::chrono::milliseconds(350);
 };
 
 /** @brief Work that a request means to an endpoint. */
@@ -92,7 +95,8 @@
     std::function<u64(const Endpoint &)> prefill; ///< prompt tokens that an engine would have to read; for prompts
     std::string_view model;
     u64 wantedVersion = 0; ///< newest weights of the model
-    u64 oldestVersion = 0; ///< endpoints with older weights must not begin the request
+    /** Until when the request may begin on a version of the model; nothing for no bound. Empty if there is none for any version. */
+    std::function<std::optional<TimePoint>(u64 version)> expiry;
     Duration target{}; ///< in which the caller wants the first event; zero for no bound
     std::set<std::string, std::less<>> tried;
 };
@@ -241,6 +245,7 @@
     };
 
     [[nodiscard]] bool isEligible(const Endpoint &endpoint, const Need &need, TimePoint now) const;
+    [[nodiscard]] bool hasExpiredWeights(const Endpoint &endpoint, const Need &need, TimePoint begin) const;
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isSilentToOthers(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool hasMemory(const Endpoint &endpoint, const Need &need) const;
--- a/lib/libburdock/include/burdock/weights/named_weights.hpp
+++ b/lib/libburdock/include/burdock/weights/named_weights.hpp
@@ -32,8 +32,11 @@
     /** @brief The newest version; zero if none was named. */
     [[nodiscard]] u64 wanted() const;
 
-    /** @brief The oldest version on which requests may still begin, if newer ones must be in force after the given time. */
-    [[nodiscard]] u64 oldestAllowed(Duration bound, TimePoint now) const;
+    /**
+     * @brief Until when requests may begin on a version, if newer ones must be in force after the given time.
+     * @return nothing if no newer one was named; TimePoint::min() if it is unknown since when
+     */
+    [[nodiscard]] std::optional<TimePoint> expiryOf(u64 version, Duration bound) const;
 
     /** @brief Whether another process may know better since when versions are named. */
     [[nodiscard]] bool isIncomplete() const;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -164,8 +164,11 @@
     for (auto &[id, endpoint] : m_endpoints) {
         if (isEligible(endpoint, need, now)) {
             isAnyEligible = true;
-            if (hasMemory(endpoint, need)) {
-                candidates.push_back(candidateOf(endpoint, need, now));
+            const auto candidate = candidateOf(endpoint, need, now);
+            // An engine works on what waits inside it, so that a prompt which is sent in time may begin too late.
+            const auto begin = now + candidate.delay * m_policy.beginPercent / 100 + m_policy.beginSlack;
+            if (hasMemory(endpoint, need) && !hasExpiredWeights(endpoint, need, begin)) {
+                candidates.push_back(candidate);
             }
         }
     }
@@ -426,9 +429,18 @@
     if (m_loading.count(endpoint.hash) > 0 || m_peers.isLoading(endpoint.hash)) {
         return false;
     }
-    const auto version = registration.weightVersions.find(need.model);
-    const bool isOutdated = version != registration.weightVersions.end() && version->second < need.oldestVersion;
-    return now >= endpoint.ejectedUntil && !isOutdated && !isSilent(endpoint, now) && !isSilentToOthers(endpoint, now);
+    return now >= endpoint.ejectedUntil && !hasExpiredWeights(endpoint, need, now) && !isSilent(endpoint, now)
+        && !isSilentToOthers(endpoint, now);
+}
+
+bool EndpointTable::hasExpiredWeights(const Endpoint &endpoint, const Need &need, TimePoint begin) const
+{
+    const auto version = endpoint.registration.weightVersions.find(need.model);
+    if (!need.expiry || version == endpoint.registration.weightVersions.end()) {
+        return false;
+    }
+    const auto expiry = need.expiry(version->second);
+    return expiry && begin >= *expiry;
 }
 
 // Guards against an endpoint that went dark with its connections open: it shows as silence while requests are under way, on all
--- a/lib/libburdock/source/weights/named_weights.cpp
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -42,15 +42,13 @@
     return m_history.empty() ? 0 : m_history.back().version;
 }
 
-u64 NamedWeights::oldestAllowed(Duration bound, TimePoint now) const
+std::optional<TimePoint> NamedWeights::expiryOf(u64 version, Duration bound) const
 {
-    u64 oldest = 0;
-    for (const auto &naming : believed()) {
-        if (!naming.notBefore || now.time_since_epoch() - *naming.notBefore >= bound) {
-            oldest = naming.version;
-        }
+    if (version >= wanted()) {
+        return std::nullopt;
     }
-    return oldest;
+    const auto superseded = firstNamedAfter(believed(), version);
+    return superseded ? TimePoint(*superseded) + bound : TimePoint::min();
 }
 
 bool NamedWeights::isIncomplete() const
--- a/tests/integration/gateway_weights_test.cpp
+++ b/tests/integration/gateway_weights_test.cpp
@@ -149,3 +149,31 @@
     CHECK(gateway.call(prompt(1)).response.status == 503);
     CHECK(engine.begun() == 0);
 }
+
+// Guards against a prompt that begins on expired weights, as it waited inside the engine.
+TEST_CASE("a prompt that an engine has not begun when its weights expire is cut off there")
+{
+    constexpr Duration ShortBound = std::chrono::milliseconds(2500);
+    GatewayDeployment gateway(R"({"weights_ms":2500})");
+    std::atomic<SteadyClock::time_point> closed{};
+    Replica engine([&](const ReceivedRequest &request, ReplicaConnection &connection) {
+        if (request.target != "/prompts/1") {
+            connection.write(wholeAnswer(request, 409, ""));
+        } else if (connection.awaitClose(std::chrono::seconds(5))) {
+            closed = SteadyClock::now();
+        }
+        return AfterAnswer::Close;
+    });
+    gateway.configure(3);
+    gateway.registerReplica("r1", "engines", engine.address());
+    gateway.awaitReady();
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.call({}).progress == runtime::http::Progress::Answered; }));
+    nameWeights(gateway, 2);
+    const auto named = SteadyClock::now();
+    REQUIRE(GatewayDeployment::waitFor([&] { return isKnown(gateway, 2); }));
+    const auto answer = gateway.call(prompt(1));
+    CHECK(answer.response.status == 502);
+    CHECK(answer.response.body.find("weights_expired") != std::string::npos);
+    REQUIRE(GatewayDeployment::waitFor([&] { return closed.load() != SteadyClock::time_point{}; }));
+    CHECK(closed.load() - named < ShortBound);
+}
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -331,13 +331,34 @@
     CHECK(table.choose(need, at(0ms)).id == "engine-1");
     need.tried = {"engine-1"};
     CHECK(table.choose(need, at(0ms)).id == "engine-0");
-    need.oldestVersion = 2;
+    need.expiry = [](u64 version) {
+        return version < 2 ? std::optional(at(0ms)) : std::nullopt;
+    };
     CHECK((table.choose(need, at(0ms)).reason == NoChoice::NoEndpoint));
     need.tried.clear();
     table.setLoading({table.find("engine-1")->hash});
     CHECK((table.choose(need, at(0ms)).reason == NoChoice::NoEndpoint));
 }
 
+// Guards against a prompt that is sent before an engine's weights expire, and begins after that as it waits inside the engine.
+TEST_CASE("an engine whose weights expire soon gets only what can begin before, whatever waits there")
+{
+    auto table = tableOf(1);
+    auto need = draft(1);
+    need.wantedVersion = 2;
+    need.target = 5s;
+    need.expiry = [](u64) {
+        return std::optional(at(12s));
+    };
+    CHECK(table.choose(need, at(11000ms)).id == "engine-0");
+    CHECK((table.choose(need, at(11600ms)).reason == NoChoice::NoRoom));
+    // 60,000 tokens that the engine has to read first.
+    table.noteSent("engine-0", Work{60000, 60000}, at(10s));
+    table.noteHeard("engine-0", at(10500ms));
+    CHECK(table.choose(need, at(10s)).id == "engine-0");
+    CHECK((table.choose(need, at(10600ms)).reason == NoChoice::NoRoom));
+}
+
 TEST_CASE("draining endpoints, those that left and those in a zone that is out get nothing")
 {
     auto table = tableOf(3);
--- a/tests/unit/naming_history_test.cpp
+++ b/tests/unit/naming_history_test.cpp
@@ -24,6 +24,17 @@
     return at(since).time_since_epoch();
 }
 
+/** @brief The oldest version on which requests may begin. */
+u64 oldestAllowed(const NamedWeights &named, Duration bound, TimePoint now)
+{
+    for (u64 version = 0; version < named.wanted(); ++version) {
+        if (const auto expiry = named.expiryOf(version, bound); !expiry || now < *expiry) {
+            return version;
+        }
+    }
+    return named.wanted();
+}
+
 /** @brief A process that watched three versions being named. */
 NamedWeights witness()
 {
@@ -37,16 +48,28 @@
 
 } // namespace
 
+TEST_CASE("weights may be used until the bound after newer ones were named")
+{
+    NamedWeights named;
+    CHECK(named.note(2, at(0ms), at(100ms)));
+    CHECK(named.note(3, at(5s), at(5s)));
+    CHECK_FALSE(named.note(2, at(6s), at(6s)));
+    CHECK(named.wanted() == 3);
+    CHECK(oldestAllowed(named, 12s, at(11s)) == 0);
+    CHECK(oldestAllowed(named, 12s, at(12s)) == 2);
+    CHECK(oldestAllowed(named, 12s, at(17s)) == 3);
+}
+
 // Guards against a restarted process that counts the bound of old weights from the newest naming in place of the first one.
 TEST_CASE("a process that missed the first of several names learns from others when old weights expire")
 {
     NamedWeights restarted;
     restarted.note(4, std::nullopt, at(13s));
     restarted.learn(witness().history(), at(14s));
-    CHECK(restarted.oldestAllowed(Bound, at(17900ms)) == 1);
-    CHECK(restarted.oldestAllowed(Bound, at(18s)) == 2);
-    CHECK(restarted.oldestAllowed(Bound, at(20s)) == 3);
-    CHECK(restarted.oldestAllowed(Bound, at(22s)) == 4);
+    CHECK(oldestAllowed(restarted, Bound, at(17900ms)) == 1);
+    CHECK(oldestAllowed(restarted, Bound, at(18s)) == 2);
+    CHECK(oldestAllowed(restarted, Bound, at(20s)) == 3);
+    CHECK(oldestAllowed(restarted, Bound, at(22s)) == 4);
 }
 
 // Guards against old weights in use at a process that can't know for how long newer ones are named.
@@ -55,14 +78,14 @@
     NamedWeights restarted;
     restarted.note(4, std::nullopt, at(13s));
     CHECK(restarted.isIncomplete());
-    CHECK(restarted.oldestAllowed(Bound, at(13s)) == 4);
+    CHECK(oldestAllowed(restarted, Bound, at(13s)) == 4);
     NamedWeights other;
     other.note(4, std::nullopt, at(13s));
     restarted.learn(other.history(), at(14s));
-    CHECK(restarted.oldestAllowed(Bound, at(14s)) == 4);
+    CHECK(oldestAllowed(restarted, Bound, at(14s)) == 4);
     CHECK(restarted.note(5, at(15s), at(15s)));
-    CHECK(restarted.oldestAllowed(Bound, at(15s)) == 4);
-    CHECK(restarted.oldestAllowed(Bound, at(27s)) == 5);
+    CHECK(oldestAllowed(restarted, Bound, at(15s)) == 4);
+    CHECK(oldestAllowed(restarted, Bound, at(27s)) == 5);
 }
 
 // Guards against an estimate by the times of day that outlives better knowledge.
@@ -73,12 +96,12 @@
     restarted.setEstimate({{2, bound(3500ms)}, {3, bound(5500ms)}, {4, bound(7500ms)}, {5, bound(9s)}}, at(13s));
     CHECK(restarted.wanted() == 4);
     CHECK(restarted.isIncomplete());
-    CHECK(restarted.oldestAllowed(Bound, at(15400ms)) == 0);
-    CHECK(restarted.oldestAllowed(Bound, at(15500ms)) == 2);
+    CHECK(oldestAllowed(restarted, Bound, at(15400ms)) == 0);
+    CHECK(oldestAllowed(restarted, Bound, at(15500ms)) == 2);
     restarted.learn(witness().history(), at(14s));
     CHECK_FALSE(restarted.isIncomplete());
-    CHECK(restarted.oldestAllowed(Bound, at(17900ms)) == 1);
-    CHECK(restarted.oldestAllowed(Bound, at(18s)) == 2);
+    CHECK(oldestAllowed(restarted, Bound, at(17900ms)) == 1);
+    CHECK(oldestAllowed(restarted, Bound, at(18s)) == 2);
 }
 
 // Guards against knowledge of several processes that together allow more than the true times do.
@@ -114,7 +137,7 @@
             }
             for (const auto &asked : processes) {
                 REQUIRE(isOrdered(asked.history()));
-                const u64 oldest = asked.oldestAllowed(Bound, now);
+                const u64 oldest = oldestAllowed(asked, Bound, now);
                 for (u64 version = std::max<u64>(1, oldest); version < asked.wanted(); ++version) {
                     REQUIRE(now - namedAt[version] < Bound);
                 }
--- a/tests/unit/weights_test.cpp
+++ b/tests/unit/weights_test.cpp
@@ -151,18 +151,6 @@
     CHECK(rollout.due(2, replicas, at(4600ms)).size() == 1);
 }
 
-TEST_CASE("weights may be used until the bound after newer ones were named")
-{
-    NamedWeights named;
-    CHECK(named.note(2, at(0ms), at(100ms)));
-    CHECK(named.note(3, at(5s), at(5s)));
-    CHECK_FALSE(named.note(2, at(6s), at(6s)));
-    CHECK(named.wanted() == 3);
-    CHECK(named.oldestAllowed(12s, at(11s)) == 0);
-    CHECK(named.oldestAllowed(12s, at(12s)) == 2);
-    CHECK(named.oldestAllowed(12s, at(17s)) == 3);
-}
-
 // A prompt runs on memory that was given to another one: its part was freed in the store under its fetch. For every way in which
 // entries may hear of new weights, the last fetch must have ended when the part is freed.
 TEST_CASE("no part is freed while an entry may still have it fetched")
