Take what a watch heard for silence only as far back as it may have been deaf

Callers could get prompts begun on old weights up to a second and a half past the bound: a store that drops its history lets watches hear nothing for a second, and a watch that began in that second, after a failure, counted from its own start. The error of one gateway would reach those that ask it.

A list still counts from its start, a watch from a second before. A watch counts as held to its end only if its answer was read at once; one that was answered early and read late proves less.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -213,7 +213,7 @@
             }
         };
         return {takeAll, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
-                [this](TimePoint asOf) {
+                [this](TimePoint asOf, Evidence /*evidence*/) {
                     m_state.configurationAsOf = std::max(m_state.configurationAsOf, asOf);
                 }};
     }
@@ -358,12 +358,12 @@
             takeAll(items);
             m_state.hasWeights = true;
         };
-        const auto onCurrent = [this](TimePoint asOf) {
-            m_state.weightsAsOf = std::max(m_state.weightsAsOf, asOf);
-        };
         // A store that drops its history lets watches hear nothing for a moment before.
+        const auto onCurrent = [this](TimePoint asOf, Evidence evidence) {
+            m_state.weightsAsOf = std::max(m_state.weightsAsOf, evidence == Evidence::Watch ? asOf - DeafWatch : asOf);
+        };
         const auto onHeld = [onCurrent](TimePoint until) {
-            onCurrent(until - DeafWatch);
+            onCurrent(until, Evidence::Watch);
         };
         return {takeList, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); }, onCurrent, onHeld};
     }
--- a/lib/libburdock-gateway/source/kind_watcher.cpp
+++ b/lib/libburdock-gateway/source/kind_watcher.cpp
@@ -20,6 +20,9 @@
 /** Pause between two watches, so that changes which come together are answered by one call. */
 constexpr Duration GatherTime = std::chrono::milliseconds(150);
 
+/** Time in which a watch that was held to its end is answered and the answer read. */
+constexpr Duration PromptAnswer = std::chrono::milliseconds(250);
+
 } // namespace
 
 std::string_view toString(ObjectKind kind)
@@ -57,7 +60,7 @@
     m_revision = list.revision;
     m_handlers.onList(list.items);
     if (m_handlers.onCurrent) {
-        m_handlers.onCurrent(started);
+        m_handlers.onCurrent(started, Evidence::List);
     }
     co_return true;
 }
@@ -83,10 +86,12 @@
             m_handlers.onChanges(changes);
         }
         if (m_handlers.onCurrent) {
-            m_handlers.onCurrent(started);
+            m_handlers.onCurrent(started, Evidence::Watch);
         }
         // A watch that ends without a change was held by the store for as long as it was asked to.
-        const bool isHeld = changes.changed.empty() && changes.removed.empty() && m_parts.clock.now() - started >= wait;
+        // An answer that is read late may have been given early.
+        const auto lasted = m_parts.clock.now() - started;
+        const bool isHeld = changes.changed.empty() && changes.removed.empty() && lasted >= wait && lasted < wait + PromptAnswer;
         if (m_handlers.onHeld && isHeld) {
             m_handlers.onHeld(started + wait);
         }
--- a/lib/libburdock-gateway/source/kind_watcher.hpp
+++ b/lib/libburdock-gateway/source/kind_watcher.hpp
@@ -7,12 +7,18 @@
 
 namespace burdock::gateway {
 
+/** @brief How it is known that all changes before some time have been seen. */
+enum class Evidence : u8 {
+    List, ///< read after that time
+    Watch, ///< begun after that time; one may hear nothing for a moment though there are changes
+};
+
 /** @brief What a watcher does with the objects of its kind. */
 struct KindHandlers
 {
     std::function<void(const std::vector<StoredObject> &)> onList; ///< all objects of the kind
     std::function<void(const ObjectChanges &)> onChanges;
-    std::function<void(TimePoint)> onCurrent = nullptr; ///< all changes before this time have been seen; may be empty
+    std::function<void(TimePoint, Evidence)> onCurrent = nullptr; ///< all changes before this time have been seen; may be empty
     std::function<void(TimePoint)> onHeld = nullptr; ///< a watch was held until this time without a change; may be empty
 };
 
--- a/tests/integration/gateway_weights_test.cpp
+++ b/tests/integration/gateway_weights_test.cpp
@@ -1,5 +1,6 @@
 #include <support/gateway_deployment.hpp>
 
+#include <boost/json.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <thread>
@@ -10,6 +11,7 @@
 using standins::ReceivedRequest;
 using standins::Replica;
 using standins::ReplicaConnection;
+using standins::StoreMode;
 
 namespace {
 
@@ -80,6 +82,17 @@
     gateway.store().put("versions", "m", {{"model", "m"}, {"version", version}});
 }
 
+/** @brief Milliseconds that a logged event says since the time of day, less those that passed by the time of the line. */
+double missingAge(const GatewayDeployment &gateway, u64 version, std::chrono::system_clock::time_point named)
+{
+    const auto log = gateway.log();
+    const auto line
+        = log.substr(log.rfind("\n", log.find(R"("event":"weights_named","model":"m","version":)" + std::to_string(version))) + 1);
+    const auto event = boost::json::parse(line.substr(0, line.find('\n'))).as_object();
+    const auto passed = event.at("ts_ms").to_number<double>() - std::chrono::duration<double, std::milli>(named.time_since_epoch()).count();
+    return passed - event.at("age_ms").to_number<double>();
+}
+
 bool isKnown(const GatewayDeployment &gateway, u64 version)
 {
     return gateway.log().find(R"("event":"weights_named","model":"m","version":)" + std::to_string(version)) != std::string::npos;
@@ -177,3 +190,29 @@
     REQUIRE(GatewayDeployment::waitFor([&] { return closed.load() != SteadyClock::time_point{}; }));
     CHECK(closed.load() - named < ShortBound);
 }
+
+// Guards against old weights that live longer by the time in which the store's watches heard nothing.
+TEST_CASE("a watch that heard nothing does not make newly named weights younger")
+{
+    GatewayDeployment gateway(BoundSetting);
+    gateway.configure(3);
+    gateway.awaitReady();
+    nameWeights(gateway, 2);
+    REQUIRE(GatewayDeployment::waitFor([&] { return isKnown(gateway, 2); }));
+    const auto hasLost = [&] {
+        return gateway.log().find(R"("event":"store_lost","kind":"weights")") != std::string::npos;
+    };
+    const auto hasRegained = [&] {
+        return gateway.log().find(R"("event":"store_regained","kind":"weights")") != std::string::npos;
+    };
+    gateway.store().setMode(StoreMode::TurnsAway);
+    REQUIRE(GatewayDeployment::waitFor(hasLost));
+    const auto named = std::chrono::system_clock::now();
+    nameWeights(gateway, 3);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300)); // the watch that hears nothing begins after the naming
+    gateway.store().setMode(StoreMode::Deaf);
+    REQUIRE(GatewayDeployment::waitFor(hasRegained));
+    gateway.store().setMode(StoreMode::HasNoHistory);
+    REQUIRE(GatewayDeployment::waitFor([&] { return isKnown(gateway, 3); }));
+    CHECK(missingAge(gateway, 3, named) <= 0);
+}
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -19,6 +19,7 @@
     TurnsAway, ///< answers 503, and does nothing
     LosesWriteAnswers, ///< writes take effect, their answers are lost
     HasNoHistory, ///< answers each watch with 410
+    Deaf, ///< watches hear nothing of changes
 };
 
 /** @brief The object store of the users' platform, in memory: objects by kind and name, lists, watches, conditions. */
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -124,9 +124,15 @@
 boost::asio::awaitable<http::Response> ObjectStore::watch(std::string kind, u64 revision, Duration wait)
 {
     const auto until = std::chrono::steady_clock::now() + wait;
-    while (std::chrono::steady_clock::now() < until && m_mode == StoreMode::Up && !hasChanges(kind, revision)) {
+    const auto isHeld = [&] {
+        return m_mode == StoreMode::Deaf || (m_mode == StoreMode::Up && !hasChanges(kind, revision));
+    };
+    while (std::chrono::steady_clock::now() < until && isHeld()) {
         co_await runtime::sleepFor(Poll);
     }
+    if (m_mode == StoreMode::Deaf) {
+        co_return answer(200, {{"events", json::array()}, {"storeRevision", revision}});
+    }
     if (m_mode == StoreMode::HasNoHistory) {
         co_return answer(410, json::object());
     }
