Let a prompt whose engine's weights expired go on elsewhere where it may be repeated

A prompt that was cut off at the expiry ended with 502 though its stream could have been resumed at another engine, as the cut looked like the end of the caller's time. It has an outcome of its own now, which tells nothing of the endpoint. The cut also holds until the first event, should an engine send its head before it begins, and lies 250 ms before the bound, which covers a processor that waits for its quota.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -206,8 +206,18 @@
     return need;
 }
 
+// Tells a connection that the endpoint broke off from one that was waited for in vain until the given time.
+Outcome CallDriver::brokenOr(TimePoint waitedUntil) const
+{
+    if (m_isGone || timeLeft() <= Duration::zero()) {
+        return Outcome::Abandoned;
+    }
+    return m_parts.clock.now() >= waitedUntil ? Outcome::Expired : Outcome::Broken;
+}
+
 // Guards against a prompt that waits inside an engine until its weights have expired: it shows as an answer made on weights that had
-// been replaced for longer than allowed. Cutting it off holds, as an engine drops what it has not begun when the connection closes.
+// been replaced for longer than allowed. It is sent only where it should begin long before; most engines drop one that they have not
+// begun when its connection closes.
 TimePoint CallDriver::beginBy(const endpoints::Endpoint &endpoint) const
 {
     const auto version = endpoint.registration.weightVersions.find(m_facts.model);
@@ -258,7 +268,7 @@
     if (attempt.outcome == Outcome::Answered) {
         m_state.quarantine.noteSuccess(m_fingerprint);
     }
-    if (attempt.outcome == Outcome::Abandoned || isUntouched) {
+    if (attempt.outcome == Outcome::Abandoned || attempt.outcome == Outcome::Expired || isUntouched) {
         m_state.quarantine.giveBack(m_fingerprint, retry::TrialPolicy{}, now);
     }
     if (attempt.outcome == Outcome::Broken) {
@@ -296,8 +306,7 @@
     AnswerFacts facts;
     const bool isAnswered = co_await readOwnHead(id, facts);
     if (!isAnswered) {
-        const bool isOurs = m_isGone || m_parts.clock.now() >= m_beginBy;
-        co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
+        co_return brokenOr(m_beginBy);
     }
     attempt.answer = m_parts.dialect.forCaller(m_connection->head());
     learn(id, facts);
@@ -324,8 +333,7 @@
         co_return Outcome::Declined;
     }
     if (!isWhole) {
-        const bool isOurs = m_isGone || timeLeft() <= Duration::zero();
-        co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
+        co_return brokenOr(m_deadline);
     }
     co_return status >= StatusServerError ? Outcome::Failed : Outcome::Answered;
 }
@@ -408,14 +416,15 @@
         }
     }
     while (true) {
-        const auto left = timeLeft();
-        if (left <= Duration::zero()) {
-            co_return Outcome::Abandoned;
+        // The head may come before the engine has begun.
+        const auto until = m_isPrefillPending ? m_beginBy : m_deadline;
+        const auto now = m_parts.clock.now();
+        if (now >= until) {
+            co_return brokenOr(until);
         }
-        const auto piece = co_await m_connection->read(left);
+        const auto piece = co_await m_connection->read(until - now);
         if (piece.isBroken) {
-            const bool isOurs = m_isGone || timeLeft() <= Duration::zero();
-            co_return isOurs ? Outcome::Abandoned : Outcome::Broken;
+            co_return brokenOr(until);
         }
         m_state.endpoints.noteHeard(id, m_parts.clock.now());
         noteFirstEvent(id);
@@ -512,8 +521,7 @@
         co_await reject(rejection);
         co_return;
     }
-    const bool hasExpired = attempt.outcome == Outcome::Abandoned;
-    const Rejection rejection{502, hasExpired ? "weights_expired" : "endpoint_lost", {}};
+    const Rejection rejection{502, attempt.outcome == Outcome::Expired ? "weights_expired" : "endpoint_lost", {}};
     co_await reject(rejection);
 }
 
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -43,6 +43,7 @@
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
     [[nodiscard]] endpoints::Need needOf() const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
+    [[nodiscard]] endpoints::Outcome brokenOr(TimePoint waitedUntil) const;
     [[nodiscard]] TimePoint beginBy(const endpoints::Endpoint &endpoint) const;
     void noteFirstEvent(const std::string &id);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> exchange(const std::string &id, const runtime::http::Request &request,
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -16,8 +16,8 @@
 constexpr double BudgetUse = 0.7;
 /** Part of the time to a revocation for which the configuration may go unconfirmed, in percent. */
 constexpr int KeyAgePercent = 78;
-/** Covers the way of a request to an engine, and that of the answer by which its begin is known. */
-constexpr Duration WeightExpiryMargin = std::chrono::milliseconds(100);
+/** Covers the way to an engine, late timers, and a processor that stands still until the next slice of its quota. */
+constexpr Duration WeightExpiryMargin = std::chrono::milliseconds(250);
 constexpr double Percent = 100.0;
 
 /** Differences of an estimate of the endpoints' clock that come from the way of an answer. */
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -40,6 +40,7 @@
     Broken, ///< connection lost or answer unusable
     Unreachable, ///< no connection
     Abandoned, ///< the caller left or the time was up; says nothing of the endpoint
+    Expired, ///< cut off, as the endpoint's weights expired before it began; says nothing of the endpoint
 };
 
 [[nodiscard]] std::string_view toString(Outcome outcome);
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> OutcomeNames{"answered", "declined", "failed", "broken", "unreachable", "abandoned"};
+constexpr std::array<std::string_view, 7> OutcomeNames{"answered", "declined", "failed", "broken", "unreachable", "abandoned", "expired"};
 
 /** Weight of the latest request in the moving average of failures. */
 constexpr double LatestWeight = 0.2;
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -88,8 +88,10 @@
     CHECK((retry::nextStep(read, Outcome::Failed) == NextStep::TryElsewhere));
     const AttemptHistory stream{CallKind::Stream, false, 2, 1, 0, true};
     CHECK((retry::nextStep(stream, Outcome::Broken) == NextStep::Fail));
+    CHECK((retry::nextStep(stream, Outcome::Expired) == NextStep::Fail));
     const AttemptHistory resumable{CallKind::Stream, true, 2, 1, 0, true};
     CHECK((retry::nextStep(resumable, Outcome::Broken) == NextStep::TryElsewhere));
+    CHECK((retry::nextStep(resumable, Outcome::Expired) == NextStep::TryElsewhere));
 }
 
 // A refusal says that a request was not run, and its caller sends it again: it must be true in every case.
