Ask since when weights are named only while an endpoint's are superseded at an unknown time

A gateway stopped asking when all names but the oldest were known, although another one may know the oldest too: prompts on the first weights could be refused for up to the bound. And each gateway asked for that long after every start, at the pace of a busy one, though nothing was superseded.

--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -183,9 +183,18 @@
 
 bool LoadExchange::asksForNamings() const
 {
-    const bool isUseful = m_parts.clock.now() - m_started < m_settings.weightBound;
-    return isUseful
-        && std::any_of(m_state.weights.begin(), m_state.weights.end(), [](const auto &named) { return named.second.isIncomplete(); });
+    if (m_parts.clock.now() - m_started >= m_settings.weightBound) {
+        return false;
+    }
+    const auto isUnknown = [this](const auto &held) {
+        const auto named = m_state.weights.find(held.first);
+        return named != m_state.weights.end() && named->second.isSupersededAtUnknownTime(held.second);
+    };
+    const auto &endpoints = m_state.endpoints.all();
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &entry) {
+        const auto &held = entry.second.registration.weightVersions;
+        return std::any_of(held.begin(), held.end(), isUnknown);
+    });
 }
 
 void LoadExchange::answerNamings(const schema::EntryLoad &question, const Udp::endpoint &asker)
--- a/lib/libburdock/include/burdock/weights/named_weights.hpp
+++ b/lib/libburdock/include/burdock/weights/named_weights.hpp
@@ -38,8 +38,8 @@
      */
     [[nodiscard]] std::optional<TimePoint> expiryOf(u64 version, Duration bound) const;
 
-    /** @brief Whether another process may know better since when versions are named. */
-    [[nodiscard]] bool isIncomplete() const;
+    /** @brief Whether it is unknown for certain since when a version is superseded. */
+    [[nodiscard]] bool isSupersededAtUnknownTime(u64 version) const;
 
     /** @brief A version, and between which times it was named. */
     struct Named
--- a/lib/libburdock/source/weights/named_weights.cpp
+++ b/lib/libburdock/source/weights/named_weights.cpp
@@ -51,11 +51,9 @@
     return superseded ? TimePoint(*superseded) + bound : TimePoint::min();
 }
 
-bool NamedWeights::isIncomplete() const
+bool NamedWeights::isSupersededAtUnknownTime(u64 version) const
 {
-    // Nobody can tell more of the oldest version, unless it is the only one.
-    const auto first = m_history.size() > 1 ? m_history.begin() + 1 : m_history.begin();
-    return std::any_of(first, m_history.end(), [](const Naming &naming) { return !naming.notBefore; });
+    return version < wanted() && !firstNamedAfter(m_history, version);
 }
 
 std::optional<NamedWeights::Named> NamedWeights::successorOf(u64 version) const
--- a/tests/unit/naming_history_test.cpp
+++ b/tests/unit/naming_history_test.cpp
@@ -77,7 +77,7 @@
 {
     NamedWeights restarted;
     restarted.note(4, std::nullopt, at(13s));
-    CHECK(restarted.isIncomplete());
+    CHECK(restarted.isSupersededAtUnknownTime(1));
     CHECK(oldestAllowed(restarted, Bound, at(13s)) == 4);
     NamedWeights other;
     other.note(4, std::nullopt, at(13s));
@@ -95,11 +95,11 @@
     restarted.note(4, std::nullopt, at(13s));
     restarted.setEstimate({{2, bound(3500ms)}, {3, bound(5500ms)}, {4, bound(7500ms)}, {5, bound(9s)}}, at(13s));
     CHECK(restarted.wanted() == 4);
-    CHECK(restarted.isIncomplete());
+    CHECK(restarted.isSupersededAtUnknownTime(1));
     CHECK(oldestAllowed(restarted, Bound, at(15400ms)) == 0);
     CHECK(oldestAllowed(restarted, Bound, at(15500ms)) == 2);
     restarted.learn(witness().history(), at(14s));
-    CHECK_FALSE(restarted.isIncomplete());
+    CHECK_FALSE(restarted.isSupersededAtUnknownTime(1));
     CHECK(oldestAllowed(restarted, Bound, at(17900ms)) == 1);
     CHECK(oldestAllowed(restarted, Bound, at(18s)) == 2);
 }
