Let the record of the duty keep the earliest time that any holder saw

A time of day that was set forward when the first holder wrote made old weights younger for good, at gateways that start when nobody else is left to ask. Later writes now correct it; a time that is too early only lets old weights go sooner. A record whose times are out of order was dropped as a whole; it is kept in order instead.

--- a/lib/libburdock-gateway/source/weight_duty.cpp
+++ b/lib/libburdock-gateway/source/weight_duty.cpp
@@ -57,7 +57,7 @@
             history.push_back({clients::numberOf(*item, "version"), notBefore});
         }
     }
-    return weights::isOrdered(history) ? history : weights::NamingHistory();
+    return history;
 }
 
 boost::json::value toJson(const weights::LeaseRecord &record)
--- a/lib/libburdock/include/burdock/weights/naming_history.hpp
+++ b/lib/libburdock/include/burdock/weights/naming_history.hpp
@@ -41,6 +41,9 @@
 /** @brief The first history, completed by a second one on the same clock where the first knows nothing. */
 [[nodiscard]] NamingHistory completed(const NamingHistory &history, const NamingHistory &further);
 
+/** @brief All that two histories say whose bounds may be too late; where both have one, the earlier. */
+[[nodiscard]] NamingHistory earliest(const NamingHistory &left, const NamingHistory &right);
+
 /** @brief The history on another clock, which is ahead by the given time. */
 [[nodiscard]] NamingHistory shiftedBy(const NamingHistory &history, Duration ahead);
 
--- a/lib/libburdock/source/weights/duty_lease.cpp
+++ b/lib/libburdock/source/weights/duty_lease.cpp
@@ -46,8 +46,8 @@
     next.subjects.insert(subjects.begin(), subjects.end());
     for (const auto &[model, named] : m_named) {
         auto &told = next.named[model];
-        // What an earlier holder told stays: clocks of two VMs differ, and it was nearer to the naming.
-        told = completed(told, named);
+        // Times of day may be wrong for a while; a bound that is too early only lets older weights go sooner.
+        told = earliest(told, named);
         keepNewest(told, MostVersionsTold);
     }
     if (!m_record) {
--- a/lib/libburdock/source/weights/naming_history.cpp
+++ b/lib/libburdock/source/weights/naming_history.cpp
@@ -49,6 +49,20 @@
     return combined(history, further, [](std::optional<Duration> known, std::optional<Duration> other) { return known ? known : other; });
 }
 
+NamingHistory earliest(const NamingHistory &left, const NamingHistory &right)
+{
+    auto result = combined(left, right, [](std::optional<Duration> one, std::optional<Duration> other) {
+        return one && other ? std::min(one, other) : std::max(one, other);
+    });
+    std::optional<Duration> next;
+    for (auto naming = result.rbegin(); naming != result.rend(); ++naming) {
+        const bool isLater = naming->notBefore && next && *next < *naming->notBefore;
+        naming->notBefore = isLater ? next : naming->notBefore;
+        next = naming->notBefore ? naming->notBefore : next;
+    }
+    return result;
+}
+
 NamingHistory shiftedBy(const NamingHistory &history, Duration ahead)
 {
     NamingHistory shifted = history;
--- a/tests/unit/naming_history_test.cpp
+++ b/tests/unit/naming_history_test.cpp
@@ -170,3 +170,10 @@
     REQUIRE(next);
     CHECK(next->record.named.at("m") == NamingHistory{{2, 6s}, {3, 8s}, {4, 10s}});
 }
+
+// Guards against a time of day that was set forward when the first holder wrote, and makes old weights younger for good.
+TEST_CASE("a holder whose clock is right again corrects the record, and the record stays in order")
+{
+    CHECK(earliest({{2, 11s}, {3, 13s}}, {{2, 6s}, {3, 8s}, {4, 10s}}) == NamingHistory{{2, 6s}, {3, 8s}, {4, 10s}});
+    CHECK(earliest({{2, 11s}, {3, 13s}}, {{3, std::nullopt}, {4, 10s}}) == NamingHistory{{2, 10s}, {3, 10s}, {4, 10s}});
+}
