Refuse at a gateway that starts until it knows which zones are out and which weights are named

Callers could be served in a zone that is out, and get answers made on weights that were replaced long ago, from a gateway that had just started.

Cause: a gateway said that it is ready, and served, once the configuration and the endpoints had come. The lists of evacuations and of named weights are read beside these; each may be late by itself, as the store refuses or loses single calls. Until then an empty list was believed: no zone is out, all weights are the newest.

Such a gateway is not ready and answers 503 at once: zones_unknown for all requests, weights_unknown for prompts. A list names all that is in force, so having it once is enough; what changes later comes by the watch.

The stand-in of the store can keep one kind of object back. A unit test holds the reasons on the operators' page against the code.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -89,6 +89,9 @@
     if (auto rejection = checkKey()) {
         return rejection;
     }
+    if (auto rejection = checkLists()) {
+        return rejection;
+    }
     const auto patience = m_facts.patience ? std::min(*m_facts.patience, m_route->timeout) : m_route->timeout;
     m_deadline = m_arrived + patience;
     if (patience < LeastUsefulTime) {
@@ -129,6 +132,19 @@
     return std::nullopt;
 }
 
+// Guards against a gateway that starts and serves before it knows what binds it: it shows as requests in a zone that is out, or
+// prompts on weights that were replaced long ago. Refusing until each list came once holds, as a list names all that is in force.
+std::optional<CallDriver::Rejection> CallDriver::checkLists() const
+{
+    if (!m_state.hasEvacuations) {
+        return Rejection{503, "zones_unknown", RetryWhenUnsure};
+    }
+    if (m_route->isPrompt && !m_state.hasWeights) {
+        return Rejection{503, "weights_unknown", RetryWhenUnsure};
+    }
+    return std::nullopt;
+}
+
 CallDriver::Rejection CallDriver::keysUnconfirmed()
 {
     // While others are in touch with the platform, the caller need not wait until this gateway is again.
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -39,6 +39,7 @@
 
     [[nodiscard]] std::optional<Rejection> check();
     [[nodiscard]] std::optional<Rejection> checkKey();
+    [[nodiscard]] std::optional<Rejection> checkLists() const;
     [[nodiscard]] Rejection keysUnconfirmed();
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
     [[nodiscard]] endpoints::Need needOf() const;
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -167,7 +167,8 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return m_state.routes && m_state.hasEndpoints && !m_state.isDraining && m_state.keysAreCurrent(m_parts.clock.now(), m_settings);
+        const bool hasLists = m_state.routes && m_state.hasEndpoints && m_state.hasEvacuations && m_state.hasWeights;
+        return hasLists && !m_state.isDraining && m_state.keysAreCurrent(m_parts.clock.now(), m_settings);
     }
 
     [[nodiscard]] http::Response readiness() const
@@ -326,6 +327,7 @@
                 m_evacuated.insert(item.name);
             }
             applyEvacuations();
+            m_state.hasEvacuations = true;
         };
         const auto takeChanges = [this](const ObjectChanges &changes) {
             for (const auto &object : changes.changed) {
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -78,6 +78,7 @@
     std::map<std::string, std::function<void(const CacheEvents &)>> storeListeners; ///< by store, for what the others tell
     u32 underWay = 0; ///< requests
     bool hasEndpoints = false; ///< a list of endpoints came
+    bool hasEvacuations = false; ///< the list of zones that are out came
     bool isDraining = false;
     TimePoint lastCallUntil{}; ///< while draining: requests that come later may not end in time
 };
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -30,6 +30,9 @@
     [[nodiscard]] std::string address() const;
     void setMode(StoreMode mode);
 
+    /** @brief Gives no answer about objects of this kind, until another kind, or none, is named. */
+    void holdBack(const std::string &kind);
+
     /** @brief Writes as the operator or an endpoint does, whatever was there. */
     void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
     void erase(const std::string &kind, const std::string &name);
@@ -56,6 +59,7 @@
     [[nodiscard]] runtime::http::Response list(const std::string &kind) const;
     boost::asio::awaitable<runtime::http::Response> watch(std::string kind, u64 revision, Duration wait);
     [[nodiscard]] runtime::http::Response changesSince(const std::string &kind, u64 revision) const;
+    [[nodiscard]] bool isHeldBack(const std::string &kind) const;
     [[nodiscard]] bool hasChanges(const std::string &kind, u64 revision) const;
     [[nodiscard]] runtime::http::Response write(const runtime::http::Request &request, const std::string &kind, const std::string &name);
     [[nodiscard]] runtime::http::Response remove(const std::string &kind, const std::string &name);
@@ -65,6 +69,7 @@
     std::map<Key, Object> m_objects;
     std::vector<Change> m_changes;
     u64 m_revision = 1;
+    std::string m_heldBack; ///< a kind; empty: none
     std::atomic<StoreMode> m_mode{StoreMode::Up};
     runtime::http::Server m_server;
 };
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -49,6 +49,12 @@
     m_mode = mode;
 }
 
+void ObjectStore::holdBack(const std::string &kind)
+{
+    const std::lock_guard lock(m_mutex);
+    m_heldBack = kind;
+}
+
 void ObjectStore::put(const std::string &kind, const std::string &name, const json::value &spec)
 {
     const std::lock_guard lock(m_mutex);
@@ -91,6 +97,9 @@
     const auto slash = path.find('/');
     const auto kind = path.substr(0, slash);
     const auto name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    while (isHeldBack(kind)) {
+        co_await runtime::sleepFor(Poll);
+    }
     http::Response response;
     if (request.method == "GET" && !request.query("watch").empty()) {
         const auto revision = numberIn(request.query("watch"));
@@ -133,6 +142,12 @@
     co_return changesSince(kind, revision);
 }
 
+bool ObjectStore::isHeldBack(const std::string &kind) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_heldBack == kind;
+}
+
 bool ObjectStore::hasChanges(const std::string &kind, u64 revision) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/unit/operations_page_test.cpp
+++ b/tests/unit/operations_page_test.cpp
@@ -88,6 +88,25 @@
     }
 }
 
+// A refusal is renamed in the code; whoever looks up the reason that a caller got finds nothing on the page.
+TEST_CASE("the operators' page of the gateway lists just the reasons with which the code refuses")
+{
+    auto code = matches(gatewaySources(), std::regex(R"re(\{\d{3}, (?:\w+ \? )?"([a-z_]+)"(?: : "([a-z_]+)")?)re"));
+    const auto chosen = matches(textOf(Root / "lib/libburdock/source/endpoints/endpoint_table.cpp"),
+                                std::regex(R"re(NoChoiceNames\{"none", "(\w+)", "(\w+)", "(\w+)"\})re"));
+    CHECK(chosen.size() == 3);
+    code.insert(chosen.begin(), chosen.end());
+    const auto logs = section(textOf(Root / "docs/OPERATIONS.md"), "Logs");
+    const auto begin = logs.find("`reason` of `refused`:");
+    REQUIRE(begin != std::string::npos);
+    const auto reasons = logs.substr(begin, logs.find("All 503 mean", begin) - begin);
+    auto listed = matches(reasons, std::regex("`([a-z_]+)`"));
+    listed.erase("reason");
+    listed.erase("refused");
+    CHECK(code.size() > 15);
+    CHECK(listed == code);
+}
+
 TEST_CASE("a gateway's settings are checked, and all their faults are named")
 {
     const auto good = textOf(Root / "dist/examples/settings-gateway.json");
