Give a cold endpoint the smaller share as soon as more gateways are known

A replica that is cold could be given far more than it bears by gateways that start together, and crash again.

Cause: each gateway gives a cold endpoint its share of what it bears, by the number of gateways. A gateway that starts takes itself for the only one until the list of entries came. The rate was set when the first request was sent to the endpoint, and stayed for as long as it was cold.

The rate is set anew at each question; what was taken before stays taken.

--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -467,6 +467,8 @@
     return memory == 0 || taken == 0 || taken + need.memory <= memory;
 }
 
+// Guards against a share that was right among fewer entries: it shows as a cold endpoint that falls over once several entries have
+// started. Setting the rate at each question holds, as the number of entries may change while an endpoint is cold.
 bool EndpointTable::bearsMore(Endpoint &endpoint, TimePoint now)
 {
     const double perSecond = limitsOf(endpoint.registration.service).coldPerSecond / m_entries;
@@ -477,6 +479,7 @@
     if (!endpoint.coldBucket) {
         endpoint.coldBucket.emplace(perSecond, 1.0);
     }
+    endpoint.coldBucket->setRate(perSecond, 1.0, now);
     return endpoint.coldBucket->tryTake(1.0, now);
 }
 
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -301,6 +301,24 @@
     CHECK((table.choose(plainCall(1), at(3100ms)).reason == NoChoice::None));
 }
 
+// Guards against an entry that starts, takes itself for the only one, and keeps the share of that time for as long as the endpoint
+// is cold.
+TEST_CASE("a cold endpoint gets the smaller share as soon as more entries are known")
+{
+    auto table = tableOf(1);
+    auto cold = engine(0);
+    cold.coldLeft = 3s;
+    table.setRegistration(cold, at(0ms));
+    CHECK((table.choose(plainCall(1), at(0ms)).reason == NoChoice::None));
+    table.setEntryCount(6);
+    u32 let = 0;
+    for (u32 ms = 10; ms <= 1000; ms += 10) {
+        let += table.choose(plainCall(ms), at(std::chrono::milliseconds(ms))).reason == NoChoice::None ? 1 : 0;
+    }
+    CHECK(let >= 2);
+    CHECK(let <= 3);
+}
+
 TEST_CASE("an endpoint that starts again under its id is new: nothing of before counts")
 {
     auto table = tableOf(1);
