Keep what was spent of the retry budget when the number of gateways changes

Services that fail could get more retries than the budget that all gateways share, in a time of restarts.

Cause: when the number of gateways changed, each of them threw its budgets away and began with full ones: each gateway that joined or left allowed the whole reserve again, at all gateways.

Evidence: gateway_test spends the reserve, lets a second gateway register, and calls again.

The reserve is changed in place; what was spent of it stays spent.

--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -41,13 +41,16 @@
 
 retry::RetryBudget &State::budget(const std::string &service, const GatewaySettings &settings)
 {
+    const auto reserve = std::max<u32>(1, static_cast<u32>(settings.retrySlack * BudgetUse / entryCount));
     const auto found = budgets.find(service);
     if (found != budgets.end()) {
+        // Guards against retries that are allowed anew whenever an entry joins or leaves: it shows as more of them than the reserve in
+        // a time of many restarts. Changing the reserve alone holds, as what was spent stays spent.
+        found->second.setReserve(reserve);
         return found->second;
     }
     const auto earned = static_cast<u32>(settings.retryShare * BudgetUse * Percent);
-    const auto reserve = static_cast<u32>(settings.retrySlack * BudgetUse / entryCount);
-    return budgets.emplace(service, retry::RetryBudget(earned, std::max<u32>(1, reserve))).first->second;
+    return budgets.emplace(service, retry::RetryBudget(earned, reserve)).first->second;
 }
 
 void State::setEntryCount(u32 count)
@@ -57,7 +60,6 @@
     }
     entryCount = count;
     endpoints.setEntryCount(count);
-    budgets.clear();
 }
 
 // Guards against a key that was taken away while this gateway is cut off from the platform: it shows as requests that run long
--- a/lib/libburdock/include/burdock/retry/retry_budget.hpp
+++ b/lib/libburdock/include/burdock/retry/retry_budget.hpp
@@ -24,6 +24,9 @@
     [[nodiscard]] bool trySpend();
     void setEarnedPercent(u32 earnedPercent);
 
+    /** @brief Sets how many retries may be saved up; what was spent of the reserve stays spent. */
+    void setReserve(u32 reserve);
+
 private:
     u32 m_earnedPercent;
     u64 m_reservePercent;
--- a/lib/libburdock/source/retry/retry_budget.cpp
+++ b/lib/libburdock/source/retry/retry_budget.cpp
@@ -31,6 +31,13 @@
     return true;
 }
 
+void RetryBudget::setReserve(u32 reserve)
+{
+    const u64 spent = m_reservePercent - m_balancePercent;
+    m_reservePercent = reserve * OneRetry;
+    m_balancePercent = m_reservePercent - std::min(m_reservePercent, spent);
+}
+
 void RetryBudget::setEarnedPercent(u32 earnedPercent)
 {
     m_earnedPercent = earnedPercent;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -224,6 +224,36 @@
     CHECK(sound.received().size() == 8);
 }
 
+// Guards against retries that are allowed anew whenever a gateway joins or leaves, so that a time of restarts multiplies them.
+TEST_CASE("retries that were spent stay spent when another gateway joins")
+{
+    GatewayDeployment gateway(R"({"retry_share":0.01,"retry_slack":4})");
+    const auto breakOff = [](const ReceivedRequest &, ReplicaConnection &) {
+        return AfterAnswer::Close;
+    };
+    Replica first(breakOff);
+    Replica second(breakOff);
+    serve(gateway, "plain", {&first, &second});
+    const auto awaitEntries = [&gateway](u32 count) {
+        const auto expected = "burdock_entries " + std::to_string(count) + "\n";
+        return GatewayDeployment::waitFor([&] { return gateway.metrics().find(expected) != std::string::npos; });
+    };
+    const auto callOnce = [&](const std::string &path) {
+        GatewayCall call;
+        call.path = path;
+        call.attempt = path;
+        static_cast<void>(gateway.call(call));
+        return first.received().size() + second.received().size();
+    };
+    REQUIRE(awaitEntries(1));
+    CHECK(callOnce("/read/1") == 2);
+    CHECK(callOnce("/read/2") == 4);
+    CHECK(callOnce("/read/3") == 5);
+    gateway.store().put("burdock-entries", "vm-2", {{"zone", "zone-a"}, {"load_address", "127.0.0.1:1"}});
+    REQUIRE(awaitEntries(2));
+    CHECK(callOnce("/read/4") == 6);
+}
+
 TEST_CASE("a stream that breaks off goes on at another endpoint where its route allows, event by event")
 {
     GatewayDeployment gateway;
