Assume no share before the number of gateways is known

Cold replicas and failing services could get the whole share of all gateways from each gateway that starts, for as long as the list of entries did not come: at least a second after a read that failed.

Cause: a gateway took itself for the only one until then.

Evidence: the unit test asks for a cold endpoint before a number was set.

Until the list came once, cold endpoints get nothing and one retry is allowed; warm endpoints are served as before. The first list is asked for each 0.5 s now, so that cold endpoints don't wait for it longer than needed, and only reads that succeeded count as first ones.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -35,6 +35,7 @@
 /** How often the list of entries is read. */
 constexpr Duration EntryListPeriod = std::chrono::seconds(5);
 constexpr Duration FirstEntryListPeriod = std::chrono::seconds(1);
+constexpr Duration EntryListRetryPeriod = std::chrono::milliseconds(500); ///< until the first one came
 constexpr u32 FirstEntryLists = 4;
 /** How often idle connections are looked through and lines of the log are handed on. */
 constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
@@ -414,14 +415,21 @@
             const auto list = co_await m_parts.store.list(ObjectKind::Entries, Freshness::MayLag);
             if (list.answer == StoreAnswer::Found) {
                 takeEntries(list);
+                ++reads;
             }
-            // At the start of all VMs the others register within moments.
-            ++reads;
-            const auto pause = reads <= FirstEntryLists ? FirstEntryListPeriod : EntryListPeriod;
-            co_await runtime::sleepFor(pause);
+            co_await runtime::sleepFor(entryListPause(reads));
         }
     }
 
+    static Duration entryListPause(u32 reads)
+    {
+        if (reads == 0) {
+            return EntryListRetryPeriod;
+        }
+        // At the start of all VMs the others register within moments.
+        return reads <= FirstEntryLists ? FirstEntryListPeriod : EntryListPeriod;
+    }
+
     void takeEntries(const ObjectList &list)
     {
         m_state.entries.clear();
--- a/lib/libburdock-gateway/source/state.cpp
+++ b/lib/libburdock-gateway/source/state.cpp
@@ -41,7 +41,9 @@
 
 retry::RetryBudget &State::budget(const std::string &service, const GatewaySettings &settings)
 {
-    const auto reserve = std::max<u32>(1, static_cast<u32>(settings.retrySlack * BudgetUse / entryCount));
+    // Before the others are known, one retry is all that is certainly allowed.
+    const u32 share = entryCount == 0 ? 0 : static_cast<u32>(settings.retrySlack * BudgetUse / entryCount);
+    const u32 reserve = std::max<u32>(1, share);
     const auto found = budgets.find(service);
     if (found != budgets.end()) {
         // Guards against retries that are allowed anew whenever an entry joins or leaves: it shows as more of them than the reserve in
--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -72,7 +72,7 @@
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
     retry::Quarantine quarantine;
     std::vector<std::string> entries; ///< names of the entries that registered
-    u32 entryCount = 1;
+    u32 entryCount = 0; ///< zero: not known yet
     std::vector<ToldStoreEvents> storeEventsToTell; ///< with the next message to the other entries
     std::vector<PlacedParts> placementsToTell; ///< with the next message to the other entries
     std::map<std::string, std::function<void(const CacheEvents &)>> storeListeners; ///< by store, for what the others tell
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -261,7 +261,7 @@
     void dropIfDone(Endpoints::iterator endpoint);
 
     Policy m_policy;
-    u32 m_entries = 1;
+    u32 m_entries = 0; ///< zero: not known yet
     Endpoints m_endpoints;
     std::unordered_map<u64, Endpoint *> m_byHash;
     std::set<std::string, std::less<>> m_evacuated;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -468,14 +468,19 @@
 }
 
 // Guards against a share that was right among fewer entries: it shows as a cold endpoint that falls over once several entries have
-// started. Setting the rate at each question holds, as the number of entries may change while an endpoint is cold.
+// started. Setting the rate at each question holds, as the number of entries may change while an endpoint is cold; as long as none is
+// known, there is no share.
 bool EndpointTable::bearsMore(Endpoint &endpoint, TimePoint now)
 {
-    const double perSecond = limitsOf(endpoint.registration.service).coldPerSecond / m_entries;
-    if (perSecond <= 0 || now >= endpoint.coldUntil) {
+    const double fromAll = limitsOf(endpoint.registration.service).coldPerSecond;
+    if (fromAll <= 0 || now >= endpoint.coldUntil) {
         endpoint.coldBucket.reset();
         return true;
     }
+    if (m_entries == 0) {
+        return false;
+    }
+    const double perSecond = fromAll / m_entries;
     if (!endpoint.coldBucket) {
         endpoint.coldBucket.emplace(perSecond, 1.0);
     }
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -309,6 +309,7 @@
     auto cold = engine(0);
     cold.coldLeft = 3s;
     table.setRegistration(cold, at(0ms));
+    table.setEntryCount(1);
     CHECK((table.choose(plainCall(1), at(0ms)).reason == NoChoice::None));
     table.setEntryCount(6);
     u32 let = 0;
@@ -319,6 +320,19 @@
     CHECK(let <= 3);
 }
 
+// Guards against an entry that starts and takes all that a cold endpoint bears, as it hasn't heard yet of the others.
+TEST_CASE("a cold endpoint gets nothing before this entry knows among how many it shares, a warm one does")
+{
+    auto table = tableOf(1);
+    CHECK((table.choose(plainCall(1), at(0ms)).reason == NoChoice::None));
+    auto cold = engine(0);
+    cold.coldLeft = 3s;
+    table.setRegistration(cold, at(0ms));
+    CHECK((table.choose(plainCall(1), at(0ms)).reason == NoChoice::NoRoom));
+    table.setEntryCount(2);
+    CHECK((table.choose(plainCall(1), at(10ms)).reason == NoChoice::None));
+}
+
 TEST_CASE("an endpoint that starts again under its id is new: nothing of before counts")
 {
     auto table = tableOf(1);
