Don't take keys for confirmed while the newest configuration can't be read

A key could go on working for ever after it was taken away, where the configuration that took it away can't be read by this gateway.

Cause: a read of the store confirmed the configuration in force, whether what it showed could be read or not.

Evidence: gateway_test writes a configuration that can't be read. Now keys are refused (keys_unconfirmed) once the one in force is too old, open routes are served on, and a readable configuration ends it.

The bound of a revocation holds whatever the unread configuration says. The price: keyed routes end at a configuration that this gateway can't read, where they went on under the one before. burdock_configurations_unreadable_total tells of it.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -216,13 +216,23 @@
         };
         return {takeAll, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
                 [this](TimePoint asOf) {
-                    m_state.configurationAsOf = std::max(m_state.configurationAsOf, asOf);
+                    confirmConfiguration(asOf);
                 }};
     }
 
+    // Guards against a configuration that can't be read and takes a key away: it shows as requests that run with that key for as long
+    // as the one before is in force. Not confirming that one holds, as keys are refused once it is too old.
+    void confirmConfiguration(TimePoint asOf)
+    {
+        if (m_isNewestConfigurationRead) {
+            m_state.configurationAsOf = std::max(m_state.configurationAsOf, asOf);
+        }
+    }
+
     void takeConfiguration(const StoredObject &object)
     {
         auto read = m_parts.dialect.readConfiguration(object.spec);
+        m_isNewestConfigurationRead = read.has_value();
         if (!read) {
             m_parts.logger.event(LogLevel::Error, "configuration_unreadable", {{"name", object.name}, {"revision", object.revision}});
             m_parts.metrics.count("burdock_configurations_unreadable_total");
@@ -470,6 +480,7 @@
     WeightDuty m_weightDuty;
     LoadExchange m_loads;
     std::set<std::string, std::less<>> m_evacuated;
+    bool m_isNewestConfigurationRead = false;
     std::set<std::string> m_followed;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
     PathHandler m_readinessHandler;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -151,6 +151,24 @@
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 200; }));
 }
 
+// Guards against a key that is believed for ever, as the configuration that took it away can't be read.
+TEST_CASE("keys are refused once the newest configuration could not be read for too long, open routes are served on")
+{
+    GatewayDeployment gateway(R"({"revocation_ms": 4500})");
+    Replica plain(answerWhole);
+    serve(gateway, "plain", {&plain});
+    REQUIRE(gateway.call({}).response.status == 200);
+    gateway.store().put("config", "main", {{"version", "nine"}});
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 503; }));
+    CHECK(gateway.readiness() == 503);
+    GatewayCall open;
+    open.path = "/open/1";
+    open.key = "";
+    CHECK(gateway.call(open).response.status == 200);
+    gateway.configure(7);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 200; }));
+}
+
 TEST_CASE("nonsense of the store keeps what is in force: unreadable entries, no history, 503")
 {
     GatewayDeployment gateway;
