Pass over ends of requests to an earlier start of an endpoint

An engine that started again under its id could be given more prompts than it holds, or be left out for half a second and longer though it is sound.

Cause: a new birth resets what is known of the endpoint. A request to the earlier start that ended later, as its connection went silent, was taken off the work of the new start, and its failure was counted against it.

A choice carries the birth of the start that was chosen; first events and ends of another start are passed over. Nothing is missed: a new start begins at zero.

The unit tests that note ends name the start now; they ask the same.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -264,7 +264,7 @@
     m_connection.reset();
     const auto now = m_parts.clock.now();
     const endpoints::Work left{m_choice.work.memory, m_isPrefillPending ? m_choice.work.prefill : 0};
-    const auto ejectedFor = m_state.endpoints.noteEnd(id, left, attempt.outcome, now);
+    const auto ejectedFor = m_state.endpoints.noteEnd(id, m_choice.bornMs, left, attempt.outcome, now);
     if (ejectedFor > Duration::zero()) {
         m_parts.logger.event(LogLevel::Warning, "endpoint_ejected",
                              {{"endpoint", id}, {"outcome", toString(attempt.outcome)}, {"for_ms", toMilliseconds(ejectedFor)}});
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -117,6 +117,7 @@
     NoChoice reason = NoChoice::None;
     Work work;
     Duration expectedDelay{}; ///< to the first event; for prompts
+    u64 bornMs = 0; ///< tells the starts of the endpoint apart
 };
 
 /** @brief Whether the delay of a prompt's first event tells of the engine's pace. */
@@ -180,10 +181,11 @@
     void noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, DelayLesson lesson, TimePoint now);
 
     /**
+     * @param bornMs of the start that the request was sent to
      * @param left work of the request that was not taken off by noteFirstEvent()
      * @return for how long the endpoint is left out from now on, if it is for what it did
      */
-    Duration noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now);
+    Duration noteEnd(std::string_view id, u64 bornMs, const Work &left, Outcome outcome, TimePoint now);
 
     /** @brief Takes note of a part that a prompt brings into an engine's memory, at this entry or another. */
     void notePart(u64 endpoint, u64 part, u64 tokens);
@@ -258,6 +260,7 @@
     [[nodiscard]] const ServiceLimits &limitsOf(const std::string &service) const;
     [[nodiscard]] Duration eject(Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool maySend(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] Endpoints::iterator findStart(std::string_view id, u64 bornMs);
     void dropIfDone(Endpoints::iterator endpoint);
 
     Policy m_policy;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -148,6 +148,7 @@
         const u64 most = std::max<u64>(1, u64{endpoint.registration.slots} * m_policy.slotPercent / 100);
         if (loadAt(endpoint).running < most && bearsMore(endpoint, now)) {
             choice.id = endpoint.registration.id;
+            choice.bornMs = endpoint.registration.bornMs;
             choice.reason = NoChoice::None;
             return choice;
         }
@@ -188,7 +189,8 @@
             continue;
         }
         if (bearsMore(*candidate.endpoint, now)) {
-            return {candidate.endpoint->registration.id, NoChoice::None, Work{need.memory, candidate.prefill}, candidate.delay};
+            const auto &chosen = candidate.endpoint->registration;
+            return {chosen.id, NoChoice::None, Work{need.memory, candidate.prefill}, candidate.delay, chosen.bornMs};
         }
     }
     return choice;
@@ -234,7 +236,7 @@
 
 void EndpointTable::noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, DelayLesson lesson, TimePoint now)
 {
-    const auto found = m_endpoints.find(id);
+    const auto found = findStart(id, choice.bornMs);
     if (found == m_endpoints.end()) {
         return;
     }
@@ -258,9 +260,9 @@
     }
 }
 
-Duration EndpointTable::noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now)
+Duration EndpointTable::noteEnd(std::string_view id, u64 bornMs, const Work &left, Outcome outcome, TimePoint now)
 {
-    const auto found = m_endpoints.find(id);
+    const auto found = findStart(id, bornMs);
     if (found == m_endpoints.end()) {
         return Duration::zero();
     }
@@ -505,6 +507,15 @@
     return endpoint.lastEjection;
 }
 
+// Guards against requests to an earlier start of an endpoint that end after the next one began: it shows as an engine that is given
+// more than it holds, or is left out for what it did not do. Passing over them holds, as a new start begins with nothing under way.
+EndpointTable::Endpoints::iterator EndpointTable::findStart(std::string_view id, u64 bornMs)
+{
+    const auto found = m_endpoints.find(id);
+    const bool isOther = found != m_endpoints.end() && found->second.registration.bornMs != bornMs;
+    return isOther ? m_endpoints.end() : found;
+}
+
 void EndpointTable::dropIfDone(Endpoints::iterator endpoint)
 {
     if (isEnd(endpoint->second)) {
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -13,6 +13,7 @@
 constexpr u64 EngineMemory = 170'000;
 constexpr u64 DraftPrefill = 12'000;
 constexpr u64 DraftMemory = 12'050;
+constexpr u64 FirstBorn = 1;
 
 TimePoint at(Duration since)
 {
@@ -27,7 +28,7 @@
     registration.address = "10.0.0.1:80";
     registration.zone = "zone-" + std::to_string(number % 2);
     registration.slots = 128;
-    registration.bornMs = 1;
+    registration.bornMs = FirstBorn;
     registration.weightVersions["m"] = 1;
     return registration;
 }
@@ -233,11 +234,11 @@
     };
     CHECK(share(0ms) > 30);
     for (u32 i = 0; i < 20; ++i) {
-        Choice choice{"engine-0", NoChoice::None, {DraftMemory, DraftPrefill}, 194ms};
+        Choice choice{"engine-0", NoChoice::None, {DraftMemory, DraftPrefill}, 194ms, FirstBorn};
         table.noteSent("engine-0", choice.work, at(0ms));
         table.noteFirstEvent("engine-0", choice, 776ms, DelayLesson::Learn, at(0ms));
         table.noteHeard("engine-0", at(0ms));
-        table.noteEnd("engine-0", {DraftMemory, 0}, Outcome::Answered, at(0ms));
+        table.noteEnd("engine-0", FirstBorn, {DraftMemory, 0}, Outcome::Answered, at(0ms));
     }
     CHECK(share(0ms) == 0);
     CHECK(share(60s) > 30);
@@ -260,7 +261,7 @@
     auto table = tableOf(1);
     const auto fail = [&table](Duration now) {
         table.noteSent("engine-0", {}, at(now));
-        table.noteEnd("engine-0", {}, Outcome::Unreachable, at(now));
+        table.noteEnd("engine-0", FirstBorn, {}, Outcome::Unreachable, at(now));
     };
     fail(0ms);
     CHECK((table.choose(plainCall(1), at(400ms)).reason == NoChoice::NoEndpoint));
@@ -269,7 +270,7 @@
     CHECK((table.choose(plainCall(1), at(1500ms)).reason == NoChoice::NoEndpoint));
     CHECK((table.choose(plainCall(1), at(1700ms)).reason == NoChoice::None));
     table.noteSent("engine-0", {}, at(1700ms));
-    table.noteEnd("engine-0", {}, Outcome::Answered, at(1800ms));
+    table.noteEnd("engine-0", FirstBorn, {}, Outcome::Answered, at(1800ms));
     fail(1800ms);
     CHECK((table.choose(plainCall(1), at(2400ms)).reason == NoChoice::None));
 }
@@ -279,7 +280,7 @@
     auto table = tableOf(1);
     for (u32 i = 0; i < 8; ++i) {
         table.noteSent("engine-0", {}, at(0ms));
-        table.noteEnd("engine-0", {}, Outcome::Failed, at(0ms));
+        table.noteEnd("engine-0", FirstBorn, {}, Outcome::Failed, at(0ms));
     }
     CHECK((table.choose(plainCall(1), at(100ms)).reason == NoChoice::NoEndpoint));
 }
@@ -346,6 +347,29 @@
     CHECK(table.find("engine-0")->registration.weightVersions.at("m") == 1);
 }
 
+// Guards against requests to an engine's earlier start that end late, as their connections went silent: taken off the work of the
+// new start, they would make room that is not there.
+TEST_CASE("what ends at an endpoint's earlier start changes nothing of the new one")
+{
+    auto table = tableOf(1);
+    const auto early = table.choose(draft(1), at(0ms));
+    table.noteSent(early.id, early.work, at(0ms));
+    auto reborn = engine(0);
+    reborn.bornMs = 2;
+    table.setRegistration(reborn, at(20ms));
+    const auto late = table.choose(draft(2), at(30ms));
+    table.noteSent(late.id, late.work, at(30ms));
+    table.noteFirstEvent(early.id, early, 40ms, DelayLesson::Learn, at(40ms));
+    CHECK(table.noteEnd(early.id, early.bornMs, {DraftMemory, 0}, Outcome::Unreachable, at(40ms)) == Duration::zero());
+    const auto *endpoint = table.find("engine-0");
+    CHECK(endpoint->own.running == 1);
+    CHECK(endpoint->own.memory == DraftMemory);
+    CHECK(endpoint->own.pending == DraftPrefill);
+    CHECK(endpoint->samples == 0);
+    static_cast<void>(table.noteEnd(late.id, late.bornMs, {DraftMemory, DraftPrefill}, Outcome::Answered, at(50ms)));
+    CHECK(endpoint->own.running == 0);
+}
+
 TEST_CASE("weights don't go back with a registration that lags behind an answer")
 {
     auto table = tableOf(1);
@@ -409,7 +433,7 @@
 {
     auto table = tableOf(1);
     table.noteSent("engine-0", {}, at(0ms));
-    table.noteEnd("engine-0", {}, Outcome::Declined, at(0ms));
+    table.noteEnd("engine-0", FirstBorn, {}, Outcome::Declined, at(0ms));
     CHECK((table.choose(plainCall(1), at(200ms)).reason == NoChoice::NoEndpoint));
     CHECK((table.choose(plainCall(1), at(260ms)).reason == NoChoice::None));
 }
