Count endpoints of a zone that comes back as cold until they are listed anew

Replicas that became cold while their zone was out could get a whole load at once when the zone came back, and crash.

Cause: evacuations and endpoints are watched by two calls. Where that of evacuations was answered, and that of endpoints was not, the endpoints were believed to be as warm as before; for up to 4.5 s with a connection that went silent.

Evidence: gateway_start_test keeps the endpoints back while a replica turns cold and its zone returns.

When a zone comes back its endpoints count as cold, and the list of endpoints is read; what it says of their coldness counts, nothing else, as the watch may have told of newer changes. If it can't be read for five seconds the belief of before holds again. The price: one more read of each gateway for each zone that comes back.

The stand-in of the store holds back the answers of calls that wait, too.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -32,6 +32,9 @@
 constexpr Duration WeightWait = std::chrono::milliseconds(1500);
 /** Longest time in which a watch hears nothing though there are changes. */
 constexpr Duration DeafWatch = std::chrono::milliseconds(1000);
+/** How long the endpoints of a zone that comes back count as cold if they can't be listed, and the pause between two tries. */
+constexpr Duration LongestReturn = std::chrono::seconds(5);
+constexpr Duration ReturnPause = std::chrono::milliseconds(250);
 /** How often the list of entries is read. */
 constexpr Duration EntryListPeriod = std::chrono::seconds(5);
 constexpr Duration FirstEntryListPeriod = std::chrono::seconds(1);
@@ -333,9 +336,14 @@
     KindHandlers evacuations()
     {
         const auto takeList = [this](const std::vector<StoredObject> &items) {
-            m_evacuated.clear();
+            std::set<std::string, std::less<>> listed;
             for (const auto &item : items) {
-                m_evacuated.insert(item.name);
+                listed.insert(item.name);
+            }
+            for (const auto &zone : std::exchange(m_evacuated, listed)) {
+                if (listed.count(zone) == 0) {
+                    welcomeBack(zone);
+                }
             }
             applyEvacuations();
             m_state.hasEvacuations = true;
@@ -345,13 +353,55 @@
                 m_evacuated.insert(object.name);
             }
             for (const auto &name : changes.removed) {
-                m_evacuated.erase(name);
+                if (m_evacuated.erase(name) > 0) {
+                    welcomeBack(name);
+                }
             }
             applyEvacuations();
         };
         return {takeList, takeChanges};
     }
 
+    // Guards against a zone that comes back while its endpoints became cold: it shows as cold endpoints that get a whole load at once,
+    // where the watch of evacuations is answered and that of endpoints is not. Counting them as cold until they are listed anew holds,
+    // as the list is read after the zone came back.
+    void welcomeBack(const std::string &zone)
+    {
+        m_returning.insert(zone);
+        applyReturning();
+        spawn(listReturned(zone));
+    }
+
+    boost::asio::awaitable<void> listReturned(std::string zone)
+    {
+        const auto until = m_parts.clock.now() + LongestReturn;
+        while (m_parts.clock.now() < until) {
+            const auto list = co_await m_parts.store.list(ObjectKind::Endpoints, Freshness::Current);
+            if (list.answer == StoreAnswer::Found) {
+                noteColdness(list);
+                break;
+            }
+            co_await runtime::sleepFor(ReturnPause);
+        }
+        m_returning.erase(m_returning.find(zone));
+        applyReturning();
+    }
+
+    // The watch may have told of newer changes than this list, so that nothing else of it counts.
+    void noteColdness(const ObjectList &list)
+    {
+        for (const auto &item : list.items) {
+            if (const auto registration = m_parts.dialect.readRegistration(item.name, item.spec)) {
+                m_state.endpoints.noteCold(registration->id, registration->coldLeft, m_parts.clock.now());
+            }
+        }
+    }
+
+    void applyReturning()
+    {
+        m_state.endpoints.setReturning({m_returning.begin(), m_returning.end()});
+    }
+
     void applyEvacuations()
     {
         for (const auto &zone : m_evacuated) {
@@ -480,6 +530,7 @@
     WeightDuty m_weightDuty;
     LoadExchange m_loads;
     std::set<std::string, std::less<>> m_evacuated;
+    std::multiset<std::string, std::less<>> m_returning; ///< each as often as it came back and its endpoints weren't listed since
     bool m_isNewestConfigurationRead = false;
     std::set<std::string> m_followed;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -164,6 +164,9 @@
 
     void setEvacuated(std::set<std::string, std::less<>> zones);
 
+    /** @brief Sets zones that were out, whose endpoints may have become cold since they were heard of. */
+    void setReturning(std::set<std::string, std::less<>> zones);
+
     /** @brief Sets what endpoints of a service bear. */
     void setServiceLimits(std::string_view service, u64 cacheTokens, double coldPerSecond);
 
@@ -268,6 +271,7 @@
     Endpoints m_endpoints;
     std::unordered_map<u64, Endpoint *> m_byHash;
     std::set<std::string, std::less<>> m_evacuated;
+    std::set<std::string, std::less<>> m_returning;
     std::map<std::string, ServiceLimits, std::less<>> m_limits;
     PeerLoads m_peers;
     std::unordered_set<u64> m_loading;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -107,6 +107,11 @@
     m_evacuated = std::move(zones);
 }
 
+void EndpointTable::setReturning(std::set<std::string, std::less<>> zones)
+{
+    m_returning = std::move(zones);
+}
+
 void EndpointTable::setServiceLimits(std::string_view service, u64 cacheTokens, double coldPerSecond)
 {
     m_limits[std::string(service)] = ServiceLimits{cacheTokens, coldPerSecond};
@@ -475,7 +480,8 @@
 bool EndpointTable::bearsMore(Endpoint &endpoint, TimePoint now)
 {
     const double fromAll = limitsOf(endpoint.registration.service).coldPerSecond;
-    if (fromAll <= 0 || now >= endpoint.coldUntil) {
+    const bool isCold = now < endpoint.coldUntil || m_returning.count(endpoint.registration.zone) > 0;
+    if (fromAll <= 0 || !isCold) {
         endpoint.coldBucket.reset();
         return true;
     }
--- a/tests/integration/gateway_start_test.cpp
+++ b/tests/integration/gateway_start_test.cpp
@@ -1,6 +1,9 @@
 #include <support/gateway_deployment.hpp>
+#include <support/users_objects.hpp>
 
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace burdock;
 using namespace support;
@@ -11,6 +14,8 @@
 
 namespace {
 
+constexpr double ColdPerSecond = 4;
+
 AfterAnswer answerWhole(const ReceivedRequest &request, ReplicaConnection &connection)
 {
     connection.write(wholeAnswer(request, 200, "done"));
@@ -89,6 +94,45 @@
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call(callOf("/open/1")).response.status == 200; }));
 }
 
+// Guards against a zone that comes back with cold endpoints of which the gateway hasn't heard, so that they get a whole load at once.
+TEST_CASE("endpoints of a zone that comes back get no more than cold ones bear before they are listed anew")
+{
+    GatewayDeployment gateway;
+    Replica plain(answerWhole);
+    auto configuration = configurationObject(3, {"key-desk"});
+    configuration.as_object().at("services").as_array().at(0).as_object()["coldPerS"] = ColdPerSecond;
+    gateway.store().put("config", "main", configuration);
+    ReplicaEntry entry;
+    entry.service = "plain";
+    entry.address = plain.address();
+    auto replica = replicaObject(entry);
+    gateway.store().put("servers", "r1", replica);
+    gateway.awaitReady();
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.call(callOf("/open/1")).response.status == 200; }));
+    gateway.store().put("evacuations", "zone-a", boost::json::object());
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.call(callOf("/open/1")).response.status == 503; }));
+
+    const auto before = plain.received().size();
+    gateway.store().holdBack("servers");
+    replica.as_object()["coldLeftMs"] = 5000;
+    gateway.store().put("servers", "r1", replica);
+    gateway.store().erase("evacuations", "zone-a");
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.call(callOf("/open/1")).response.status == 200; }));
+    const auto isWithinBound = [&](std::size_t before) {
+        const auto began = std::chrono::steady_clock::now();
+        for (u32 i = 0; i < 40; ++i) {
+            static_cast<void>(gateway.call(callOf("/open/1")));
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - began;
+        return static_cast<double>(plain.received().size() - before) <= 2 + ColdPerSecond * elapsed.count();
+    };
+    CHECK(isWithinBound(before));
+    gateway.store().holdBack("");
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("cold_ms":5)") != std::string::npos; }));
+    CHECK(isWithinBound(plain.received().size()));
+}
+
 // Guards against a gateway that starts and takes all weights for the newest, as it hasn't heard yet which are named.
 TEST_CASE("a gateway that starts begins no prompt before it knows which weights are named, and serves the rest")
 {
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -113,6 +113,9 @@
             co_return;
         }
     }
+    while (isHeldBack(kind)) {
+        co_await runtime::sleepFor(Poll);
+    }
     if (m_mode != StoreMode::Down) {
         co_await reply.send(response);
     }
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -334,6 +334,23 @@
     CHECK((table.choose(plainCall(1), at(10ms)).reason == NoChoice::None));
 }
 
+TEST_CASE("an endpoint of a zone that comes back counts as cold until it is known not to be")
+{
+    auto table = tableOf(1);
+    table.setEntryCount(6);
+    table.setReturning({"zone-0"});
+    const auto countLet = [&table](Duration from) {
+        u32 let = 0;
+        for (u32 ms = 0; ms < 1000; ms += 10) {
+            let += table.choose(plainCall(ms), at(from + std::chrono::milliseconds(ms))).reason == NoChoice::None ? 1 : 0;
+        }
+        return let;
+    };
+    CHECK(countLet(0ms) <= 4);
+    table.setReturning({});
+    CHECK(countLet(1s) == 100);
+}
+
 TEST_CASE("an endpoint that starts again under its id is new: nothing of before counts")
 {
     auto table = tableOf(1);
