--- a/lib/libburdock-gateway/source/state.hpp
+++ b/lib/libburdock-gateway/source/state.hpp
@@ -72,12 +72,13 @@
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
     retry::Quarantine quarantine;
     std::vector<std::string> entries; ///< names of the entries that registered
-    u32 entryCount = 1;
+    u32 entryCount = 0; ///< zero: not known yet
     std::vector<ToldStoreEvents> storeEventsToTell; ///< with the next message to the other entries
     std::vector<PlacedParts> placementsToTell; ///< with the next message to the other entries
     std::map<std::string, std::function<void(const CacheEvents &)>> storeListeners; ///< by store, for what the others tell
     u32 underWay = 0; ///< requests
     bool hasEndpoints = false; ///< a list of endpoints came
+    bool hasEvacuations = false; ///< the list of zones that are out came
     bool isDraining = false;
     TimePoint lastCallUntil{}; ///< while draining: requests that come later may not end in time
 };
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -118,6 +118,7 @@
     NoChoice reason = NoChoice::None;
     Work work;
     Duration expectedDelay{}; ///< to the first event; for prompts
+    u64 bornMs = 0; ///< tells the starts of the endpoint apart
 };
 
 /** @brief Whether the delay of a prompt's first event tells of the engine's pace. */
@@ -164,6 +165,9 @@
 
     void setEvacuated(std::set<std::string, std::less<>> zones);
 
+    /** @brief Sets zones that were out, whose endpoints may have become cold since they were heard of. */
+    void setReturning(std::set<std::string, std::less<>> zones);
+
     /** @brief Sets what endpoints of a service bear. */
     void setServiceLimits(std::string_view service, u64 cacheTokens, double coldPerSecond);
 
@@ -181,10 +185,11 @@
     void noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, DelayLesson lesson, TimePoint now);
 
     /**
+     * @param bornMs of the start that the request was sent to
      * @param left work of the request that was not taken off by noteFirstEvent()
      * @return for how long the endpoint is left out from now on, if it is for what it did
      */
-    Duration noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now);
+    Duration noteEnd(std::string_view id, u64 bornMs, const Work &left, Outcome outcome, TimePoint now);
 
     /** @brief Takes note of a part that a prompt brings into an engine's memory, at this entry or another. */
     void notePart(u64 endpoint, u64 part, u64 tokens);
@@ -259,13 +264,15 @@
     [[nodiscard]] const ServiceLimits &limitsOf(const std::string &service) const;
     [[nodiscard]] Duration eject(Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool maySend(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] Endpoints::iterator findStart(std::string_view id, u64 bornMs);
     void dropIfDone(Endpoints::iterator endpoint);
 
     Policy m_policy;
-    u32 m_entries = 1;
+    u32 m_entries = 0; ///< zero: not known yet
     Endpoints m_endpoints;
     std::unordered_map<u64, Endpoint *> m_byHash;
     std::set<std::string, std::less<>> m_evacuated;
+    std::set<std::string, std::less<>> m_returning;
     std::map<std::string, ServiceLimits, std::less<>> m_limits;
     PeerLoads m_peers;
     std::unordered_set<u64> m_loading;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -107,6 +107,11 @@
     m_evacuated = std::move(zones);
 }
 
+void EndpointTable::setReturning(std::set<std::string, std::less<>> zones)
+{
+    m_returning = std::move(zones);
+}
+
 void EndpointTable::setServiceLimits(std::string_view service, u64 cacheTokens, double coldPerSecond)
 {
     m_limits[std::string(service)] = ServiceLimits{cacheTokens, coldPerSecond};
@@ -148,6 +153,7 @@
         const u64 most = std::max<u64>(1, u64{endpoint.registration.slots} * m_policy.slotPercent / 100);
         if (loadAt(endpoint).running < most && bearsMore(endpoint, now)) {
             choice.id = endpoint.registration.id;
+            choice.bornMs = endpoint.registration.bornMs;
             choice.reason = NoChoice::None;
             return choice;
         }
@@ -188,7 +194,8 @@
             continue;
         }
         if (bearsMore(*candidate.endpoint, now)) {
-            return {candidate.endpoint->registration.id, NoChoice::None, Work{need.memory, candidate.prefill}, candidate.delay};
+            const auto &chosen = candidate.endpoint->registration;
+            return {chosen.id, NoChoice::None, Work{need.memory, candidate.prefill}, candidate.delay, chosen.bornMs};
         }
     }
     return choice;
@@ -234,7 +241,7 @@
 
 void EndpointTable::noteFirstEvent(std::string_view id, const Choice &choice, Duration delay, DelayLesson lesson, TimePoint now)
 {
-    const auto found = m_endpoints.find(id);
+    const auto found = findStart(id, choice.bornMs);
     if (found == m_endpoints.end()) {
         return;
     }
@@ -258,9 +265,9 @@
     }
 }
 
-Duration EndpointTable::noteEnd(std::string_view id, const Work &left, Outcome outcome, TimePoint now)
+Duration EndpointTable::noteEnd(std::string_view id, u64 bornMs, const Work &left, Outcome outcome, TimePoint now)
 {
-    const auto found = m_endpoints.find(id);
+    const auto found = findStart(id, bornMs);
     if (found == m_endpoints.end()) {
         return Duration::zero();
     }
@@ -467,16 +474,25 @@
     return memory == 0 || taken == 0 || taken + need.memory <= memory;
 }
 
+// Guards against a share that was right among fewer entries: it shows as a cold endpoint that falls over once several entries have
+// started. Setting the rate at each question holds, as the number of entries may change while an endpoint is cold; as long as none is
+// known, there is no share.
 bool EndpointTable::bearsMore(Endpoint &endpoint, TimePoint now)
 {
-    const double perSecond = limitsOf(endpoint.registration.service).coldPerSecond / m_entries;
-    if (perSecond <= 0 || now >= endpoint.coldUntil) {
+    const double fromAll = limitsOf(endpoint.registration.service).coldPerSecond;
+    const bool isCold = now < endpoint.coldUntil || m_returning.count(endpoint.registration.zone) > 0;
+    if (fromAll <= 0 || !isCold) {
         endpoint.coldBucket.reset();
         return true;
     }
+    if (m_entries == 0) {
+        return false;
+    }
+    const double perSecond = fromAll / m_entries;
     if (!endpoint.coldBucket) {
         endpoint.coldBucket.emplace(perSecond, 1.0);
     }
+    endpoint.coldBucket->setRate(perSecond, 1.0, now);
     return endpoint.coldBucket->tryTake(1.0, now);
 }
 
@@ -497,6 +513,15 @@
     return endpoint.lastEjection;
 }
 
+// Guards against requests to an earlier start of an endpoint that end after the next one began: it shows as an engine that is given
+// more than it holds, or is left out for what it did not do. Passing over them holds, as a new start begins with nothing under way.
+EndpointTable::Endpoints::iterator EndpointTable::findStart(std::string_view id, u64 bornMs)
+{
+    const auto found = m_endpoints.find(id);
+    const bool isOther = found != m_endpoints.end() && found->second.registration.bornMs != bornMs;
+    return isOther ? m_endpoints.end() : found;
+}
+
 void EndpointTable::dropIfDone(Endpoints::iterator endpoint)
 {
     if (isEnd(endpoint->second)) {
