--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -537,7 +537,8 @@
         co_await reject(rejection);
         co_return;
     }
-    const Rejection rejection{502, attempt.outcome == Outcome::Expired ? "weights_expired" : "endpoint_lost", {}};
+    const bool hasExpired = attempt.outcome == Outcome::Expired;
+    const Rejection rejection{502, hasExpired ? "weights_expired" : "endpoint_lost", {}};
     co_await reject(rejection);
 }
 
