Give up a silent watch of endpoints before a drained one must get nothing more

When all open connections went silent, a gateway waited up to 4 s for its watch of endpoints, and sent calls to a replica that had been draining for longer than allowed. The watch ends after 1.7 s now, its answer is waited for a second more. The price: one call each 1.7 s in place of 3 s where nothing changes.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -27,7 +27,7 @@
  * watch that was answered, so that they are up to two waits old.
  */
 constexpr Duration ConfigurationWait = std::chrono::milliseconds(1500);
-constexpr Duration EndpointWait = std::chrono::milliseconds(3000);
+constexpr Duration EndpointWait = std::chrono::milliseconds(1700);
 constexpr Duration EvacuationWait = std::chrono::milliseconds(3500);
 constexpr Duration WeightWait = std::chrono::milliseconds(1500);
 /** Longest time in which a watch hears nothing though there are changes. */
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -350,6 +350,26 @@
 
 // A planned stop cuts off a reader. A request that comes late in the grace time runs until the process must end and is cut; one
 // that came before must end whole. Late ones are refused at once, so that their callers go elsewhere.
+// Guards against a watch of the store that waits for long on a connection which went silent, while an endpoint is draining.
+TEST_CASE("an endpoint that drains gets nothing three seconds after all connections to the store went silent")
+{
+    GatewayDeployment gateway;
+    Replica leaving(answerWhole);
+    serve(gateway, "plain", {&leaving});
+    // The watch of endpoints has just begun anew.
+    gateway.registerReplica("r2", "engines", leaving.address());
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("endpoint":"r2")") != std::string::npos; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    gateway.storeProxy().freezeOpen();
+    const auto frozen = std::chrono::steady_clock::now();
+    gateway.registerReplica("r1", "plain", leaving.address(), true);
+    GatewayCall open;
+    open.path = "/open/1";
+    open.key = "";
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call(open).response.status == 503; }));
+    CHECK(std::chrono::duration<double>(std::chrono::steady_clock::now() - frozen).count() < 3.0);
+}
+
 TEST_CASE("SIGTERM lets requests under way end whole and refuses late ones at once")
 {
     GatewayDeployment gateway;
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -29,7 +29,8 @@
 GatewayDeployment::GatewayDeployment(const std::string &settingsChange)
     : m_pool(PoolThreads)
     , m_store(m_pool.context(), freeAddress())
-    , m_gateway("vm-1", "zone-a", m_store.address(), settingsChange.empty() ? json::object() : json::parse(settingsChange).as_object())
+    , m_storeProxy(m_pool.context(), m_store.address())
+    , m_gateway("vm-1", "zone-a", m_storeProxy.address(), settingsChange.empty() ? json::object() : json::parse(settingsChange).as_object())
 {
     m_gateway.start();
 }
@@ -48,6 +49,11 @@
     return m_store;
 }
 
+standins::FaultProxy &GatewayDeployment::storeProxy()
+{
+    return m_storeProxy;
+}
+
 void GatewayDeployment::configure(u64 version, const std::vector<std::string> &keys)
 {
     m_store.put("config", "main", configurationObject(version, keys));
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -2,6 +2,7 @@
 
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/runtime/worker_pool.hpp>
+#include <standins/fault_proxy.hpp>
 #include <standins/object_store.hpp>
 #include <standins/replica.hpp>
 #include <support/gateway_process.hpp>
@@ -35,6 +36,9 @@
 
     standins::ObjectStore &store();
 
+    /** @brief What lies between the gateway and the store. */
+    standins::FaultProxy &storeProxy();
+
     /** @brief Writes a configuration with the customer `desk` and these keys; versions must rise. */
     void configure(u64 version, const std::vector<std::string> &keys = {"key-desk"});
 
@@ -66,6 +70,7 @@
 
     runtime::WorkerPool m_pool;
     standins::ObjectStore m_store;
+    standins::FaultProxy m_storeProxy;
     GatewayProcess m_gateway;
 };
 
