Let each attempt go by the newest configuration that its entry knows

Callers got 503 stale_config for a prompt that idle endpoints would have served, at the moment of a change of configuration: one prompt in one run of zone_test.

Cause: a run kept the configuration of its arrival over all its attempts. An endpoint process that knows a newer one sends it to the entry and refuses the attempt; the entry took the newer one over and asked the next endpoint with the old one again. Where all endpoints heard of a change before the entry, each request on its way was refused, after one attempt in a pool of one and after three at the most.

That this was what zone_test saw is by the code; the failure in zone_test itself was not repeated before the change.

Before each attempt a run now reads its terms off the newest configuration, all of them off the same one: pool, weights, priority, block size and placement, whether a call may be repeated. Customer by name, deadline and fingerprint stay those of the arrival. A customer, model or service that is gone is refused as if the request came now, by three refusal reasons that entries alone give; if an attempt may have run, the answer is back_end_lost as before. A call that may have run is repeated only if all configurations that it went by allow it.

A refusal for an old configuration is no retry, as no back end had any load of it, and does not speak against the endpoint, which may be asked again. It holds because the endpoint's newer configuration arrives before its refusal, and one that does not fit what the entry holds is asked for and arrives before the next answer. At most eight attempts are free in this way, so an entry that believes no newer configuration still ends with stale_config.

state_test knew of 18 refusal reasons and that there is no 19th; it now asks the same of 21 and the 22nd.

--- a/lib/libburdock-serving/include/burdock/serving/config/config_holder.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/config/config_holder.hpp
@@ -29,7 +29,7 @@
 
     ConfigHolder(Process &process, std::vector<std::string> trustedSigners);
 
-    /** @brief The configuration in force, or null. Shared: requests under way keep the one that they began with. */
+    /** @brief The configuration in force, or null. Shared: an attempt under way keeps the one that it began with. */
     [[nodiscard]] std::shared_ptr<const Snapshot> current() const;
 
     /** @brief The version in force, or 0. */
--- a/lib/libburdock-serving/include/burdock/serving/config/snapshot.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/config/snapshot.hpp
@@ -26,6 +26,7 @@
 
     /** @brief The customer with an API key, or null; lives as long as the snapshot. */
     [[nodiscard]] const schema::Customer *customerByKeyHash(const std::string &hexHash) const;
+    [[nodiscard]] const schema::Customer *customer(const std::string &name) const;
     [[nodiscard]] const schema::Model *model(std::string_view name) const;
     [[nodiscard]] const schema::Service *service(std::string_view name) const;
     [[nodiscard]] const schema::EndpointPool *pool(std::string_view name) const;
--- a/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
@@ -3,30 +3,15 @@
 #include <burdock/retry/retry_budget.hpp>
 #include <burdock/serving/entry/fleet.hpp>
 #include <burdock/serving/entry/run_table.hpp>
+#include <burdock/serving/entry/run_terms.hpp>
 #include <burdock/verdict.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <map>
-#include <optional>
 #include <string>
 
 namespace burdock::serving {
 
-/** @brief A caller's request on its way to an endpoint. */
-struct RunSpec
-{
-    std::shared_ptr<const Snapshot> config; ///< in force when the request came
-    std::string pool;
-    std::string customer;
-    i32 priority = 0;
-    TimePoint deadline{};
-    u64 fingerprint = 0;
-    std::optional<schema::PromptWork> prompt; ///< without weight version and block keys, which follow from the endpoint
-    std::optional<schema::ServiceWork> service;
-
-    [[nodiscard]] bool isRepeatable() const;
-};
-
 /** @brief Takes an answer as it comes. */
 class RunSink
 {
@@ -60,7 +45,7 @@
 class RunDriver
 {
 public:
-    RunDriver(Process &process, Fleet &fleet, RunTable &runs, Duration acceptTimeout);
+    RunDriver(Process &process, ConfigHolder &config, Fleet &fleet, RunTable &runs, Duration acceptTimeout);
 
     [[nodiscard]] boost::asio::awaitable<RunResult> run(const RunSpec &spec, RunSink &sink, const runtime::SpanContext &parent);
 
@@ -72,14 +57,17 @@
                                                                         const Proposal &proposal, const runtime::SpanContext &parent);
     /** @brief Takes note of a failed attempt; true if another one may follow. */
     [[nodiscard]] bool mayGoOn(const RunSpec &spec, Progress &progress, const detail::AttemptResult &attempted);
-    [[nodiscard]] std::vector<Proposal> propose(const RunSpec &spec, const Progress &progress);
+    /** @brief Brings a run to the configuration in force now; the reason if it is refused there. */
+    [[nodiscard]] RefusalReason takeTerms(const RunSpec &spec, Progress &progress) const;
+    [[nodiscard]] std::vector<Proposal> propose(const Progress &progress);
     [[nodiscard]] schema::LinkMessage makeRequest(const RunSpec &spec, const Progress &progress, const Proposal &proposal,
                                                   const schema::RunRef &ref, const runtime::SpanContext &span) const;
-    [[nodiscard]] placement::PlacementRequest placementFor(const RunSpec &spec);
-    [[nodiscard]] bool spendRetry(const RunSpec &spec);
-    void noteRequest(const RunSpec &spec);
+    [[nodiscard]] bool spendRetry(const RunTerms &terms);
+    void noteRequest(const RunTerms &terms);
+    [[nodiscard]] retry::RetryBudget &budgetOf(const RunTerms &terms);
 
     Process &m_process;
+    ConfigHolder &m_config;
     Fleet &m_fleet;
     RunTable &m_runs;
     Duration m_acceptTimeout;
--- a/lib/libburdock-serving/source/config/snapshot.cpp
+++ b/lib/libburdock-serving/source/config/snapshot.cpp
@@ -96,6 +96,11 @@
     return m_customersByKey.find(hexHash).get();
 }
 
+const schema::Customer *Snapshot::customer(const std::string &name) const
+{
+    return m_customersByName.find(name).get();
+}
+
 const schema::Model *Snapshot::model(std::string_view name) const
 {
     return findNamed(m_bundle.models(), name);
--- a/lib/libburdock-serving/source/entry/attempt.cpp
+++ b/lib/libburdock-serving/source/entry/attempt.cpp
@@ -66,7 +66,7 @@
     }
     // Going elsewhere costs a retry; without one, or with all links as silent, waiting for this one to be replaced is the better way.
     m_acceptDeadline = m_spec.deadline;
-    if (m_spec.isRepeatable() && m_payer.pay()) {
+    if (m_payer.pay()) {
         auto left = lost(RefusalReason::BackEndLost);
         left.kind = AttemptKind::Silent;
         return left;
--- a/lib/libburdock-serving/source/entry/attempt.hpp
+++ b/lib/libburdock-serving/source/entry/attempt.hpp
@@ -39,7 +39,7 @@
 public:
     virtual ~RetryPayer() = default;
 
-    /** @brief False if there is no retry left, or nowhere better to go. */
+    /** @brief False if the run must not be repeated, there is no retry left, or nowhere better to go. */
     [[nodiscard]] virtual bool pay() = 0;
 };
 
--- a/lib/libburdock-serving/source/entry/caller_handler.cpp
+++ b/lib/libburdock-serving/source/entry/caller_handler.cpp
@@ -104,16 +104,6 @@
     bool m_hasData = false;
 };
 
-bool isNonRepeatable(const schema::Service &service, std::string_view method, std::string_view path)
-{
-    for (const auto &route : service.non_repeatable()) {
-        if (route.method() == method && path.starts_with(route.path_prefix())) {
-            return true;
-        }
-    }
-    return false;
-}
-
 u64 fingerprintOf(std::string_view customer, std::initializer_list<std::string_view> parts)
 {
     u64 fingerprint = hash::fast(customer);
@@ -255,12 +245,8 @@
         co_return;
     }
     auto &work = parsed.call->work;
-    work.set_weight_version(model->weight_version());
     RunSpec spec;
-    spec.config = call.config;
-    spec.pool = model->pool();
     spec.customer = call.customer->name();
-    spec.priority = call.customer->priority();
     spec.deadline = deadlineOf(call);
     spec.fingerprint = fingerprintOf(spec.customer, {work.model(), work.adapter(), work.prompt()});
     spec.prompt = work;
@@ -323,14 +309,10 @@
     work.set_path(std::string(slash < target.size() ? target.substr(slash) : "/"));
     work.set_content_type(std::string(call.request.header("Content-Type")));
     work.set_body(call.request.body);
-    work.set_repeatable(!isNonRepeatable(*service, work.method(), work.path()));
     // Without a key of the caller's, one of ours keeps our own processes from running the call twice.
     work.set_idempotency_key(key.empty() ? "entry-" + hash::toHex(m_process.random.bytes(16)) : "caller-" + std::string(key));
     RunSpec spec;
-    spec.config = call.config;
-    spec.pool = service->pool();
     spec.customer = call.customer->name();
-    spec.priority = call.customer->priority();
     spec.deadline = deadlineOf(call);
     spec.fingerprint = fingerprintOf(spec.customer, {work.service(), work.method(), work.path(), work.body()});
     spec.service = std::move(work);
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -59,7 +59,7 @@
     , m_watch(process, m_store, m_config)
     , m_links(process.workers, linkKeysOf(settings))
     , m_fleet(process, m_config, m_runs, m_links, linkOptions(beatOf(settings)))
-    , m_driver(process, m_fleet, m_runs, beatOf(settings) * SilentBeatsUntilElsewhere)
+    , m_driver(process, m_config, m_fleet, m_runs, beatOf(settings) * SilentBeatsUntilElsewhere)
     , m_callers(process, m_config, m_fleet, m_driver)
     , m_admin(
           process, [this] { return isReady(); }, [this] { return status(); })
--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -27,18 +27,30 @@
 constexpr Duration LastResortAfterSilence = std::chrono::seconds(2);
 constexpr Duration LastResortWithoutBackEnd = std::chrono::seconds(1);
 
-} // namespace
-
-bool RunSpec::isRepeatable() const
+placement::PlacementRequest placementFor(const RunSpec &spec, const RunTerms &terms, u64 random)
 {
-    return prompt.has_value() || service->repeatable();
+    placement::PlacementRequest request;
+    request.random = random;
+    if (!spec.prompt) {
+        request.home = random;
+        return request;
+    }
+    const auto &prompt = *spec.prompt;
+    const cache::BlockScope scope{spec.customer, prompt.model(), prompt.adapter(), terms.weightVersion};
+    const auto keys = cache::blockKeys(scope, prompt.prompt(), terms.config->bundle().policy().block_bytes());
+    request.home = cache::homeHash(scope, prompt.prompt(), keys);
+    return request;
 }
 
+} // namespace
+
 // What a run has come to over all its attempts.
 struct RunDriver::Progress
 {
     std::string runId;
-    placement::PlacementRequest placement;
+    u64 random = 0; // settles the placement of what has no home
+    RunTerms terms; // of the newest configuration known when they were last needed
+    placement::PlacementRequest placement; // follows from the terms
     detail::Delivery delivery;
     std::string asked; // the endpoint that was asked last
     std::vector<std::string> tried; // not to be asked again
@@ -47,6 +59,7 @@
     u32 freeAttempts = 0;
     u32 overloadRefusals = 0;
     bool mayHaveRun = false;
+    bool isRepeatable = true; // by all terms that it has had
     bool isNextPaid = false; // the next attempt costs no retry, or one that was paid already
     bool hasRecovered = false;
 };
@@ -63,9 +76,12 @@
 
     [[nodiscard]] bool pay() override
     {
-        const auto proposals = m_driver.propose(m_spec, m_progress);
+        if (m_driver.takeTerms(m_spec, m_progress) != RefusalReason::None || !m_progress.isRepeatable) {
+            return false;
+        }
+        const auto proposals = m_driver.propose(m_progress);
         const bool isBetterThere = !proposals.empty() && proposals.front().endpoint != m_progress.asked && !proposals.front().isLastResort;
-        m_progress.isNextPaid = isBetterThere && m_driver.spendRetry(m_spec);
+        m_progress.isNextPaid = isBetterThere && m_driver.spendRetry(m_progress.terms);
         return m_progress.isNextPaid;
     }
 
@@ -75,8 +91,9 @@
     Progress &m_progress;
 };
 
-RunDriver::RunDriver(Process &process, Fleet &fleet, RunTable &runs, Duration acceptTimeout)
+RunDriver::RunDriver(Process &process, ConfigHolder &config, Fleet &fleet, RunTable &runs, Duration acceptTimeout)
     : m_process(process)
+    , m_config(config)
     , m_fleet(fleet)
     , m_runs(runs)
     , m_acceptTimeout(acceptTimeout)
@@ -85,10 +102,12 @@
 
 boost::asio::awaitable<RunResult> RunDriver::run(const RunSpec &spec, RunSink &sink, const runtime::SpanContext &parent)
 {
-    noteRequest(spec);
     Progress progress;
     progress.runId = m_process.random.bytes(RunIdBytes);
-    progress.placement = placementFor(spec);
+    progress.random = m_process.random.word();
+    if (takeTerms(spec, progress) == RefusalReason::None) {
+        noteRequest(progress.terms);
+    }
     RunResult result;
     result.refusal = {RefusalReason::NoEndpoint, DefaultRetryAfter};
     while (progress.attempts < MaxAttempts && progress.freeAttempts < MaxFreeAttempts && m_process.clock.now() < spec.deadline) {
@@ -96,11 +115,18 @@
             result.refusal = {RefusalReason::Quarantined, Duration::zero()};
             break;
         }
-        const auto proposals = propose(spec, progress);
+        if (const auto reason = takeTerms(spec, progress); reason != RefusalReason::None) {
+            result.refusal = {reason, Duration::zero()};
+            break;
+        }
+        if (progress.mayHaveRun && !progress.isRepeatable) {
+            break;
+        }
+        const auto proposals = propose(progress);
         if (proposals.empty()) {
             break;
         }
-        if (progress.attempts > 0 && !std::exchange(progress.isNextPaid, false) && !spendRetry(spec)) {
+        if (progress.attempts > 0 && !std::exchange(progress.isNextPaid, false) && !spendRetry(progress.terms)) {
             m_process.metrics.count("burdock_retry_budget_spent_total");
             break;
         }
@@ -134,8 +160,9 @@
 
 bool RunDriver::mayGoOn(const RunSpec &spec, Progress &progress, const AttemptResult &attempted)
 {
-    if (attempted.kind == AttemptKind::NotSent) {
-        // No back end has had any load of it, so it is no retry, and what was paid for it pays for the next one.
+    if (attempted.kind == AttemptKind::NotSent || attempted.refusal.reason == RefusalReason::StaleConfig) {
+        // No back end has had any load of it, so it is no retry, and what was paid for it pays for the next one. Nor does it say
+        // anything against the endpoint: one that knows a newer configuration sends it, at the latest before its next answer.
         --progress.attempts;
         ++progress.freeAttempts;
         progress.isNextPaid = progress.attempts > 0;
@@ -159,7 +186,7 @@
         if (!progress.isNextPaid && !std::exchange(progress.hasRecovered, true)) {
             progress.isNextPaid = true;
         }
-        return spec.isRepeatable() && (spec.prompt.has_value() || progress.delivery.bytes == 0);
+        return spec.prompt.has_value() || progress.delivery.bytes == 0;
     }
     if (attempted.refusal.reason == RefusalReason::BackEndUnreachable) {
         // Guards against an endpoint whose back end is down and to which each request goes first: it shows as requests that are
@@ -174,13 +201,14 @@
 
 // Guards against a short silence of all links that ends requests with time left: it shows as refusals of a pool that serves.
 // Asking the last one again where there is no other holds because it is not among the tried only if it provably ran nothing.
-std::vector<Proposal> RunDriver::propose(const RunSpec &spec, const Progress &progress)
+std::vector<Proposal> RunDriver::propose(const Progress &progress)
 {
+    const auto &terms = progress.terms;
     auto leftOut = progress.tried;
     leftOut.push_back(progress.asked);
-    auto proposals = m_fleet.propose(*spec.config, spec.pool, progress.placement, leftOut);
+    auto proposals = m_fleet.propose(*terms.config, terms.pool, progress.placement, leftOut);
     if (proposals.empty()) {
-        proposals = m_fleet.propose(*spec.config, spec.pool, progress.placement, progress.tried);
+        proposals = m_fleet.propose(*terms.config, terms.pool, progress.placement, progress.tried);
     }
     return proposals;
 }
@@ -241,12 +269,13 @@
 schema::LinkMessage RunDriver::makeRequest(const RunSpec &spec, const Progress &progress, const Proposal &proposal,
                                            const schema::RunRef &ref, const runtime::SpanContext &span) const
 {
+    const auto &terms = progress.terms;
     schema::LinkMessage message;
     auto *request = message.mutable_run_request();
     *request->mutable_ref() = ref;
-    request->set_config_version(spec.config->version());
+    request->set_config_version(terms.config->version());
     request->set_customer(spec.customer);
-    request->set_priority(spec.priority);
+    request->set_priority(terms.priority);
     request->set_fingerprint(spec.fingerprint);
     request->set_suspect_crashes(m_fleet.suspects().crashes(spec.fingerprint));
     request->set_deadline_ms(static_cast<u32>(toMilliseconds(spec.deadline - m_process.clock.now())));
@@ -254,10 +283,12 @@
     request->mutable_trace()->set_span_id(span.spanId);
     if (spec.service) {
         *request->mutable_service() = *spec.service;
+        request->mutable_service()->set_repeatable(progress.isRepeatable);
         return message;
     }
     auto *prompt = request->mutable_prompt();
     *prompt = *spec.prompt;
+    prompt->set_weight_version(terms.weightVersion);
     prompt->set_delivered(progress.delivery.text);
     // While new weights are rolled out, an endpoint serves the version that it has.
     const auto prefix = weightName(spec.prompt->model(), "");
@@ -267,40 +298,49 @@
         }
     }
     const cache::BlockScope scope{spec.customer, prompt->model(), prompt->adapter(), prompt->weight_version()};
-    for (const auto &key : cache::blockKeys(scope, prompt->prompt(), spec.config->bundle().policy().block_bytes())) {
+    for (const auto &key : cache::blockKeys(scope, prompt->prompt(), terms.config->bundle().policy().block_bytes())) {
         prompt->add_block_keys(std::string(hash::asBytes(key)));
     }
     return message;
 }
 
-placement::PlacementRequest RunDriver::placementFor(const RunSpec &spec)
+// Guards against a request that goes on with a configuration which its entry has replaced meanwhile: it shows as refusals
+// stale_config, as each endpoint process that knows the newer one refuses it. Taking the terms anew before each attempt, all of
+// them from one configuration, holds because an entry's version only rises.
+RefusalReason RunDriver::takeTerms(const RunSpec &spec, Progress &progress) const
 {
-    placement::PlacementRequest request;
-    request.random = m_process.random.word();
-    if (!spec.prompt) {
-        request.home = request.random;
-        return request;
+    const auto config = m_config.current();
+    if (config == progress.terms.config) {
+        return RefusalReason::None;
     }
-    const auto &prompt = *spec.prompt;
-    const cache::BlockScope scope{spec.customer, prompt.model(), prompt.adapter(), prompt.weight_version()};
-    const auto keys = cache::blockKeys(scope, prompt.prompt(), spec.config->bundle().policy().block_bytes());
-    request.home = cache::homeHash(scope, prompt.prompt(), keys);
-    return request;
+    auto read = readTerms(spec, config);
+    if (const auto *reason = std::get_if<RefusalReason>(&read)) {
+        return *reason;
+    }
+    progress.terms = std::get<RunTerms>(std::move(read));
+    progress.isRepeatable = progress.isRepeatable && progress.terms.isRepeatable;
+    progress.placement = placementFor(spec, progress.terms, progress.random);
+    return RefusalReason::None;
 }
 
-void RunDriver::noteRequest(const RunSpec &spec)
+void RunDriver::noteRequest(const RunTerms &terms)
 {
-    const u32 percent = spec.config->bundle().policy().retry_budget_percent();
     const std::lock_guard lock(m_mutex);
-    auto &budget = m_budgets.try_emplace(spec.pool, percent, BudgetReserve).first->second;
-    budget.setEarnedPercent(percent);
+    auto &budget = budgetOf(terms);
+    budget.setEarnedPercent(terms.config->bundle().policy().retry_budget_percent());
     budget.noteRequest();
 }
 
-bool RunDriver::spendRetry(const RunSpec &spec)
+bool RunDriver::spendRetry(const RunTerms &terms)
 {
     const std::lock_guard lock(m_mutex);
-    return m_budgets.at(spec.pool).trySpend();
+    return budgetOf(terms).trySpend();
+}
+
+retry::RetryBudget &RunDriver::budgetOf(const RunTerms &terms)
+{
+    const u32 percent = terms.config->bundle().policy().retry_budget_percent();
+    return m_budgets.try_emplace(terms.pool, percent, BudgetReserve).first->second;
 }
 
 } // namespace burdock::serving
--- a/lib/libburdock/include/burdock/verdict.hpp
+++ b/lib/libburdock/include/burdock/verdict.hpp
@@ -38,6 +38,9 @@
     DeadlinePassed = 16,
     RetryBudgetSpent = 17,
     NotConfigured = 18,
+    UnknownCustomer = 19,
+    UnknownModel = 20,
+    UnknownService = 21,
 };
 
 /** @brief What follows from a refusal; one row for each reason. */
--- a/lib/libburdock/source/verdict.cpp
+++ b/lib/libburdock/source/verdict.cpp
@@ -13,7 +13,7 @@
 constexpr bool Overload = true;
 constexpr bool Other = false;
 
-constexpr std::array<RefusalRule, 19> Rules{{
+constexpr std::array<RefusalRule, 22> Rules{{
     {RefusalReason::None, "none", Verdict::NotRun, 500, Final, Other},
     {RefusalReason::Overloaded, "overloaded", Verdict::NotRun, 503, Elsewhere, Overload},
     {RefusalReason::DeadlineTooShort, "deadline_too_short", Verdict::NotRun, 503, Elsewhere, Overload},
@@ -33,6 +33,9 @@
     {RefusalReason::DeadlinePassed, "deadline_passed", Verdict::MayHaveRun, 504, Final, Other},
     {RefusalReason::RetryBudgetSpent, "retry_budget_spent", Verdict::NotRun, 503, Final, Overload},
     {RefusalReason::NotConfigured, "not_configured", Verdict::NotRun, 503, Elsewhere, Other},
+    {RefusalReason::UnknownCustomer, "unknown_api_key", Verdict::NotRun, 401, Final, Other},
+    {RefusalReason::UnknownModel, "unknown_model", Verdict::NotRun, 404, Final, Other},
+    {RefusalReason::UnknownService, "unknown_service", Verdict::NotRun, 404, Final, Other},
 }};
 
 } // namespace
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -459,7 +459,7 @@
 
 TEST_CASE("each refusal reason has a row of its own, and only a claim or a loss may have run")
 {
-    for (u32 value = 1; value <= 18; ++value) {
+    for (u32 value = 1; value <= 21; ++value) {
         const auto reason = refusalReasonFrom(value);
         REQUIRE(reason.has_value());
         const auto &rule = refusalRule(*reason);
@@ -469,5 +469,5 @@
             = *reason == RefusalReason::KeyUnderWay || *reason == RefusalReason::BackEndLost || *reason == RefusalReason::DeadlinePassed;
         CHECK((rule.verdict == Verdict::MayHaveRun) == mayHaveRun);
     }
-    CHECK_FALSE(refusalReasonFrom(19).has_value());
+    CHECK_FALSE(refusalReasonFrom(22).has_value());
 }
