Show why shared parts are read, how prompts on older weights stood to the newest, and which kinds are called at the platform

Each placement names the fate of its shared parts and how long fetches may last, and, where it goes to older weights, why none with the newest was chosen; answers name the first event; calls to the platform's store are told by kind each 5 s. Counters per reason. No decision changes.

--- a/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
@@ -38,6 +38,7 @@
     std::string salt;
     std::optional<u64> weightVersion; ///< weights that the salt stands for; others must not run the request
     cache::PartPlan parts;
+    Duration fetchPatience{}; ///< how long fetches may last
     std::optional<u64> fetchUntilMs; ///< on the endpoints' clock; fetches that last longer are thrown away
     std::string resumeAfter; ///< last event that the caller has; empty for a new stream
 };
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -2,7 +2,9 @@
 
 #include <burdock/hash/digest.hpp>
 
+#include <algorithm>
 #include <boost/asio/this_coro.hpp>
+#include <sstream>
 
 namespace burdock::gateway {
 
@@ -37,6 +39,17 @@
     return static_cast<u64>(std::count_if(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); }));
 }
 
+/** @brief The shared parts of a prompt in one text: hash:tokens:fate, with +save where a save is ordered. */
+std::string textOf(const cache::PartPlan &plan, const std::vector<cache::PromptPart> &parts, std::string_view salt)
+{
+    std::ostringstream text;
+    for (std::size_t i = 0; i < plan.fates.size(); ++i) {
+        text << (i == 0 ? "" : ",") << std::hex << cache::partHash(salt, parts[i].id) << std::dec;
+        text << ':' << parts[i].tokens << ':' << toString(plan.fates[i]) << (plan.saveTo[i].empty() ? "" : "+save");
+    }
+    return text.str();
+}
+
 } // namespace
 
 CallDriver::CallDriver(const GatewayParts &parts, const GatewaySettings &settings, State &state, ConnectionPool &pool,
@@ -223,6 +236,7 @@
     if (m_isPrefillPending) {
         const auto now = m_parts.clock.now();
         m_isPrefillPending = false;
+        m_firstEvent = now;
         const auto readTime = fromMilliseconds(m_state.endpoints.policy().delayPerTokenMs);
         const auto fetch = m_planner->noteFirstEvent(now - m_sentAt, m_choice.expectedDelay, readTime, now);
         if (fetch.hasTurnedSlow) {
@@ -450,7 +464,9 @@
     told.resumeAfter = m_events.lastId();
     if (m_route->isPrompt) {
         m_planner->instruct(endpoint, told, m_parts.clock.now());
+        countPlacement(told);
     }
+    const auto shared = textOf(told.parts, m_facts.parts, told.salt);
     m_parts.logger.event(LogLevel::Info, "placed",
                          {{"id", m_facts.attemptId},
                           {"route", m_route->name},
@@ -464,7 +480,11 @@
                           {"parts", u64{m_facts.parts.size()}},
                           {"fetches", countOf(told.parts.fetchFrom)},
                           {"saves", countOf(told.parts.saveTo)},
+                          {"shared", std::string_view(shared)},
+                          {"prompt", m_facts.promptTokens},
+                          {"fetch_ms", toMilliseconds(told.fetchPatience)},
                           {"expected_ms", toMilliseconds(m_choice.expectedDelay)},
+                          {"newest", toString(m_choice.newest)},
                           {"weights", told.weightVersion.value_or(0)},
                           {"wanted_weights", m_state.wantedVersion(m_facts.model)},
                           {"begin_within_ms", toMilliseconds(m_beginBy - m_parts.clock.now())},
@@ -474,6 +494,17 @@
     return m_parts.dialect.forEndpoint(m_request, told);
 }
 
+void CallDriver::countPlacement(const Instructions &told)
+{
+    for (std::size_t i = 0; i < told.parts.fates.size(); ++i) {
+        m_parts.metrics.count("burdock_shared_tokens_total", {{"fate", std::string(toString(told.parts.fates[i]))}},
+                              static_cast<double>(m_facts.parts[i].tokens));
+    }
+    if (m_choice.newest != endpoints::NewestWeights::Chosen) {
+        m_parts.metrics.count("burdock_older_weights_total", {{"newest", std::string(toString(m_choice.newest))}});
+    }
+}
+
 boost::asio::awaitable<void> CallDriver::finish(NextStep step, const Attempt &attempt)
 {
     if (m_isGone) {
@@ -524,6 +555,8 @@
                          {{"id", m_facts.attemptId},
                           {"attempts", u64{m_history.begun + m_history.declined}},
                           {"first_byte_ms", toMilliseconds(m_firstByte.value_or(m_arrived) - m_arrived)},
+                          {"sent_ms", toMilliseconds(m_sentAt - m_arrived)},
+                          {"first_event_ms", toMilliseconds(m_firstEvent.value_or(m_arrived) - m_arrived)},
                           {"waited_ms", toMilliseconds(waited())}});
 }
 
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -60,6 +60,7 @@
     [[nodiscard]] Duration waited() const;
     void noteAnswered();
     void count(std::string_view outcome);
+    void countPlacement(const Instructions &told);
 
     const GatewayParts &m_parts;
     const GatewaySettings &m_settings;
@@ -90,6 +91,7 @@
     bool m_hasBegun = false; ///< the head of a stream went to the caller
     run::EventStream m_events;
     std::optional<TimePoint> m_firstByte;
+    std::optional<TimePoint> m_firstEvent;
 };
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -38,6 +38,8 @@
 constexpr u32 FirstEntryLists = 4;
 /** How often idle connections are looked through and lines of the log are handed on. */
 constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
+/** How often the log says how often the platform's store was called. */
+constexpr Duration StoreCallsPeriod = std::chrono::seconds(5);
 /** Time after SIGTERM in which the balancer takes this entry out, and connections may still come. */
 constexpr Duration LameDuck = std::chrono::milliseconds(2800);
 /** Part of the grace time that is kept for the end itself. */
@@ -58,6 +60,16 @@
     return address.ip + ":" + std::to_string(address.port);
 }
 
+std::string textOf(const std::map<std::string, double> &totals)
+{
+    std::string text;
+    for (const auto &[name, total] : totals) {
+        text += text.empty() ? "" : ",";
+        text += name + ":" + std::to_string(static_cast<u64>(total));
+    }
+    return text;
+}
+
 /** @brief Serves one path by a function. */
 class PathHandler : public http::Handler
 {
@@ -112,6 +124,7 @@
         }
         spawn(m_weightDuty.run());
         spawn(housekeeping());
+        spawn(tellStoreCalls());
         spawn(keepEntryList());
         spawn(m_loads.send());
         spawn(m_loads.receive());
@@ -398,6 +411,17 @@
         }
     }
 
+    boost::asio::awaitable<void> tellStoreCalls()
+    {
+        while (true) {
+            co_await runtime::sleepFor(StoreCallsPeriod);
+            const auto kinds = textOf(m_parts.metrics.totals("burdock_store_calls_total", "kind"));
+            const auto methods = textOf(m_parts.metrics.totals("burdock_store_calls_total", "method"));
+            m_parts.logger.event(LogLevel::Info, "store_calls",
+                                 {{"kinds", std::string_view(kinds)}, {"methods", std::string_view(methods)}});
+        }
+    }
+
     // Keeps this entry in the platform's list of entries and reads it, as sums over all entries are shared among them.
     boost::asio::awaitable<void> keepEntryList()
     {
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -112,6 +112,7 @@
     const auto &named = m_state.weights[m_facts.model];
     const u64 shared = m_facts.parts.empty() ? 0 : m_facts.promptTokens - std::min(m_facts.promptTokens, m_facts.parts.back().tokens);
     const auto patience = std::clamp(FetchPatiencePerToken * static_cast<i64>(shared), ShortestFetch, m_state.retirement.policy().fetch);
+    told.fetchPatience = patience;
     told.fetchUntilMs = m_state.endpointClockMs(now + patience);
     cache::PartIndex::PlanRules rules;
     const bool isNewest = weightVersion >= named.wanted();
--- a/lib/libburdock/include/burdock/cache/part_index.hpp
+++ b/lib/libburdock/include/burdock/cache/part_index.hpp
@@ -49,11 +49,25 @@
     u64 tokens = 0; ///< capacity
 };
 
+/** @brief What becomes of a shared part at the engine that gets its prompt. */
+enum class PartFate : u8 {
+    InPlace, ///< believed to be in the engine's memory
+    FromStore,
+    FromEngine,
+    Unknown, ///< read, as it is known to be kept nowhere
+    Avoided, ///< read, as the store that keeps it is slow, or its news are old
+    Retired, ///< read, as what is kept is not to be fetched any more
+    Behind, ///< read, as a part before it is
+};
+
+[[nodiscard]] std::string_view toString(PartFate fate);
+
 /** @brief Where an endpoint finds and leaves the parts of one prompt; one entry a part, empty for none. */
 struct PartPlan
 {
     std::vector<std::string> fetchFrom;
     std::vector<std::string> saveTo;
+    std::vector<PartFate> fates; ///< of the shared parts
 
     [[nodiscard]] bool fetches() const;
     [[nodiscard]] bool saves() const;
@@ -122,6 +136,7 @@
 
     [[nodiscard]] std::vector<const PartStore *> placesOf(const std::string &key) const;
     [[nodiscard]] const PartStore *holderOf(const std::string &key, u64 tokens, const PlanRules *rules) const;
+    [[nodiscard]] PartFate whyRead(const std::string &key, u64 tokens, bool isFetchable) const;
     [[nodiscard]] const PartStore *placeFor(const std::string &key, u64 tokens, const PlanRules &rules, TimePoint now);
     void forgetOldSaves(TimePoint now);
 
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -111,12 +111,24 @@
 
 [[nodiscard]] std::string_view toString(NoChoice reason);
 
+/** @brief How a prompt stands to the endpoints with the wanted weights. */
+enum class NewestWeights : u8 {
+    Chosen, ///< it goes to one, or no weights are wanted
+    NoneServes, ///< none has them and takes work
+    NoRoom, ///< all that have them are full
+    TooSlow, ///< all that have them would take longer than the caller wants
+    Later, ///< another one begins so much sooner
+};
+
+[[nodiscard]] std::string_view toString(NewestWeights newest);
+
 struct Choice
 {
     std::string id;
     NoChoice reason = NoChoice::None;
     Work work;
     Duration expectedDelay{}; ///< to the first event; for prompts
+    NewestWeights newest = NewestWeights::Chosen;
 };
 
 /** @brief Whether the delay of a prompt's first event tells of the engine's pace. */
@@ -252,6 +264,8 @@
     [[nodiscard]] bool bearsMore(Endpoint &endpoint, TimePoint now);
     [[nodiscard]] Choice choosePlain(const Need &need, TimePoint now);
     [[nodiscard]] Choice choosePrompt(const Need &need, TimePoint now);
+    [[nodiscard]] NewestWeights newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates, const Need &need,
+                                              TimePoint now) const;
     [[nodiscard]] Candidate candidateOf(Endpoint &endpoint, const Need &need, TimePoint now) const;
     [[nodiscard]] Duration delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const;
     [[nodiscard]] Duration referenceDelay(u64 tokens) const;
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -3,6 +3,7 @@
 #include <burdock/hash/digest.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -10,6 +11,8 @@
 
 namespace {
 
+constexpr std::array<std::string_view, 7> FateNames{"in_place", "from_store", "from_engine", "unknown", "avoided", "retired", "behind"};
+
 constexpr char SaltSeparator = '~';
 constexpr char KeySeparator = '\n';
 /** Share of a store that is filled, in percent; the rest covers saves of other entries that are not known yet. */
@@ -57,6 +60,11 @@
     return salt;
 }
 
+std::string_view toString(PartFate fate)
+{
+    return FateNames.at(static_cast<std::size_t>(fate));
+}
+
 bool PartPlan::fetches() const
 {
     return anyIsSet(fetchFrom);
@@ -128,7 +136,14 @@
         const auto engine = isInPlace ? std::string() : rules.engineWith(i);
         // A part is of use only behind the parts before it. Engines have much wider links than stores.
         const bool isKept = holder != nullptr && rules.mayFetch(parts[i].id);
+        const bool isBehind = !isPrefixKept;
         isPrefixKept = isPrefixKept && (isInPlace || isKept || !engine.empty());
+        if (isPrefixKept) {
+            const auto fetched = isKept ? PartFate::FromStore : PartFate::FromEngine;
+            plan.fates.push_back(isInPlace ? PartFate::InPlace : fetched);
+        } else {
+            plan.fates.push_back(isBehind ? PartFate::Behind : whyRead(key, parts[i].tokens, holder != nullptr));
+        }
         if (isPrefixKept && isKept) {
             plan.fetchFrom[i] = holder->address;
         } else if (isPrefixKept) {
@@ -211,6 +226,14 @@
     return nullptr;
 }
 
+PartFate PartIndex::whyRead(const std::string &key, u64 tokens, bool isFetchable) const
+{
+    if (isFetchable) {
+        return PartFate::Retired;
+    }
+    return holderOf(key, tokens, nullptr) == nullptr ? PartFate::Unknown : PartFate::Avoided;
+}
+
 const PartStore *PartIndex::placeFor(const std::string &key, u64 tokens, const PlanRules &rules, TimePoint now)
 {
     const auto saving = m_saving.find(key);
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -29,6 +29,14 @@
 
 constexpr std::array<std::string_view, 4> NoChoiceNames{"none", "no_endpoint", "no_room", "too_slow"};
 
+constexpr std::array<std::string_view, 5> NewestWeightsNames{"chosen", "none_serves", "no_room", "too_slow", "later"};
+
+bool hasOlderWeights(const Endpoint &endpoint, const Need &need)
+{
+    const auto version = endpoint.registration.weightVersions.find(need.model);
+    return version != endpoint.registration.weightVersions.end() && version->second < need.wantedVersion;
+}
+
 bool isEnd(const Endpoint &endpoint)
 {
     return endpoint.hasLeft && endpoint.own.running == 0;
@@ -53,6 +61,11 @@
     return NoChoiceNames.at(static_cast<std::size_t>(reason));
 }
 
+std::string_view toString(NewestWeights newest)
+{
+    return NewestWeightsNames.at(static_cast<std::size_t>(newest));
+}
+
 EndpointTable::EndpointTable(const Policy &policy)
     : m_policy(policy)
     , m_peers(PeerReportsCount)
@@ -188,12 +201,38 @@
             continue;
         }
         if (bearsMore(*candidate.endpoint, now)) {
-            return {candidate.endpoint->registration.id, NoChoice::None, Work{need.memory, candidate.prefill}, candidate.delay};
+            const Work work{need.memory, candidate.prefill};
+            const auto newest = newestWeights(candidate, candidates, need, now);
+            return {candidate.endpoint->registration.id, NoChoice::None, work, candidate.delay, newest};
         }
     }
     return choice;
 }
 
+NewestWeights EndpointTable::newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates, const Need &need,
+                                           TimePoint now) const
+{
+    if (!hasOlderWeights(*chosen.endpoint, need)) {
+        return NewestWeights::Chosen;
+    }
+    const auto longest = need.target * m_policy.admitPercent / 100;
+    bool isAnyRoomy = false;
+    for (const auto &candidate : candidates) {
+        const bool isNewest = !hasOlderWeights(*candidate.endpoint, need);
+        isAnyRoomy = isAnyRoomy || isNewest;
+        if (isNewest && (need.target == Duration::zero() || candidate.delay <= longest)) {
+            return NewestWeights::Later;
+        }
+    }
+    if (isAnyRoomy) {
+        return NewestWeights::TooSlow;
+    }
+    const bool serves = std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
+        return !hasOlderWeights(entry.second, need) && isEligible(entry.second, need, now);
+    });
+    return serves ? NewestWeights::NoRoom : NewestWeights::NoneServes;
+}
+
 EndpointTable::Candidate EndpointTable::candidateOf(Endpoint &endpoint, const Need &need, TimePoint now) const
 {
     Candidate candidate;
@@ -201,8 +240,7 @@
     candidate.prefill = need.prefill(endpoint);
     candidate.delay = delayAt(endpoint, loadAt(endpoint).pending + candidate.prefill, now);
     candidate.score = candidate.delay;
-    const auto version = endpoint.registration.weightVersions.find(need.model);
-    if (version != endpoint.registration.weightVersions.end() && version->second < need.wantedVersion) {
+    if (hasOlderWeights(endpoint, need)) {
         candidate.score += m_policy.oldWeightsPenalty;
     }
     candidate.rank = hash::fast(endpoint.registration.id, need.home);
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -255,6 +255,28 @@
     CHECK((table.choose(draft(2), at(901ms)).reason == NoChoice::None));
 }
 
+TEST_CASE("a prompt on older weights says how it stood to the endpoints with the newest ones")
+{
+    auto table = tableOf(2);
+    auto need = draft(1);
+    const auto newest = [&] {
+        return table.choose(need, at(0ms)).newest;
+    };
+    CHECK((newest() == NewestWeights::Chosen));
+    need.wantedVersion = 2;
+    CHECK((newest() == NewestWeights::NoneServes));
+    table.noteWeights("engine-0", "m", 2);
+    CHECK((newest() == NewestWeights::Chosen));
+    const Work work{DraftMemory, DraftPrefill};
+    table.noteSent("engine-0", work, at(0ms));
+    table.noteSent("engine-0", work, at(0ms));
+    CHECK((newest() == NewestWeights::Later));
+    need.target = 250ms;
+    CHECK((newest() == NewestWeights::TooSlow));
+    table.noteSent("engine-0", {EngineMemory, 0}, at(0ms));
+    CHECK((newest() == NewestWeights::NoRoom));
+}
+
 TEST_CASE("an endpoint that can't be reached is left out for longer each time, and an answer forgives it")
 {
     auto table = tableOf(1);
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -244,6 +244,34 @@
     CHECK(plan.fetchFrom == std::vector<std::string>{"", "engine", "s1", ""});
 }
 
+TEST_CASE("a plan says what becomes of each shared part, and why one is read")
+{
+    using Fates = std::vector<cache::PartFate>;
+    using enum cache::PartFate;
+    PartIndex index(4s);
+    index.setStores({{"s1", "zone-a", 10'000}});
+    const std::vector<cache::PromptPart> parts{{"common", 100}, {"subject", 500}, {"own", 1}};
+    auto rules = AllAllowed;
+    CHECK((index.plan("m~1~", parts, rules, {}).fates == Fates{Unknown, Behind}));
+    index.noteStored("s1", "m~1~", "common", 100);
+    CHECK((index.plan("m~1~", parts, rules, {}).fates == Fates{FromStore, Unknown}));
+    rules.engineWith = [](std::size_t place) {
+        return place == 1 ? std::string("engine") : std::string();
+    };
+    CHECK((index.plan("m~1~", parts, rules, {}).fates == Fates{FromStore, FromEngine}));
+    rules.isInPlace = [](std::size_t place) {
+        return place == 0;
+    };
+    CHECK((index.plan("m~1~", parts, rules, {}).fates == Fates{InPlace, FromEngine}));
+    rules = AllAllowed;
+    rules.mayFetch = [](std::string_view) {
+        return false;
+    };
+    CHECK((index.plan("m~1~", parts, rules, {}).fates == Fates{Retired, Behind}));
+    rules.mayFetchFrom = rules.mayFetch;
+    CHECK((index.plan("m~1~", parts, rules, {}).fates == Fates{Avoided, Behind}));
+}
+
 // Load pattern: the link of one store turns eight times as slow for some seconds. Drafts that fetch from it come a second late, and those
 // behind them too, while engines could read the same in a tenth of that. Fetches must stop, the other store go on, and the slow one be
 // tried again after its time.
