Let the soak restart gateways while engines keep old weights, and hold restarted ones to the bound

Its gateways had a bound of 12 s in runs of 12 s; engines took each order at once and held the new weights 0.4 s later; the check passed over every gateway that was killed, stopped or reloaded since the naming.

Engines refuse orders for 4 to 10 s, answer them late, load slowly, and let prompts wait inside. The bound is 7 s (the old code assumed an age of 5 s at a start), the slack 10 ms instead of 150. Left out are frozen gateways, ones cut off from the store, and prompts inside an engine whose link went silent. What a leaving endpoint or a zone that is out may get counts by arrival now, as prompts may wait inside.

Not noticed: a begin that is late by the wait inside alone. Guarded by gateway_weights_test and endpoint_table_test.

--- a/soak/back_end.cpp
+++ b/soak/back_end.cpp
@@ -18,7 +18,6 @@
 constexpr auto PromptWork = std::chrono::milliseconds(15);
 constexpr auto EventPause = std::chrono::milliseconds(5);
 constexpr int SlowFactor = 12;
-constexpr auto LoadTime = std::chrono::milliseconds(400);
 constexpr u16 Ok = 200;
 constexpr u16 Accepted = 202;
 constexpr u16 Conflict = 409;
@@ -58,6 +57,12 @@
     m_mode = mode;
 }
 
+void BackEnd::setPace(const EnginePace &pace)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pace = pace;
+}
+
 void BackEnd::announce()
 {
     support::ReplicaEntry entry;
@@ -115,8 +120,12 @@
 
 AfterAnswer BackEnd::run(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection)
 {
-    const auto mode = m_mode.load();
+    const auto received = now();
     const auto attempt = request.header("X-Attempt-Id");
+    if (waitsUntilCut(attempt, connection)) {
+        return AfterAnswer::Close;
+    }
+    const auto mode = m_mode.load();
     const u64 held = weights();
     const auto wanted = request.header("X-Expect-Version");
     const bool isLoading = isEngine() && [this] {
@@ -135,7 +144,7 @@
         m_ledger.notePoisonRun(m_id, now());
         return AfterAnswer::Close;
     }
-    m_ledger.noteBegun({attempt, m_id, request.header("X-Tenant-Id"), held, now()});
+    m_ledger.noteBegun({attempt, m_id, request.header("X-Tenant-Id"), held, received, now()});
     const int factor = mode == EndpointMode::Slow ? SlowFactor : 1;
     std::this_thread::sleep_for((isEngine() ? PromptWork : PlainWork) * factor);
     if (mode == EndpointMode::Failing) {
@@ -165,23 +174,37 @@
     m_ledger.noteOrder({m_id, clients::textOf(body, "holder"), clients::numberOf(body, "fencingToken"), now()});
     const u64 version = clients::numberOf(body, "version");
     u16 status = Accepted;
+    std::this_thread::sleep_for(pace().orderDelay);
     {
         const std::lock_guard lock(m_mutex);
         loadWhenDue();
         if (m_weights >= version) {
             status = Ok;
-        } else if (m_ordered > 0 || clients::numberOf(body, "expected") != m_ordersTaken) {
+        } else if (now() < m_pace.refusesUntil || m_ordered > 0 || clients::numberOf(body, "expected") != m_ordersTaken) {
             status = Conflict;
         } else {
             m_ordered = version;
             ++m_ordersTaken;
-            m_loadedAt = now() + LoadTime;
+            m_loadedAt = now() + m_pace.loadTime;
         }
     }
     connection.write(standins::wholeAnswer(request, status, ""));
     return AfterAnswer::Keep;
 }
 
+// An engine drops a prompt that it has not begun when the connection closes.
+bool BackEnd::waitsUntilCut(const std::string &attempt, const standins::ReplicaConnection &connection)
+{
+    const auto longest = static_cast<u64>(pace().longestWait.count());
+    return longest > 0 && connection.awaitClose(Duration(static_cast<i64>(std::hash<std::string>()(attempt) % longest)));
+}
+
+EnginePace BackEnd::pace()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_pace;
+}
+
 // Called with the lock held.
 void BackEnd::loadWhenDue()
 {
--- a/soak/back_end.hpp
+++ b/soak/back_end.hpp
@@ -20,6 +20,15 @@
     BreakingOff, ///< runs them and closes the connection in the middle of the answer
 };
 
+/** @brief How an engine treats orders for weights, and for how long prompts wait inside it before they begin. */
+struct EnginePace
+{
+    TimePoint refusesUntil{}; ///< orders
+    Duration orderDelay{}; ///< until an order is answered
+    Duration loadTime = std::chrono::milliseconds(400);
+    Duration longestWait{}; ///< of a prompt
+};
+
 /** @brief One endpoint of the soak behind a proxy: a plain service, or an engine that takes orders for weights. */
 class BackEnd
 {
@@ -30,6 +39,7 @@
     [[nodiscard]] const std::string &id() const;
     [[nodiscard]] standins::FaultProxy &proxy();
     void setMode(EndpointMode mode);
+    void setPace(const EnginePace &pace);
 
     /** @brief Writes its entry into the users' store, as a heartbeat does when something has changed. */
     void announce();
@@ -46,6 +56,8 @@
     [[nodiscard]] standins::AfterAnswer takeOrder(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection);
     void loadWhenDue();
     [[nodiscard]] std::string report();
+    [[nodiscard]] EnginePace pace();
+    [[nodiscard]] bool waitsUntilCut(const std::string &attempt, const standins::ReplicaConnection &connection);
 
     standins::ObjectStore &m_store;
     Ledger &m_ledger;
@@ -55,6 +67,7 @@
     std::atomic<EndpointMode> m_mode{EndpointMode::Sound};
     std::atomic<bool> m_isDraining{false};
     std::mutex m_mutex; ///< guards what follows
+    EnginePace m_pace;
     u64 m_weights = 1;
     u64 m_ordered = 0; ///< weights that are being loaded; zero for none
     u64 m_ordersTaken = 0;
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -36,9 +36,10 @@
 
 } // namespace
 
-GatewaySlot::GatewaySlot(asio::io_context &workers, u32 number, const standins::ObjectStore &store)
+GatewaySlot::GatewaySlot(asio::io_context &workers, u32 number, const standins::ObjectStore &store, const Bounds &bounds)
     : m_storeProxy(std::make_unique<standins::FaultProxy>(workers, store.address()))
-    , m_gateway("vm-" + std::to_string(number), zoneOf(number), m_storeProxy->address())
+    , m_gateway("vm-" + std::to_string(number), zoneOf(number), m_storeProxy->address(),
+                {{"weights_ms", static_cast<u64>(toMilliseconds(bounds.weights))}})
     , m_ownFace(std::make_unique<GatewayFace>())
     , m_face(m_ownFace.get())
 {
@@ -97,7 +98,7 @@
         addEndpoint(true, zoneOf(i));
     }
     for (u32 i = 0; i < size.gateways; ++i) {
-        m_gateways.push_back(std::make_unique<GatewaySlot>(m_pool.context(), i, m_store));
+        m_gateways.push_back(std::make_unique<GatewaySlot>(m_pool.context(), i, m_store, bounds));
         m_faces.push_back(m_gateways.back()->takeFace());
     }
 }
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -24,7 +24,7 @@
 class GatewaySlot
 {
 public:
-    GatewaySlot(boost::asio::io_context &workers, u32 number, const standins::ObjectStore &store);
+    GatewaySlot(boost::asio::io_context &workers, u32 number, const standins::ObjectStore &store, const Bounds &bounds);
 
     void start();
     [[nodiscard]] support::ChildProcess &process();
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -37,6 +37,17 @@
 /** Time for which a leaving endpoint goes on serving, and until its entry goes. */
 constexpr Duration Linger = std::chrono::milliseconds(2500);
 constexpr u32 FewestEndpointsOfKind = 2;
+constexpr u32 MostFurtherWeights = 3;
+constexpr u32 ShortestNamingGapMs = 300;
+constexpr u32 LongestNamingGapMs = 2200;
+constexpr u32 SoonestRestartMs = 4500;
+constexpr u32 LatestRestartMs = 7000;
+constexpr u32 RestartsAfterNaming = 2;
+constexpr u32 ShortestRefusalMs = 4000;
+constexpr u32 LongestRefusalMs = 10000;
+constexpr u32 LongestOrderDelayMs = 1000;
+constexpr u32 LongestLoadMs = 2000;
+constexpr u32 LongestWaitMs = 600;
 
 } // namespace
 
@@ -57,6 +68,11 @@
             }
         }
     }
+    m_beginsWithWeights = random(2) == 0;
+    if (m_beginsWithWeights) {
+        std::erase_if(m_kinds, [](Fault fault) { return fault >= Fault::StoreDown && fault <= Fault::StoreSilentForOne; });
+        m_kinds.push_back(Fault::WeightsNamed);
+    }
 }
 
 void FaultInjector::run(Duration time)
@@ -64,6 +80,9 @@
     m_started = now();
     auto next = m_started;
     auto fault = m_kinds.front();
+    if (m_beginsWithWeights) {
+        inject(Fault::WeightsNamed);
+    }
     while (now() < m_started + time) {
         endDue(false);
         restartStopped();
@@ -118,7 +137,7 @@
     } else if (fault == Fault::KeysChange) {
         changeKeys();
     } else if (fault == Fault::WeightsNamed) {
-        nameWeights();
+        nameSeveralWeights();
     } else {
         takeZoneOut();
     }
@@ -149,16 +168,28 @@
         m_deployment.disturbances().end(gatewaySubject(gateway), now());
     } else {
         m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Unplanned, now());
+        disturbHearing(gateway);
         m_away.insert(gateway);
         process.signal(SIGSTOP);
         later(time, [this, gateway] {
             m_deployment.gateways()[gateway]->process().signal(SIGCONT);
             m_deployment.disturbances().end(gatewaySubject(gateway), now());
+            endHearing(gateway);
             m_away.erase(gateway);
         });
     }
 }
 
+void FaultInjector::disturbHearing(u32 gateway)
+{
+    m_deployment.disturbances().begin(hearingSubject(gateway), Plan::Unplanned, now());
+}
+
+void FaultInjector::endHearing(u32 gateway)
+{
+    m_deployment.disturbances().end(hearingSubject(gateway), now());
+}
+
 void FaultInjector::kill(u32 gateway, Duration down)
 {
     if (!m_away.insert(gateway).second) {
@@ -233,6 +264,7 @@
         m_story.back() += fmt::format(" for {}", gateway);
         auto &proxy = m_deployment.gateways()[gateway]->storeProxy();
         m_deployment.disturbances().begin(gatewaySubject(gateway), Plan::Unplanned, now());
+        disturbHearing(gateway);
         if (fault == Fault::StoreCutForOne) {
             proxy.setRefusing(true);
             proxy.cutAll();
@@ -242,6 +274,7 @@
         later(randomTime(ShortestFaultMs, LongestCutMs), [this, gateway] {
             m_deployment.gateways()[gateway]->storeProxy().setRefusing(false);
             m_deployment.disturbances().end(gatewaySubject(gateway), now());
+            endHearing(gateway);
         });
     }
 }
@@ -268,6 +301,7 @@
         proxy.cutAll();
         break;
     case Fault::EndpointSilent:
+        m_deployment.disturbances().begin(linkSubject(endpoint.id()), Plan::Unplanned, now());
         proxy.freezeOpen();
         break;
     case Fault::EndpointDelayed:
@@ -289,12 +323,15 @@
         endpoint.setMode(EndpointMode::BreakingOff);
         break;
     }
-    later(randomTime(ShortestFaultMs, LongestFaultMs), [this, &endpoint] {
+    later(randomTime(ShortestFaultMs, LongestFaultMs), [this, fault, &endpoint] {
         endpoint.proxy().setRefusing(false);
         endpoint.proxy().setLosingAnswers(false);
         endpoint.proxy().setDelay(Duration::zero());
         endpoint.setMode(EndpointMode::Sound);
         m_deployment.disturbances().end(endpoint.id(), now());
+        if (fault == Fault::EndpointSilent) {
+            m_deployment.disturbances().end(linkSubject(endpoint.id()), now());
+        }
     });
 }
 
@@ -335,6 +372,53 @@
     m_deployment.ledger().noteWeightsNamed(m_weights, now());
 }
 
+// Several versions within seconds, and gateways that start after one was superseded and before its predecessor has expired.
+void FaultInjector::nameSeveralWeights()
+{
+    nameWeights();
+    if (m_isNaming) {
+        return;
+    }
+    m_isNaming = true;
+    Duration at{};
+    for (u32 further = 1 + random(MostFurtherWeights); further > 0; --further) {
+        at += randomTime(ShortestNamingGapMs, LongestNamingGapMs);
+        later(at, [this] { nameWeights(); });
+    }
+    m_story.back() += fmt::format(", further until {} ms later", toMilliseconds(at));
+    slowEnginesDown();
+    for (u32 i = 0; i < RestartsAfterNaming; ++i) {
+        later(randomTime(SoonestRestartMs, LatestRestartMs), [this] { killOneOrAll(); });
+    }
+}
+
+void FaultInjector::slowEnginesDown()
+{
+    const bool isTogether = random(2) == 0;
+    for (const auto &endpoint : m_deployment.endpoints()) {
+        EnginePace pace;
+        pace.refusesUntil
+            = now() + (isTogether ? std::chrono::milliseconds(LongestRefusalMs) : randomTime(ShortestRefusalMs, LongestRefusalMs));
+        pace.orderDelay = randomTime(0, LongestOrderDelayMs);
+        pace.loadTime = randomTime(ShortestFaultMs, LongestLoadMs);
+        pace.longestWait = randomTime(0, LongestWaitMs);
+        if (endpoint->isEngine()) {
+            endpoint->setPace(pace);
+        }
+    }
+    later(std::chrono::milliseconds(LongestRefusalMs), [this] {
+        for (const auto &endpoint : m_deployment.endpoints()) {
+            endpoint->setPace({});
+        }
+        m_isNaming = false;
+    });
+}
+
+void FaultInjector::killOneOrAll()
+{
+    inject(random(2) == 0 ? Fault::AllGatewaysKill : Fault::GatewayKill);
+}
+
 void FaultInjector::takeZoneOut()
 {
     if (m_isZoneOut) {
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -36,6 +36,9 @@
 /**
  * @brief Injects faults in a random order, several at once, most in series on one target.
  *
+ * Half of the runs leave the store alone and begin by naming several weights, after which gateways are killed while engines hold on
+ * to the old ones.
+ *
  * Each run draws which kinds it injects, so that some runs leave the store or the gateways alone for long enough for the bounds that
  * only hold then.
  *
@@ -75,7 +78,12 @@
     void replaceEndpoint();
     void changeKeys();
     void nameWeights();
+    void nameSeveralWeights();
+    void slowEnginesDown();
+    void killOneOrAll();
     void takeZoneOut();
+    void disturbHearing(u32 gateway);
+    void endHearing(u32 gateway);
     void setStoreMode(standins::StoreMode mode, Duration time);
     void endDue(bool all);
     void later(Duration time, std::function<void()> end);
@@ -94,6 +102,8 @@
     u64 m_weights = 1;
     std::string m_key;
     bool m_isZoneOut = false;
+    bool m_isNaming = false; ///< several weights, with slow engines
+    bool m_beginsWithWeights = false;
     std::vector<Fault> m_kinds; ///< that this run injects
     std::vector<std::string> m_story;
 };
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -15,6 +15,8 @@
 constexpr std::array<u16, 4> NotRunStatuses{408, 421, 429, 503};
 /** Differences of the moments at which a caller, the operator and an endpoint look at their clocks. */
 constexpr Duration Slack = std::chrono::milliseconds(150);
+/** The path of a request on loopback. */
+constexpr Duration WeightsSlack = std::chrono::milliseconds(10);
 
 bool saysNotRun(u16 status)
 {
@@ -33,6 +35,16 @@
     return "gateway-" + std::to_string(gateway);
 }
 
+std::string hearingSubject(u32 gateway)
+{
+    return "hearing-" + std::to_string(gateway);
+}
+
+std::string linkSubject(const std::string &endpoint)
+{
+    return "link-" + endpoint;
+}
+
 Ledger::Ledger(const Bounds &bounds, Disturbances &disturbances)
     : m_bounds(bounds)
     , m_disturbances(disturbances)
@@ -111,36 +123,44 @@
 {
     const auto subject = gatewaySubject(attempt.sent.gateway);
     const auto draining = m_draining.find(call.endpoint);
-    if (draining != m_draining.end() && call.at > draining->second + m_bounds.draining + Slack
-        && m_disturbances.wasUntouched(subject, draining->second, call.at)
-        && m_disturbances.wasCalm(StoreSubject, draining->second, call.at)) {
+    if (draining != m_draining.end() && call.received > draining->second + m_bounds.draining + Slack
+        && m_disturbances.wasUntouched(subject, draining->second, call.received)
+        && m_disturbances.wasCalm(StoreSubject, draining->second, call.received)) {
         add("a leaving endpoint gets no new work",
-            fmt::format("{} began at {} {} ms after it said so, through gateway {}", call.attempt, call.endpoint,
-                        toMilliseconds(call.at - draining->second), attempt.sent.gateway));
+            fmt::format("{} reached {} {} ms after it said so, through gateway {}", call.attempt, call.endpoint,
+                        toMilliseconds(call.received - draining->second), attempt.sent.gateway));
     }
     const auto zone = m_zones.find(call.endpoint);
     const auto out = zone == m_zones.end() ? m_zonesOut.end() : m_zonesOut.find(zone->second);
-    if (out != m_zonesOut.end() && call.at > out->second + m_bounds.evacuation + Slack
-        && m_disturbances.wasUntouched(subject, out->second, call.at) && m_disturbances.wasCalm(StoreSubject, out->second, call.at)) {
+    if (out != m_zonesOut.end() && call.received > out->second + m_bounds.evacuation + Slack
+        && m_disturbances.wasUntouched(subject, out->second, call.received)
+        && m_disturbances.wasCalm(StoreSubject, out->second, call.received)) {
         add("a zone that is out gets no new work",
-            fmt::format("{} began at {} {} ms after", call.attempt, call.endpoint, toMilliseconds(call.at - out->second)));
+            fmt::format("{} reached {} {} ms after", call.attempt, call.endpoint, toMilliseconds(call.received - out->second)));
     }
 }
 
+// Binds gateways that were killed, stopped or restarted meanwhile, too.
 void Ledger::checkWeights(const Attempt &attempt, const BegunCall &call)
 {
     if (attempt.sent.kind != CallKind::Prompt) {
         return;
     }
     const auto newer = m_weights.upper_bound(call.weights);
-    if (newer == m_weights.end() || call.at <= newer->second + m_bounds.weights + Slack) {
+    if (newer == m_weights.end()) {
         return;
     }
-    const auto subject = gatewaySubject(attempt.sent.gateway);
-    if (m_disturbances.wasUntouched(subject, newer->second, call.at) && m_disturbances.wasCalm(StoreSubject, newer->second, call.at)) {
+    ++m_counts["on old weights"];
+    if (call.at <= newer->second + m_bounds.weights + WeightsSlack) {
+        return;
+    }
+    ++m_counts["past the weights' bound"];
+    const auto subject = hearingSubject(attempt.sent.gateway);
+    if (m_disturbances.wasUntouched(subject, newer->second, call.at) && m_disturbances.wasCalm(StoreSubject, newer->second, call.at)
+        && m_disturbances.wasUntouched(linkSubject(call.endpoint), attempt.sent.at, call.at)) {
         add("no prompt begins on old weights after the bound",
-            fmt::format("{} began on version {}, {} ms after version {} was named", call.attempt, call.weights,
-                        toMilliseconds(call.at - newer->second), newer->first));
+            fmt::format("{} of gateway {} began at {} on version {}, {} ms after version {} was named", call.attempt, attempt.sent.gateway,
+                        call.endpoint, call.weights, toMilliseconds(call.at - newer->second), newer->first));
     }
 }
 
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -21,6 +21,10 @@
 
 /** @brief Subjects of disturbances. */
 [[nodiscard]] std::string gatewaySubject(u32 gateway);
+/** What keeps a gateway from hearing of the platform or from acting on it: a broken way to the store, a frozen process. */
+[[nodiscard]] std::string hearingSubject(u32 gateway);
+/** What keeps an engine from hearing that a prompt was cut off. */
+[[nodiscard]] std::string linkSubject(const std::string &endpoint);
 inline const std::string StoreSubject = "store";
 
 /** @brief One attempt of a caller, as it was sent. */
@@ -50,6 +54,7 @@
     std::string endpoint;
     std::string customer;
     u64 weights = 0; ///< on which a prompt runs
+    TimePoint received{}; ///< before a wait inside the endpoint
     TimePoint at{};
 };
 
@@ -69,7 +74,8 @@
     Duration configuration = std::chrono::milliseconds(2000);
     Duration draining = std::chrono::milliseconds(2000);
     Duration evacuation = std::chrono::milliseconds(5000);
-    Duration weights = std::chrono::milliseconds(12000); ///< as in the gateways' settings
+    /** As in the gateways' settings: reached in a short run, and longer than a gateway that starts might assume. */
+    Duration weights = std::chrono::milliseconds(7000);
     Duration configurationBack = std::chrono::milliseconds(250);
 };
 
