Listen for signals before a gateway reads its settings

A gateway that got SIGHUP or SIGTERM in the first moments of its life was ended by it, in place of going on or draining: an operator who reloads all gateways loses those that have just started.

Signals were listened for only once the gateway was built. What comes in the few milliseconds before main() still ends the process.

--- a/main/daemon/source/main.cpp
+++ b/main/daemon/source/main.cpp
@@ -88,12 +88,17 @@
 
 int main(int argc, char **argv)
 {
+    const bool isGateway = argc > 1 && std::string_view(argv[1]) == "gateway";
+    if (isGateway) {
+        // Ends nothing, also before the gateway listens for it.
+        std::signal(SIGHUP, SIG_IGN);
+    }
     gflags::SetUsageMessage("serves prompts and calls as an entry or beside an endpoint, or as a gateway on the users' platform\n\n"
                             "  burdockpaddled --settings=entry.json\n  burdockpaddled gateway --settings=gateway.json");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    if (argc > 1 && std::string_view(argv[1]) == "gateway") {
+    if (isGateway) {
         return daemon::runGateway(FLAGS_settings);
     }
     const auto settings = readSettings(FLAGS_settings);
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -63,11 +63,14 @@
 
 int runGateway(const std::string &settingsPath)
 {
+    boost::asio::io_context context(1);
+    // Listened for before all else; what comes meanwhile waits until the gateway can deal with it.
+    boost::asio::signal_set endSignals(context, SIGTERM, SIGINT);
+    boost::asio::signal_set reloadSignals(context, SIGHUP);
     const auto read = readSettings(settingsPath);
     if (!read) {
         return ExitBadSettings;
     }
-    boost::asio::io_context context(1);
     runtime::BootClock clock;
     runtime::SystemRandom random;
     runtime::Logger logger(runtime::logLevelFrom(read->log_level()), read->name(), runtime::LogFlush::OnRequest);
@@ -82,13 +85,11 @@
         logger.event(LogLevel::Error, "start_failed", {{"reason", std::string_view(error.what())}});
         return ExitFailed;
     }
-    boost::asio::signal_set endSignals(context, SIGTERM, SIGINT);
     endSignals.async_wait([&](const boost::system::error_code &error, int) {
         if (!error) {
             served->drain();
         }
     });
-    boost::asio::signal_set reloadSignals(context, SIGHUP);
     awaitReload(reloadSignals, logger);
     served->start();
     logger.event(LogLevel::Info, "started", {{"platform", read->platform()}, {"zone", read->zone()}});
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -1,9 +1,14 @@
 #include <support/gateway_deployment.hpp>
+#include <support/ports.hpp>
 
 #include <boost/json.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
 #include <future>
+#include <sstream>
+#include <sys/stat.h>
 #include <thread>
 
 using namespace burdock;
@@ -394,6 +399,33 @@
     CHECK(gateway.process().waitForEnd(std::chrono::seconds(7)) == 0);
 }
 
+// Guards against a signal that ends a gateway, as it comes before the gateway listens for signals.
+TEST_CASE("signals that come while a gateway reads its settings are dealt with once it has started")
+{
+    const auto path = (std::filesystem::temp_directory_path() / ("gateway-settings-" + std::to_string(freePort()))).string();
+    const auto log = path + ".log";
+    REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+    std::ofstream(log).flush();
+    ChildProcess process({BURDOCK_DAEMON, "gateway", "--settings=" + path}, log);
+    {
+        std::ofstream settings(path); // opens once the gateway reads
+        process.signal(SIGHUP);
+        process.signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        settings << R"({"name":"vm-1","zone":"zone-a","platform":"127.0.0.1:1","grace_seconds":6,"revocation_ms":4000,"retry_share":0.2,)"
+                 << R"("retry_slack":50,"weights_ms":12000,"order_pause_ms":3000,"callers_listen":")" << freeAddress()
+                 << R"(","readiness_listen":")" << freeAddress() << R"(","metrics_listen":")" << freeAddress() << R"(","load_listen":")"
+                 << freeAddress() << "\"}";
+    }
+    CHECK(process.waitForEnd(std::chrono::seconds(10)) == 0);
+    std::ostringstream lines;
+    lines << std::ifstream(log).rdbuf();
+    CHECK(lines.str().find(R"("event":"reload")") != std::string::npos);
+    CHECK(lines.str().find(R"("event":"drained")") != std::string::npos);
+    std::filesystem::remove(path);
+    std::filesystem::remove(log);
+}
+
 TEST_CASE("SIGHUP ends nothing")
 {
     GatewayDeployment gateway;
