--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -114,8 +114,7 @@
     CHECK(plain.received().empty());
 }
 
-// A customer's key is taken away, and somebody goes on using it. In order: the operator writes a configuration without the key;
-// the gateway takes it; later an older configuration is written by mistake. The key must stay out.
+// Guards against a key that goes on working after it was taken away, or works again by an older configuration.
 TEST_CASE("a key that was taken away is refused, and an older configuration doesn't bring it back")
 {
     GatewayDeployment gateway;
@@ -131,8 +130,7 @@
     CHECK(gateway.call({}).response.status == 401);
 }
 
-// The platform's store goes silent while keys are taken away there. A gateway that kept serving keyed requests from what it knew
-// would run them long after the revocation. It must refuse them once its knowledge is too old, and serve open routes on.
+// Guards against revoked keys that go on working while the store is away, and open routes that stop with them.
 TEST_CASE("keys are refused once the store was away for too long, open routes are served on")
 {
     GatewayDeployment gateway(R"({"revocation_ms": 2500})");
@@ -169,8 +167,7 @@
     CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find("endpoint_unreadable") != std::string::npos; }));
 }
 
-// A reader sees somebody else's notice. An endpoint gave an answer twice; the second copy arrives where the answer to the next
-// request on that connection is expected. Only the attempt id in the answer tells them apart.
+// Guards against an answer that an endpoint gave twice and whose copy is taken for the next caller's answer.
 TEST_CASE("a late copy of an earlier answer reaches nobody")
 {
     GatewayDeployment gateway;
@@ -192,8 +189,7 @@
     }
 }
 
-// A clerk sees two badges. The endpoint took the order and its connection broke before the answer: whether it ran is unknown.
-// Sending it to another endpoint would run it twice, and a refusal that says "not run" would have the clerk send it again.
+// Guards against an order that runs twice, because its loss is repeated elsewhere or called not run.
 TEST_CASE("a call that may not be repeated is sent once, and its loss is not called a refusal")
 {
     GatewayDeployment gateway;
@@ -252,7 +248,7 @@
     CHECK(broken.progress == runtime::http::Progress::MayBeSent);
 }
 
-// Engines go on making tokens for callers who have left: each holds a place that others wait for.
+// Guards against engines that go on making tokens for callers who have left, in places that others wait for.
 TEST_CASE("when a caller leaves, the endpoint's connection is closed within half a second")
 {
     GatewayDeployment gateway;
@@ -300,8 +296,7 @@
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 200; }));
 }
 
-// A planned stop cuts off a reader. A request that comes late in the grace time runs until the process must end and is cut; one
-// that came before must end whole. Late ones are refused at once, so that their callers go elsewhere.
+// Guards against a planned stop that cuts off a request, or begins one that must be cut off.
 TEST_CASE("SIGTERM lets requests under way end whole and refuses late ones at once")
 {
     GatewayDeployment gateway;
@@ -336,8 +331,7 @@
     CHECK(gateway.call({}).response.status == 200);
 }
 
-// A clerk presses "print" and gives up, as the VM of the gateway stands still. Once it goes on, the order is printed for nobody.
-// Cause: the request was read before the close behind it was noticed.
+// Guards against an order that runs for a caller who left while the VM stood still, as it is read before the close behind it.
 TEST_CASE("a request whose caller left while the gateway stood still reaches no endpoint")
 {
     GatewayDeployment gateway;
@@ -352,8 +346,7 @@
     CHECK(plain.received().size() == 1);
 }
 
-// A VM is set up twice by mistake, and the second gateway's port is taken. Operators find an aborted process and a message of a
-// library, in place of the line that says what failed. Cause: the socket library's errors were not among those that were caught.
+// Guards against an aborted process in place of a line that says what failed, where the port is taken.
 TEST_CASE("a gateway whose address is taken says so and ends with the code for a failed start")
 {
     Replica other(answerWhole);
@@ -363,7 +356,7 @@
     CHECK(gateway.log().find(R"("event":"start_failed")") != std::string::npos);
 }
 
-// Replicas keep old weights for good, as the answer to the gateway's claim of the duty got lost although the claim took effect.
+// Guards against replicas that keep old weights for good, as the answer to a claim that took effect was lost.
 TEST_CASE("new weights are ordered under one holder, also where answers of the store are lost")
 {
     GatewayDeployment gateway;
--- a/tests/integration/zone_test.cpp
+++ b/tests/integration/zone_test.cpp
@@ -112,8 +112,7 @@
 
 } // namespace
 
-// Operators take a zone out at short notice; its machines lose power a minute later. Callers whose prompts still went there see
-// their answers die. Cause: an entry that missed the change goes on proposing the zone.
+// Guards against an entry that missed the change and goes on sending prompts to a zone whose machines lose power soon.
 TEST_CASE("a zone that is out gets no new work, under load, and serves again when it is back")
 {
     Deployment deployment(fourEngines());
@@ -147,8 +146,7 @@
     CHECK(load.failed == 0);
 }
 
-// A VM is about to go: the platform lists it as leaving, or an operator drains it, or it gets SIGTERM. Callers whose prompts are
-// still sent there are cut off when it goes. Cause: each sign reaches some processes late.
+// Guards against requests cut off at a VM that goes, as some processes hear late of the sign that it leaves.
 TEST_CASE("a leaving endpoint gets no new work, whichever sign comes, and no request is cut off")
 {
     Deployment deployment(fourEngines());
@@ -201,8 +199,7 @@
     MESSAGE("served " << load.served.load() << " requests during the restarts");
 }
 
-// An endpoint turns cold again without a word while several entries have it under full load, and falls over, and again, each time
-// it comes back. Seen as answers that break off in waves. Cause: load reports that lag behind a restart.
+// Guards against an engine that restarts and falls over again and again, as load reports lag behind its restart.
 TEST_CASE("an engine that restarts under load gets no more than it bears while cold")
 {
     DeploymentOptions options = fourEngines();
