--- a/tests/integration/config_test.cpp
+++ b/tests/integration/config_test.cpp
@@ -224,8 +224,7 @@
     MESSAGE("in force after " << std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count() << " s");
 }
 
-// An operator changes one customer's limit a hundred times; one entry sleeps through most of it, and one starts in the middle.
-// Cause of trouble: changes in place of whole bundles leave whoever misses one with something that was never accepted.
+// Guards against a process that misses one of many changes and is left with a configuration that was never accepted.
 TEST_CASE("many changes reach all processes, also one that slept and one that started meanwhile")
 {
     Deployment deployment;
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -208,8 +208,7 @@
     CHECK(deployment.engine(0).maxRunning() <= 2);
 }
 
-// A caller that hears "not run" sends again. If the service had carried the order out after all, the badge is printed twice.
-// Faults of all kinds come in a random order; whatever was refused as not run must not be among what was carried out.
+// Guards against a call that is refused as not run and was carried out, so that its caller sends it again.
 TEST_CASE("behind no refusal that says not_run stands a call that was carried out")
 {
     DeploymentOptions options;
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -46,8 +46,7 @@
 
 } // namespace
 
-// An operator gives one customer's API key to another and the first a new one, in one change. The second is then turned away with the key
-// that it was given. Cause: taking out the first one's old record takes the key's new entry with it.
+// Guards against a key whose new holder is turned away, as taking out the old holder's record takes the key's new entry with it.
 TEST_CASE("a key that passes from one customer to another in one change works for its new holder")
 {
     schema::Bundle bundle;
--- a/tests/unit/http_dialect_test.cpp
+++ b/tests/unit/http_dialect_test.cpp
@@ -39,8 +39,7 @@
     CHECK(facts.parts[1].tokens == 410);
 }
 
-// A caller sets headers that only the system may set, or lists those of the request as its connection's, to have a replica run
-// something else than was checked.
+// Guards against a caller whose headers have a replica run something else than was checked.
 TEST_CASE("headers of the system are never taken from callers, and those of the request are never dropped")
 {
     auto request = promptRequest();
