Count no success from before a restart towards an endpoint's warm-up

An endpoint process let more runs into an engine that had just restarted than the engine bears while cold, if many runs had ended right before the crash: it raised the limit from 3 to 12 without one run in the new start, and the engine falls over again.

Cause: a run's success counted when the run gave its room back, whichever start of the engine it had run in. Runs end in groups, and the news of a restart may overtake them.

Evidence: two new unit tests, which fail while nothing looks at the beginning of a run (12 assertions, limit 12 where 3 is right) and pass now.

The controller now keeps when the latest restart was seen and passes over successes of runs that took their room before. A run that took it later can only have run in the new start, and one that began there before the restart was seen warms up a little later.

--- a/lib/libburdock-serving/source/endpoint/admission_gate.cpp
+++ b/lib/libburdock-serving/source/endpoint/admission_gate.cpp
@@ -78,7 +78,7 @@
 void AdmissionGate::noteRestart()
 {
     const std::lock_guard lock(m_mutex);
-    m_controller.noteRestart();
+    m_controller.noteRestart(m_process.clock.now());
 }
 
 schema::EndpointLoad AdmissionGate::load() const
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -104,7 +104,7 @@
     auto conclusion = co_await m_runner.run(request, outlet, deadline, span);
     const Duration serviceTime = m_process.clock.now() - begin;
     noteOutcome(request, conclusion);
-    m_gate.leave({conclusion.outcome, serviceTime, isSuspect});
+    m_gate.leave({conclusion.outcome, serviceTime, isSuspect, begin});
     m_process.metrics.observe("burdock_run_seconds", serviceTime);
     if (conclusion.refusal) {
         refuse(outlet, *conclusion.refusal);
--- a/lib/libburdock/include/burdock/admission/admission_controller.hpp
+++ b/lib/libburdock/include/burdock/admission/admission_controller.hpp
@@ -51,6 +51,7 @@
     RunOutcome outcome = RunOutcome::Success;
     Duration serviceTime{};
     bool wasSuspect = false;
+    TimePoint began{}; ///< when it took its room
 };
 
 /**
@@ -75,7 +76,7 @@
     bool abandon(Ticket ticket);
 
     /** @brief The endpoint showed a sign of a restart apart from any run. */
-    void noteRestart();
+    void noteRestart(TimePoint now);
 
     void setPolicy(const AdmissionPolicy &policy);
 
@@ -89,6 +90,7 @@
 
 private:
     [[nodiscard]] bool hasRoom() const;
+    [[nodiscard]] bool isFromBeforeRestart(const FinishedRun &run) const;
     [[nodiscard]] AdmissionDecision enqueue(const AdmissionRequest &request, TimePoint now);
     void startWaiting(AdmissionChanges &changes);
 
@@ -97,6 +99,7 @@
     FairQueue m_queue;
     std::deque<AdmissionRequest> m_suspects;
     u32 m_running = 0;
+    std::optional<TimePoint> m_restartedAt;
     bool m_suspectRuns = false;
     double m_meanServiceMs = 0;
 };
--- a/lib/libburdock/source/admission/admission_controller.cpp
+++ b/lib/libburdock/source/admission/admission_controller.cpp
@@ -67,10 +67,12 @@
     if (run.outcome == RunOutcome::Success) {
         const double serviceMs = toMilliseconds(run.serviceTime);
         m_meanServiceMs = m_meanServiceMs == 0 ? serviceMs : (1 - NewestWeight) * m_meanServiceMs + NewestWeight * serviceMs;
-        m_limit.noteSuccess();
+        if (!isFromBeforeRestart(run)) {
+            m_limit.noteSuccess();
+        }
     }
     if (run.outcome == RunOutcome::EndpointRestarted) {
-        m_limit.noteRestart();
+        noteRestart(now);
     }
     return expire(now);
 }
@@ -119,11 +121,20 @@
     return m_queue.remove(ticket) || std::erase_if(m_suspects, [ticket](const auto &request) { return request.ticket == ticket; }) > 0;
 }
 
-void AdmissionController::noteRestart()
+void AdmissionController::noteRestart(TimePoint now)
 {
+    m_restartedAt = now;
     m_limit.noteRestart();
 }
 
+// Guards against a restarted endpoint that counts as warm by what it did before: it shows as an engine that falls over again
+// right after a crash at which many runs ended. Passing such successes over holds because a run that began after the restart was
+// seen can only have run in the new start.
+bool AdmissionController::isFromBeforeRestart(const FinishedRun &run) const
+{
+    return m_restartedAt && run.began <= *m_restartedAt;
+}
+
 void AdmissionController::setPolicy(const AdmissionPolicy &policy)
 {
     m_policy = policy;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -170,3 +170,38 @@
     }
     CHECK(controller.limit() == 1);
 }
+
+// Guards against an engine that falls over again right after a crash, as runs that ended before it are told of after it.
+TEST_CASE("successes from before a restart do not warm an endpoint up")
+{
+    auto controller = controllerWith(3, 24, 100);
+    const TimePoint restart = Start + std::chrono::seconds(1);
+    for (Ticket ticket = 1; ticket <= 12; ++ticket) {
+        static_cast<void>(controller.request(from("a", ticket), Start));
+    }
+    controller.noteRestart(restart);
+    FinishedRun run = Success;
+    run.began = Start;
+    for (u32 i = 0; i < 12; ++i) {
+        static_cast<void>(controller.finished(run, restart + std::chrono::milliseconds(1)));
+        CHECK(controller.limit() == 3);
+    }
+    run.began = restart + std::chrono::milliseconds(1);
+    for (u32 i = 0; i < 3; ++i) {
+        static_cast<void>(controller.finished(run, restart + std::chrono::milliseconds(2)));
+    }
+    CHECK(controller.limit() == 6);
+}
+
+TEST_CASE("successes from before a restart that a broken run has shown do not warm an endpoint up")
+{
+    auto controller = controllerWith(3, 24, 100);
+    const TimePoint restart = Start + std::chrono::seconds(1);
+    FinishedRun run = Success;
+    run.began = Start;
+    static_cast<void>(controller.finished(Restarted, restart));
+    for (u32 i = 0; i < 12; ++i) {
+        static_cast<void>(controller.finished(run, restart + std::chrono::milliseconds(1)));
+    }
+    CHECK(controller.limit() == 3);
+}
