Let the soak take a refused key for knowledge only of gateways that knew the key

Gateway 1 refused key-2 under version 1, as it had not heard of version 2 yet, took version 2 and ran key-2 with it, all while the operator had already written version 3, which removes it. The old check took any refusal after a removal for knowledge of that removal.

Now a process has shown a version once it ran a key that came with it, or refused a key that a later version removed though it must have known the key: it had shown that version or a later one, it started after the write, or it was left alone for the time in which a configuration must be in force. What a process runs counts too, which the old check did not ask.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -97,7 +97,7 @@
         request.headers.emplace_back("X-Prompt-Prefix", fmt::format("{:x}:30,{:x}:10", random(16) + 1, 100 + m_number));
     }
     const u32 incarnation = m_gateways[gateway]->incarnation;
-    m_ledger.noteSent(attempt, {kind, gateway, incarnation, key, now()});
+    m_ledger.noteSent(attempt, {kind, gateway, incarnation, m_gateways[gateway]->startedAt, key, now()});
     end = co_await exchange(request);
     m_ledger.noteEnded(attempt, end);
     co_return end;
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -15,6 +15,7 @@
 {
     std::string address;
     std::atomic<u32> incarnation{0};
+    std::atomic<TimePoint> startedAt{TimePoint()}; ///< just before the process
 };
 
 /** @brief The keys that callers use, which operators change meanwhile. Thread-safe. */
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -49,6 +49,7 @@
 void GatewaySlot::start()
 {
     ++m_face->incarnation;
+    m_face->startedAt = now();
     m_gateway.start();
 }
 
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -358,9 +358,9 @@
     const auto old = m_key;
     m_key = fmt::format("key-{}", m_configuration);
     m_deployment.store().put("config", "main", support::configurationObject(m_configuration, {"key-desk", m_key}));
-    m_deployment.ledger().noteKeyAdded(m_key, now());
+    m_deployment.ledger().noteKeyAdded(m_key, m_configuration, now());
     if (!old.empty()) {
-        m_deployment.ledger().noteKeyRemoved(old, now());
+        m_deployment.ledger().noteKeyRemoved(old, m_configuration, now());
     }
     m_deployment.keys().addChanging(m_key);
 }
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -96,6 +96,7 @@
         add("endpoints hear the customer of the key", fmt::format("{} ran for '{}'", call.attempt, call.customer));
     }
     checkKey(attempt, call);
+    checkBack(attempt, call);
     checkEndpoint(attempt, call);
     checkWeights(attempt, call);
 }
@@ -107,18 +108,67 @@
     if (removed == m_keysRemoved.end()) {
         return;
     }
-    if (attempt.sent.at > removed->second + m_bounds.revocation + Slack) {
+    if (attempt.sent.at > removed->second.at + m_bounds.revocation + Slack) {
         add("a key that was taken away runs nothing",
             fmt::format("{} of gateway {} ran {} ms after the key was taken away", call.attempt, attempt.sent.gateway,
-                        toMilliseconds(attempt.sent.at - removed->second)));
+                        toMilliseconds(attempt.sent.at - removed->second.at)));
     }
-    const auto refused = m_refusedKeys.find({attempt.sent.gateway, attempt.sent.key});
-    const bool isSameProcess = refused != m_refusedKeys.end() && refused->second.first == attempt.sent.incarnation;
-    if (isSameProcess && attempt.sent.at > refused->second.second + m_bounds.configurationBack) {
-        add("a configuration never goes back", fmt::format("{}: gateway {} took a key again", call.attempt, attempt.sent.gateway));
+}
+
+// Guards against a process that goes back to an older configuration, by what only that one or an older one runs.
+void Ledger::checkBack(const Attempt &attempt, const BegunCall &call)
+{
+    const auto removed = m_keysRemoved.find(attempt.sent.key);
+    if (removed != m_keysRemoved.end() && hasShown(attempt.sent, removed->second.version, m_bounds.configurationBack)) {
+        add("a configuration never goes back",
+            fmt::format("{}: gateway {} ran a key that version {} removed, which it knew", call.attempt, attempt.sent.gateway,
+                        removed->second.version));
+    }
+    const auto added = m_keysAdded.find(attempt.sent.key);
+    if (added != m_keysAdded.end()) {
+        learn(attempt.sent, added->second.version, call.received);
+    }
+}
+
+// A refused key shows that a process knows of its removal only if it knew of the key: to another, the key may still be new.
+void Ledger::learnFromRefusal(const Attempt &attempt)
+{
+    const auto &sent = attempt.sent;
+    const auto added = m_keysAdded.find(sent.key);
+    if (added != m_keysAdded.end() && mustKnow(added->second, sent)) {
+        learn(sent, m_keysRemoved.at(sent.key).version, attempt.end->at);
     }
 }
 
+void Ledger::learn(const SentCall &sent, u64 version, TimePoint at)
+{
+    auto &first = m_shown[{sent.gateway, sent.incarnation}].try_emplace(version, at).first->second;
+    first = std::min(first, at);
+}
+
+// Whether the process had shown that it knows the version, or a later one, for so long before the call was sent.
+bool Ledger::hasShown(const SentCall &sent, u64 version, Duration before) const
+{
+    const auto shown = m_shown.find({sent.gateway, sent.incarnation});
+    return shown != m_shown.end() && std::any_of(shown->second.lower_bound(version), shown->second.end(), [&](const auto &known) {
+               return sent.at > known.second + before;
+           });
+}
+
+// Whether the process knew of the key when the call was sent, or it has gone back. One that started later has read a newer list.
+bool Ledger::mustKnow(const KeyChange &added, const SentCall &sent) const
+{
+    return sent.startedAt > added.at || hasShown(sent, added.version, Duration::zero()) || isInForce(added, sent);
+}
+
+// Whether a gateway that was left alone must have known of the key when the call was sent.
+bool Ledger::isInForce(const KeyChange &added, const SentCall &sent) const
+{
+    return sent.at > added.at + m_bounds.configuration + Slack
+        && m_disturbances.wasUntouched(gatewaySubject(sent.gateway), added.at, sent.at)
+        && m_disturbances.wasCalm(StoreSubject, added.at, sent.at);
+}
+
 void Ledger::checkEndpoint(const Attempt &attempt, const BegunCall &call)
 {
     const auto subject = gatewaySubject(attempt.sent.gateway);
@@ -221,13 +271,11 @@
         return;
     }
     if (m_keysRemoved.count(sent.key) > 0) {
-        m_refusedKeys.try_emplace({sent.gateway, sent.key}, sent.incarnation, attempt.end->at);
+        learnFromRefusal(attempt);
         return;
     }
     const auto added = m_keysAdded.find(sent.key);
-    const bool isInForce = added != m_keysAdded.end() && sent.at > added->second + m_bounds.configuration + Slack;
-    if (isInForce && m_disturbances.wasUntouched(gatewaySubject(sent.gateway), added->second, sent.at)
-        && m_disturbances.wasCalm(StoreSubject, added->second, sent.at)) {
+    if (added != m_keysAdded.end() && isInForce(added->second, sent)) {
         add("an accepted configuration is in force within seconds", fmt::format("{} got {} at gateway {}", id, status, sent.gateway));
     }
 }
@@ -261,16 +309,16 @@
     m_orders[order.endpoint] = order;
 }
 
-void Ledger::noteKeyAdded(const std::string &key, TimePoint at)
+void Ledger::noteKeyAdded(const std::string &key, u64 version, TimePoint at)
 {
     const std::lock_guard lock(m_mutex);
-    m_keysAdded[key] = at;
+    m_keysAdded[key] = {version, at};
 }
 
-void Ledger::noteKeyRemoved(const std::string &key, TimePoint at)
+void Ledger::noteKeyRemoved(const std::string &key, u64 version, TimePoint at)
 {
     const std::lock_guard lock(m_mutex);
-    m_keysRemoved[key] = at;
+    m_keysRemoved[key] = {version, at};
 }
 
 void Ledger::noteDraining(const std::string &endpoint, TimePoint at)
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -33,6 +33,7 @@
     CallKind kind = CallKind::Read;
     u32 gateway = 0;
     u32 incarnation = 0; ///< of the gateway's process
+    TimePoint startedAt{}; ///< just before the process
     std::string key;
     TimePoint at{};
 };
@@ -96,8 +97,8 @@
     void noteOrder(const ReceivedOrder &order);
 
     /** @brief Writes of the operator, at the time of their acknowledgement. */
-    void noteKeyAdded(const std::string &key, TimePoint at);
-    void noteKeyRemoved(const std::string &key, TimePoint at);
+    void noteKeyAdded(const std::string &key, u64 version, TimePoint at);
+    void noteKeyRemoved(const std::string &key, u64 version, TimePoint at);
     void noteDraining(const std::string &endpoint, TimePoint at);
     void noteWeightsNamed(u64 version, TimePoint at);
     void noteZone(const std::string &endpoint, const std::string &zone);
@@ -117,6 +118,15 @@
         std::optional<EndedCall> end;
     };
 
+    /** The version of the configuration that added or removed a key. */
+    struct KeyChange
+    {
+        u64 version = 0;
+        TimePoint at{};
+    };
+
+    using Process = std::pair<u32, u32>; ///< gateway and incarnation
+
     void checkBegun(const Attempt &attempt, const BegunCall &call);
     void checkKey(const Attempt &attempt, const BegunCall &call);
     void checkEndpoint(const Attempt &attempt, const BegunCall &call);
@@ -125,15 +135,21 @@
     void checkRefusal(const std::string &id, const Attempt &attempt);
     void checkLoss(const std::string &id, const Attempt &attempt);
     void checkUnknownKey(const std::string &id, const Attempt &attempt);
+    void checkBack(const Attempt &attempt, const BegunCall &call);
+    void learnFromRefusal(const Attempt &attempt);
+    void learn(const SentCall &sent, u64 version, TimePoint at);
+    [[nodiscard]] bool hasShown(const SentCall &sent, u64 version, Duration before) const;
+    [[nodiscard]] bool mustKnow(const KeyChange &added, const SentCall &sent) const;
+    [[nodiscard]] bool isInForce(const KeyChange &added, const SentCall &sent) const;
     void add(const std::string &promise, const std::string &detail);
 
     const Bounds m_bounds;
     Disturbances &m_disturbances;
     mutable std::mutex m_mutex;
     std::map<std::string, Attempt> m_attempts;
-    std::map<std::string, TimePoint> m_keysAdded;
-    std::map<std::string, TimePoint> m_keysRemoved;
-    std::map<std::pair<u32, std::string>, std::pair<u32, TimePoint>> m_refusedKeys; ///< by gateway and key: incarnation, first time
+    std::map<std::string, KeyChange> m_keysAdded;
+    std::map<std::string, KeyChange> m_keysRemoved;
+    std::map<Process, std::map<u64, TimePoint>> m_shown; ///< versions that a process has shown it knows, and when first
     std::map<std::string, TimePoint> m_draining;
     std::map<u64, TimePoint> m_weights;
     std::map<std::string, std::string> m_zones; ///< by endpoint
