Let the caller leave once the engine has begun in the test of left callers

"when a caller leaves, the endpoint's connection is closed within half a second" measured 811 ms once. The product has no timer between the caller's close and the close of the endpoint's connection: one thread sees the connection readable, looks and closes. With the time and the kernel's count of waiting for a processor logged at each stage (trials, not kept), 233 runs on a machine in use by others, up to 40 busy loops beside 195 of them: 4 failed, at 500, 560, 609 and 923 ms. In these the gateway closed 0.1 to 3.5 ms after the caller; the rest went by before the stand-in began to serve. In three, its accepting or serving thread had waited 0.8, 0.8 and 1.1 s for a processor in its first run; in the one of 500 ms the accepting thread was not logged yet. Runs that passed saw up to 188 ms in the gateway, all of it spent waiting for a processor.

The old check was wrong as it left 200 ms after the request was sent, whether the engine had begun or not: a stand-in that comes to it later sees the close as late. A stand-in that waits as long after it began would still fail it; the longest such wait seen was 359 ms.

--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -305,14 +305,18 @@
 TEST_CASE("when a caller leaves, the endpoint's connection is closed within half a second")
 {
     GatewayDeployment gateway;
+    std::atomic<bool> hasBegun{false};
     std::atomic<bool> isClosed{false};
-    Replica engine([&isClosed](const ReceivedRequest &, ReplicaConnection &connection) {
+    Replica engine([&](const ReceivedRequest &, ReplicaConnection &connection) {
+        hasBegun = true;
         isClosed = connection.awaitClose(std::chrono::seconds(3));
         return AfterAnswer::Close;
     });
     serve(gateway, "engines", {&engine});
-    gateway.callAndLeave(prompt("/prompts/1", "s1"), std::chrono::milliseconds(200));
+    // An engine that has no processor yet would notice the close as late as it begins.
+    gateway.callAndLeaveOnce(prompt("/prompts/1", "s1"), [&hasBegun] { return hasBegun.load(); });
     const auto left = std::chrono::steady_clock::now();
+    REQUIRE(hasBegun);
     CHECK(GatewayDeployment::waitFor([&] { return isClosed.load(); }));
     CHECK(std::chrono::steady_clock::now() - left < std::chrono::milliseconds(500));
 }
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 #include <csignal>
+#include <optional>
 
 namespace support {
 
@@ -23,6 +24,7 @@
 constexpr u32 PoolThreads = 2;
 constexpr Duration CallTimeout = std::chrono::seconds(20);
 constexpr Duration Patience = std::chrono::seconds(10);
+constexpr Duration Poll = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -82,13 +84,25 @@
 
 void GatewayDeployment::callAndLeave(const GatewayCall &call, Duration after)
 {
-    const auto work = [this, call, after]() -> boost::asio::awaitable<void> {
+    std::optional<std::chrono::steady_clock::time_point> sent;
+    callAndLeaveOnce(call, [after, sent]() mutable {
+        sent = sent.value_or(std::chrono::steady_clock::now());
+        return std::chrono::steady_clock::now() >= *sent + after;
+    });
+}
+
+void GatewayDeployment::callAndLeaveOnce(const GatewayCall &call, const std::function<bool()> &condition)
+{
+    const auto work = [this, call, condition]() -> boost::asio::awaitable<void> {
         const auto executor = co_await boost::asio::this_coro::executor;
         http::Connection connection(executor, http::parseAddress(m_gateway.callers()), http::Reuse::Once);
         if (co_await connection.connect(CallTimeout)) {
             connection.startSend(toRequest(call));
-            boost::asio::steady_timer timer(executor, after);
-            co_await timer.async_wait(boost::asio::use_awaitable);
+            const auto until = std::chrono::steady_clock::now() + CallTimeout;
+            while (!condition() && std::chrono::steady_clock::now() < until) {
+                boost::asio::steady_timer timer(executor, Poll);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
             connection.cut();
         }
     };
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -52,6 +52,8 @@
 
     /** @brief Begins a call and closes its connection after the given time. */
     void callAndLeave(const GatewayCall &call, Duration after);
+    /** @brief Leaves as soon as a condition holds. */
+    void callAndLeaveOnce(const GatewayCall &call, const std::function<bool()> &condition);
 
     [[nodiscard]] u16 readiness();
     [[nodiscard]] std::string metrics();
