Don't refuse a request whose key goes unconfirmed between two attempts if it was begun

Cause: before each attempt the keys are checked again, and where they are no longer confirmed the gateway sent a refusal, whatever went before. A gateway that stood frozen for 2.7 s wakes with a configuration older than keys may be, and with the streams that it resumes elsewhere. Their head had gone out, so the refusal's head stood where a chunk is due. The same line told callers of reads that were lost at their first endpoint "not run".

Evidence: read from the code; both tests failed before (a second HTTP/1.1 at byte 163; 503 in place of 502) and pass now.

The refusal now goes the way of the one where no endpoint is left: refused only if nothing was begun, else the answer is cut, or called lost.

--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -172,19 +172,14 @@
         const auto now = m_parts.clock.now();
         m_choice = m_state.endpoints.choose(needOf(), now);
         if (m_choice.reason != endpoints::NoChoice::None) {
-            const auto step = m_history.begun + m_history.declined == 0 ? NextStep::Refuse : retry::lastStep(m_history, last.outcome);
-            if (step == NextStep::Refuse) {
-                const bool isNone = m_choice.reason == endpoints::NoChoice::NoEndpoint;
-                const Rejection rejection{503, toString(m_choice.reason), isNone ? RetryWhenNone : RetryWhenFull};
-                co_await reject(rejection);
-                co_return;
-            }
-            co_await finish(step, last);
+            const bool isNone = m_choice.reason == endpoints::NoChoice::NoEndpoint;
+            const Rejection rejection{503, toString(m_choice.reason), isNone ? RetryWhenNone : RetryWhenFull};
+            co_await stopOffering(rejection, last);
             co_return;
         }
         if (m_customer != nullptr && !m_state.keysAreCurrent(m_parts.clock.now(), m_settings)) {
             const auto rejection = keysUnconfirmed();
-            co_await reject(rejection);
+            co_await stopOffering(rejection, last);
             co_return;
         }
         // Guards against a request that is sent on for a caller who left while this process was held up: it shows as endpoints that
@@ -213,6 +208,17 @@
     }
 }
 
+// A refusal says that the request has not run, and can't follow the begin of an answer.
+boost::asio::awaitable<void> CallDriver::stopOffering(const Rejection &rejection, const Attempt &last)
+{
+    const auto step = m_history.begun + m_history.declined == 0 ? NextStep::Refuse : retry::lastStep(m_history, last.outcome);
+    if (step == NextStep::Refuse) {
+        co_await reject(rejection);
+        co_return;
+    }
+    co_await finish(step, last);
+}
+
 endpoints::Need CallDriver::needOf() const
 {
     endpoints::Need need;
--- a/lib/libburdock-gateway/source/call_driver.hpp
+++ b/lib/libburdock-gateway/source/call_driver.hpp
@@ -42,6 +42,7 @@
     [[nodiscard]] std::optional<Rejection> checkLists() const;
     [[nodiscard]] Rejection keysUnconfirmed();
     [[nodiscard]] boost::asio::awaitable<void> offerUntilDone();
+    [[nodiscard]] boost::asio::awaitable<void> stopOffering(const Rejection &rejection, const Attempt &last);
     [[nodiscard]] endpoints::Need needOf() const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
     [[nodiscard]] endpoints::Outcome brokenOr(TimePoint waitedUntil) const;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -301,6 +301,58 @@
     CHECK(broken.progress == runtime::http::Progress::MayBeSent);
 }
 
+// Guards against a second answer inside the first one, which no caller can read.
+TEST_CASE("a stream whose key went unconfirmed while it ran is cut off where its endpoint dies, without a second answer")
+{
+    GatewayDeployment gateway(R"({"revocation_ms": 2500})");
+    std::atomic<u32> runs{0};
+    std::atomic<bool> mayDie{false};
+    const auto script = [&](const ReceivedRequest &request, ReplicaConnection &connection) {
+        ++runs;
+        connection.write(standins::streamHead(request));
+        connection.write(standins::eventChunk(1, "first"));
+        static_cast<void>(GatewayDeployment::waitFor([&] { return mayDie.load(); }));
+        return AfterAnswer::Close;
+    };
+    Replica first(script);
+    Replica second(script);
+    serve(gateway, "engines", {&first, &second});
+    auto bytes = std::async(std::launch::async, [&] { return gateway.callForBytes(prompt("/resumable/1", "s1")); });
+    REQUIRE(GatewayDeployment::waitFor([&] { return runs == 1; }));
+    gateway.store().setMode(StoreMode::Down);
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.readiness() == 503; }));
+    mayDie = true;
+    const auto answer = bytes.get();
+    CHECK(answer.find("id: 1") != std::string::npos);
+    CHECK(answer.rfind("HTTP/1.1") == 0);
+    CHECK(runs == 1);
+}
+
+// Guards against a refusal that says "not run" of a call that may have run.
+TEST_CASE("a read that was lost once its key went unconfirmed is not called a refusal")
+{
+    GatewayDeployment gateway(R"({"revocation_ms": 2500})");
+    std::atomic<u32> runs{0};
+    std::atomic<bool> mayDie{false};
+    Replica plain([&](const ReceivedRequest &, ReplicaConnection &) {
+        ++runs;
+        static_cast<void>(GatewayDeployment::waitFor([&] { return mayDie.load(); }));
+        return AfterAnswer::Close;
+    });
+    Replica other(answerWhole);
+    serve(gateway, "plain", {&plain});
+    GatewayCall read;
+    read.path = "/read/1";
+    auto answer = std::async(std::launch::async, [&] { return gateway.call(read); });
+    REQUIRE(GatewayDeployment::waitFor([&] { return runs == 1; }));
+    gateway.registerReplica("r2", "plain", other.address());
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("endpoint":"r2")") != std::string::npos; }));
+    gateway.store().setMode(StoreMode::Down);
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.readiness() == 503; }));
+    mayDie = true;
+    CHECK(answer.get().response.status == 502);
+}
+
 // Guards against engines that go on making tokens for callers who have left, in places that others wait for.
 TEST_CASE("when a caller leaves, the endpoint's connection is closed within half a second")
 {
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -13,6 +14,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <optional>
+#include <sstream>
 
 namespace support {
 
@@ -82,6 +84,23 @@
     return exchange(m_gateway.callers(), toRequest(call));
 }
 
+std::string GatewayDeployment::callForBytes(const GatewayCall &call)
+{
+    const auto address = http::parseAddress(m_gateway.callers());
+    boost::asio::ip::tcp::iostream stream(address.ip, std::to_string(address.port));
+    stream.expires_after(CallTimeout);
+    const auto request = toRequest(call);
+    stream << request.method << ' ' << request.target << " HTTP/1.1\r\nConnection: close\r\nContent-Length: " << request.body.size()
+           << "\r\n";
+    for (const auto &[name, value] : request.headers) {
+        stream << name << ": " << value << "\r\n";
+    }
+    stream << "\r\n" << request.body << std::flush;
+    std::ostringstream bytes;
+    bytes << stream.rdbuf();
+    return bytes.str();
+}
+
 void GatewayDeployment::callAndLeave(const GatewayCall &call, Duration after)
 {
     std::optional<std::chrono::steady_clock::time_point> sent;
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -50,6 +50,9 @@
 
     [[nodiscard]] runtime::http::Exchange call(const GatewayCall &call);
 
+    /** @brief Makes a call and returns every byte that comes back until the connection ends. */
+    [[nodiscard]] std::string callForBytes(const GatewayCall &call);
+
     /** @brief Begins a call and closes its connection after the given time. */
     void callAndLeave(const GatewayCall &call, Duration after);
     /** @brief Leaves as soon as a condition holds. */
