--- a/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/dialect.hpp
@@ -23,6 +23,7 @@
     std::string model;
     u64 promptTokens = 0;
     u64 outputTokens = 0; ///< at most
+    std::optional<u64> expectedOutputTokens; ///< the caller's guess
     std::vector<cache::PromptPart> parts;
     std::string lastEventId; ///< where a stream goes on
 };
--- a/lib/libburdock-gateway/source/call_driver.cpp
+++ b/lib/libburdock-gateway/source/call_driver.cpp
@@ -1,5 +1,6 @@
 #include "call_driver.hpp"
 
+#include <burdock/endpoints/prompt_memory.hpp>
 #include <burdock/hash/digest.hpp>
 
 #include <algorithm>
@@ -118,7 +119,8 @@
         return Rejection{503, "no_service", RetryWhenNone};
     }
     m_service = *service;
-    m_memory = m_route->isPrompt ? std::max<u64>(1, m_facts.promptTokens + m_facts.outputTokens) : 0;
+    const endpoints::StatedSize size{m_facts.promptTokens, m_facts.outputTokens, m_facts.expectedOutputTokens};
+    m_memory = m_route->isPrompt ? endpoints::promptMemory(size) : 0;
     m_fingerprint = hash::fast(m_request.target, hash::fast(customer, hash::fast(m_request.body)));
     if (!m_state.quarantine.tryBegin(m_fingerprint, retry::TrialPolicy{}, m_arrived)) {
         return Rejection{503, "crashes_endpoints", {}};
@@ -229,6 +231,9 @@
     need.prefill = [this](const endpoints::Endpoint &endpoint) {
         return m_planner->prefillAt(endpoint);
     };
+    need.inPlace = [this](const endpoints::Endpoint &endpoint) {
+        return m_planner->inPlaceAt(endpoint);
+    };
     need.target = m_route->isPrompt ? m_route->target : Duration::zero();
     need.model = m_facts.model;
     need.wantedVersion = m_state.wantedVersion(m_facts.model);
@@ -506,7 +511,7 @@
                           {"running", u64{m_state.endpoints.loadAt(endpoint).running}},
                           {"pending", m_state.endpoints.loadAt(endpoint).pending},
                           {"memory_taken", m_state.endpoints.loadAt(endpoint).memory},
-                          {"memory", m_memory},
+                          {"memory", m_choice.work.memory},
                           {"prefill", m_choice.work.prefill},
                           {"parts", u64{m_facts.parts.size()}},
                           {"fetches", countOf(told.parts.fetchFrom)},
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -60,6 +60,19 @@
     return tokens;
 }
 
+u64 PromptPlanner::inPlaceAt(const endpoints::Endpoint &endpoint) const
+{
+    if (m_facts.parts.empty()) {
+        return 0;
+    }
+    const auto &parts = partsAt(weightVersionOf(endpoint));
+    u64 tokens = 0;
+    for (std::size_t i = 0; i + 1 < m_facts.parts.size() && endpoint.memory.holds(parts.hashes[i]); ++i) {
+        tokens += m_facts.parts[i].tokens;
+    }
+    return tokens;
+}
+
 const PromptPlanner::Parts &PromptPlanner::partsAt(u64 weightVersion) const
 {
     const auto [found, isNew] = m_parts.try_emplace(weightVersion);
--- a/lib/libburdock-gateway/source/prompt_planner.hpp
+++ b/lib/libburdock-gateway/source/prompt_planner.hpp
@@ -20,6 +20,9 @@
     /** @brief Prompt tokens that an endpoint would have to read, with fetched ones counted by what fetching costs. */
     [[nodiscard]] u64 prefillAt(const endpoints::Endpoint &endpoint) const;
 
+    /** @brief Tokens of the prompt's shared parts that are in an endpoint's memory, as far as guessed. */
+    [[nodiscard]] u64 inPlaceAt(const endpoints::Endpoint &endpoint) const;
+
     /** @brief Fills in what an endpoint is told of the prompt's kept parts, and takes note of what it will have. */
     void instruct(const endpoints::Endpoint &endpoint, Instructions &told, TimePoint now);
 
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -94,6 +94,8 @@
     u64 random = 0;
     u64 memory = 0; ///< tokens of a prompt with its answer; zero for a call of a plain service
     std::function<u64(const Endpoint &)> prefill; ///< prompt tokens that an engine would have to read; for prompts
+    /** Prompt tokens that an engine holds already, so that they take no further memory there. Empty if there are none. */
+    std::function<u64(const Endpoint &)> inPlace;
     std::string_view model;
     u64 wantedVersion = 0; ///< newest weights of the model
     /** Until when the request may begin on a version of the model; nothing for no bound. Empty if there is none for any version. */
@@ -256,6 +258,7 @@
     struct Candidate
     {
         Endpoint *endpoint = nullptr;
+        u64 memory = 0; ///< tokens that the prompt takes there
         u64 prefill = 0;
         Duration delay{};
         Duration score{}; ///< delay with penalties
@@ -266,13 +269,13 @@
     [[nodiscard]] bool hasExpiredWeights(const Endpoint &endpoint, const Need &need, TimePoint begin) const;
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isSilentToOthers(const Endpoint &endpoint, TimePoint now) const;
-    [[nodiscard]] bool hasMemory(const Endpoint &endpoint, const Need &need) const;
+    [[nodiscard]] bool hasMemory(const Endpoint &endpoint, u64 needed) const;
     [[nodiscard]] bool bearsMore(Endpoint &endpoint, TimePoint now);
     [[nodiscard]] Choice choosePlain(const Need &need, TimePoint now);
     [[nodiscard]] Choice choosePrompt(const Need &need, TimePoint now);
     [[nodiscard]] NewestWeights newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates, const Need &need,
                                               TimePoint now) const;
-    [[nodiscard]] Candidate candidateOf(Endpoint &endpoint, const Need &need, TimePoint now) const;
+    [[nodiscard]] Candidate candidateOf(Endpoint &endpoint, u64 memory, const Need &need, TimePoint now) const;
     [[nodiscard]] Duration delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const;
     [[nodiscard]] Duration referenceDelay(u64 tokens) const;
     [[nodiscard]] const ServiceLimits &limitsOf(const std::string &service) const;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -37,6 +37,12 @@
     return version != endpoint.registration.weightVersions.end() && version->second < need.wantedVersion;
 }
 
+u64 memoryAt(const Endpoint &endpoint, const Need &need)
+{
+    const u64 inPlace = need.inPlace ? need.inPlace(endpoint) : 0;
+    return need.memory - std::min(need.memory - 1, inPlace);
+}
+
 bool isEnd(const Endpoint &endpoint)
 {
     return endpoint.hasLeft && endpoint.own.running == 0;
@@ -183,10 +189,14 @@
     for (auto &[id, endpoint] : m_endpoints) {
         if (isEligible(endpoint, need, now)) {
             isAnyEligible = true;
-            const auto candidate = candidateOf(endpoint, need, now);
+            const u64 memory = memoryAt(endpoint, need);
+            if (!hasMemory(endpoint, memory)) {
+                continue;
+            }
+            const auto candidate = candidateOf(endpoint, memory, need, now);
             // An engine works on what waits inside it, so that a prompt which is sent in time may begin too late.
             const auto begin = now + candidate.delay * m_policy.beginPercent / 100 + m_policy.beginSlack;
-            if (hasMemory(endpoint, need) && !hasExpiredWeights(endpoint, need, begin)) {
+            if (!hasExpiredWeights(endpoint, need, begin)) {
                 candidates.push_back(candidate);
             }
         }
@@ -208,7 +218,7 @@
         }
         if (bearsMore(*candidate.endpoint, now)) {
             const auto &chosen = candidate.endpoint->registration;
-            const Work work{need.memory, candidate.prefill};
+            const Work work{candidate.memory, candidate.prefill};
             const auto newest = newestWeights(candidate, candidates, need, now);
             return {chosen.id, NoChoice::None, work, candidate.delay, chosen.bornMs, newest};
         }
@@ -240,10 +250,11 @@
     return serves ? NewestWeights::NoRoom : NewestWeights::NoneServes;
 }
 
-EndpointTable::Candidate EndpointTable::candidateOf(Endpoint &endpoint, const Need &need, TimePoint now) const
+EndpointTable::Candidate EndpointTable::candidateOf(Endpoint &endpoint, u64 memory, const Need &need, TimePoint now) const
 {
     Candidate candidate;
     candidate.endpoint = &endpoint;
+    candidate.memory = memory;
     candidate.prefill = need.prefill(endpoint);
     candidate.delay = delayAt(endpoint, loadAt(endpoint).pending + candidate.prefill, now);
     candidate.score = candidate.delay;
@@ -504,12 +515,12 @@
     return now - endpoint.lastHeard > m_policy.silenceLimit && m_peers.findUnresponsive(endpoint.hash) >= m_policy.believedReports;
 }
 
-bool EndpointTable::hasMemory(const Endpoint &endpoint, const Need &need) const
+bool EndpointTable::hasMemory(const Endpoint &endpoint, u64 needed) const
 {
     const u64 memory = limitsOf(endpoint.registration.service).cacheTokens * m_policy.roomPercent / 100;
     const u64 taken = loadAt(endpoint).memory;
     // A prompt over the whole room is let in alone, or it could never run.
-    return memory == 0 || taken == 0 || taken + need.memory <= memory;
+    return memory == 0 || taken == 0 || taken + needed <= memory;
 }
 
 // Guards against a share that was right among fewer entries: it shows as a cold endpoint that falls over once several entries have
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -131,6 +131,27 @@
     CHECK((idle.choose(huge, at(0ms)).reason == NoChoice::None));
 }
 
+// Load pattern: many long prompts that begin alike, at engines with memory for a few. What they share lies in an engine's memory once,
+// so an engine that holds it has room for more of them than their sizes add up to; refused they would come back, and be refused again.
+TEST_CASE("what an engine holds of a prompt already takes no further memory there")
+{
+    constexpr u64 Shared = 9'000;
+    auto table = tableOf(1);
+    u32 given = 0;
+    for (; given < 100; ++given) {
+        auto need = draft(1, std::chrono::seconds(60));
+        need.inPlace = [given](const Endpoint &) {
+            return given == 0 ? 0 : Shared;
+        };
+        const auto choice = table.choose(need, at(0ms));
+        if (choice.reason != NoChoice::None) {
+            break;
+        }
+        table.noteSent(choice.id, choice.work, at(0ms));
+    }
+    CHECK(given == 1 + (EngineMemory - DraftMemory) / (DraftMemory - Shared));
+}
+
 // An engine goes dark while its entry in the list still stands. Each gateway sends it a prompt and waits in vain, twenty of them one after
 // the other. Two that found out must do for all that hear nothing of the engine themselves.
 TEST_CASE("an endpoint that two other entries find silent gets nothing, unless this entry hears from it")
