--- a/lib/libburdock/include/burdock/endpoints/prompt_memory.hpp
+++ b/lib/libburdock/include/burdock/endpoints/prompt_memory.hpp
@@ -19,7 +19,7 @@
  *
  * Load pattern: callers state far longer answers than they get. Counted in full, engines look full while half of their memory is free,
  * and prompts are refused that they would have room for. A guess counts twice, as one that is too low is made good for by
- * those that are too high; it never counts for more than the most, and for nothing if it is zero.
+ * those that are too high, but never for more than the longest answer. A guess of zero is taken for none.
  */
 [[nodiscard]] u64 promptMemory(const StatedSize &size);
 
