Don't take lost connections to engines for crashes that a request caused

What callers saw: a prompt whose connections to two engines were cut within moments got 502 back_end_lost, with idle engines and an attempt left over; its next sending was refused (422 quarantined) for half an hour.

Cause: the endpoint process counted an engine that can't be reached as one that the request crashed. Two such counts quarantine a request.

Fix: the evidence of a crash is that the engine answers again as another process. Two of those quarantine, as before. A loss without it makes a suspect; the third holds the request back, with a time to come back, until a trial clears it. The rule is the gateways' for what they can't prove. A poisonous request that crashes engines which need seconds to start again takes three of them in place of two.

--- a/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/admission/admission_controller.hpp>
+#include <burdock/retry/quarantine.hpp>
 #include <burdock/runtime/tracer.hpp>
 #include <burdock/serving/endpoint/run_outlet.hpp>
 
@@ -14,6 +15,8 @@
 {
     admission::RunOutcome outcome = admission::RunOutcome::Success;
     schema::RunEnd end;
+    /** Set if the back end may have crashed under the run. */
+    std::optional<retry::CrashEvidence> crash;
     /** Set if the back end was never asked; then `end` does not count. */
     std::optional<Refusal> refusal;
 };
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/prompt_runner.hpp
@@ -21,8 +21,8 @@
 private:
     [[nodiscard]] boost::asio::awaitable<Conclusion> relay(const clients::GenerateHead &head, clients::Generation &generation,
                                                            RunOutlet &outlet, TimePoint deadline);
-    [[nodiscard]] Conclusion broken(bool mayHaveRun, bool crashed, std::string detail) const;
-    [[nodiscard]] boost::asio::awaitable<bool> hasCrashed(std::string bootBefore);
+    [[nodiscard]] static Conclusion broken(bool mayHaveRun, std::optional<retry::CrashEvidence> crash, std::string detail);
+    [[nodiscard]] boost::asio::awaitable<std::optional<retry::CrashEvidence>> lookForCrash(std::string bootBefore);
 
     Process &m_process;
     clients::Engine &m_engine;
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
@@ -58,6 +58,7 @@
                                                        std::shared_ptr<RunSignals> signals, TimePoint deadline);
     [[nodiscard]] boost::asio::awaitable<void> runAdmitted(const schema::RunRequest &request, RunOutlet &outlet, TimePoint deadline,
                                                            bool isSuspect, const runtime::SpanContext &span);
+    [[nodiscard]] bool isHeldBack(const schema::RunRequest &request) const;
     [[nodiscard]] Refusal eligibility(const schema::RunRequest &request) const;
     void noteOutcome(const schema::RunRequest &request, Conclusion &conclusion);
     void refuse(RunOutlet &outlet, const Refusal &refusal);
--- a/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_driver.hpp
@@ -53,8 +53,12 @@
     struct Progress;
     class Payer;
 
+    [[nodiscard]] boost::asio::awaitable<RunResult> tryInTurn(const RunSpec &spec, RunSink &sink, Progress &progress,
+                                                              const runtime::SpanContext &parent);
     [[nodiscard]] boost::asio::awaitable<detail::AttemptResult> attempt(const RunSpec &spec, RunSink &sink, Progress &progress,
                                                                         const Proposal &proposal, const runtime::SpanContext &parent);
+    /** @brief The refusal of a request that is suspected of crashing endpoints, unless it may run. */
+    [[nodiscard]] Refusal holdBack(const RunSpec &spec, Progress &progress);
     /** @brief Takes note of a failed attempt; true if another one may follow. */
     [[nodiscard]] bool mayGoOn(const RunSpec &spec, Progress &progress, const detail::AttemptResult &attempted);
     /** @brief Brings a run to the configuration in force now; the reason if it is refused there. */
--- a/lib/libburdock-serving/include/burdock/serving/suspect_book.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/suspect_book.hpp
@@ -22,14 +22,23 @@
     void setOnNews(std::function<void()> onNews);
 
     [[nodiscard]] retry::SuspectState state(u64 fingerprint) const;
-    [[nodiscard]] u32 crashes(u64 fingerprint) const;
+    [[nodiscard]] retry::SuspectRecord record(u64 fingerprint) const;
 
-    /** @brief Counts a crash; returns how many there have been. */
-    u32 noteCrash(u64 fingerprint);
+    /** @brief Lets a request that is held back run once if it is time; false if not. */
+    [[nodiscard]] bool tryBegin(u64 fingerprint);
+
+    /** @brief A run that tryBegin() let through ended without telling anything. */
+    void giveBack(u64 fingerprint);
+
+    /** @brief Time until a request that is held back may be tried; zero if it is not. */
+    [[nodiscard]] Duration untilTrial(u64 fingerprint) const;
+
+    /** @brief Counts a crash; returns all that have been counted. */
+    retry::SuspectRecord noteCrash(u64 fingerprint, retry::CrashEvidence evidence);
     void noteSuccess(u64 fingerprint);
 
-    /** @brief Takes over how many crashes another process has counted; a maximum, since the same crash is told in several ways. */
-    void noteCrashes(u64 fingerprint, u32 crashes);
+    /** @brief Takes over what another process has counted; a maximum, since the same crash is told in several ways. */
+    void noteCrashes(const retry::SuspectRecord &record);
 
     /** @brief Adds to a heartbeat what its receiver has not confirmed. */
     void tell(const std::string &peer, schema::Heartbeat &heartbeat);
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -91,11 +91,11 @@
     const auto head = co_await generation->start();
     if (head.progress == Progress::NotSent) {
         m_watch.noteUnreachable();
-        co_return broken(false, false, "engine unreachable");
+        co_return broken(false, std::nullopt, "engine unreachable");
     }
     if (head.progress == Progress::MayBeSent) {
-        const bool crashed = co_await hasCrashed(bootBefore);
-        co_return broken(true, crashed, "engine cut the connection");
+        const auto crash = co_await lookForCrash(bootBefore);
+        co_return broken(true, crash, "engine cut the connection");
     }
     m_watch.noteBootId(head.bootId);
     if (head.status != Ok && head.status != VersionConflict) {
@@ -130,12 +130,12 @@
 {
     while (true) {
         if (!co_await outlet.awaitRoom(deadline)) {
-            co_return broken(true, false, "cancelled or out of time");
+            co_return broken(true, std::nullopt, "cancelled or out of time");
         }
         auto event = co_await generation.next();
         if (event.kind == clients::GenerateEventKind::Broken) {
-            const bool crashed = co_await hasCrashed(head.bootId);
-            co_return broken(true, crashed, "engine broke off");
+            const auto crash = co_await lookForCrash(head.bootId);
+            co_return broken(true, crash, "engine broke off");
         }
         if (event.kind == clients::GenerateEventKind::Done) {
             Conclusion conclusion;
@@ -147,19 +147,25 @@
     }
 }
 
-boost::asio::awaitable<bool> PromptRunner::hasCrashed(std::string bootBefore)
+boost::asio::awaitable<std::optional<retry::CrashEvidence>> PromptRunner::lookForCrash(std::string bootBefore)
 {
     const bool isReachable = co_await m_watch.look();
-    co_return !isReachable || m_watch.bootId() != bootBefore;
+    if (!isReachable) {
+        co_return retry::CrashEvidence::None;
+    }
+    if (m_watch.bootId() != bootBefore) {
+        co_return retry::CrashEvidence::Restart;
+    }
+    co_return std::nullopt;
 }
 
-Conclusion PromptRunner::broken(bool mayHaveRun, bool crashed, std::string detail) const
+Conclusion PromptRunner::broken(bool mayHaveRun, std::optional<retry::CrashEvidence> crash, std::string detail)
 {
     Conclusion conclusion;
-    conclusion.outcome = crashed ? RunOutcome::EndpointRestarted : RunOutcome::Failure;
+    conclusion.outcome = crash ? RunOutcome::EndpointRestarted : RunOutcome::Failure;
+    conclusion.crash = crash;
     conclusion.end.set_outcome(schema::RunEnd::BROKEN);
     conclusion.end.set_may_have_run(mayHaveRun);
-    conclusion.end.set_endpoint_crashed(crashed);
     conclusion.end.set_detail(std::move(detail));
     return conclusion;
 }
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/runtime/sleep.hpp>
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
@@ -18,6 +19,12 @@
 constexpr Duration RetryAfterMove = std::chrono::milliseconds(100);
 constexpr double BytesPerToken = 4.0;
 
+std::string evidenceName(retry::CrashEvidence evidence)
+{
+    constexpr std::array<std::string_view, 2> Names{"restart", "none"};
+    return std::string(Names.at(static_cast<std::size_t>(evidence)));
+}
+
 double costOf(const schema::RunRequest &request)
 {
     return 1.0 + static_cast<double>(request.prompt().prompt().size()) / BytesPerToken;
@@ -70,15 +77,14 @@
 {
     runtime::Span span(m_process.tracer, "endpoint.run", {request.trace().trace_id(), request.trace().span_id()});
     auto refusal = eligibility(request);
-    m_suspects.noteCrashes(request.fingerprint(), request.suspect_crashes());
-    const auto suspicion = m_suspects.state(request.fingerprint());
-    if (suspicion == retry::SuspectState::Quarantined) {
-        refusal = {RefusalReason::Quarantined, Duration::zero()};
+    m_suspects.noteCrashes({request.fingerprint(), request.suspect_crashes(), Duration::zero(), request.suspect_unproven()});
+    if (isHeldBack(request)) {
+        refusal = {RefusalReason::Quarantined, m_suspects.untilTrial(request.fingerprint())};
     }
     if (refusal.reason == RefusalReason::None) {
         refusal = m_runner.check(request);
     }
-    const bool isSuspect = suspicion == retry::SuspectState::Suspect;
+    const bool isSuspect = m_suspects.state(request.fingerprint()) != retry::SuspectState::Clear;
     if (refusal.reason == RefusalReason::None) {
         admission::AdmissionRequest admission;
         admission.customer = request.customer();
@@ -114,6 +120,19 @@
     outlet.end(std::move(conclusion.end));
 }
 
+// A trial that was let in before its entry heard of the latest crash is none.
+bool RunRegistry::isHeldBack(const schema::RunRequest &request) const
+{
+    switch (m_suspects.state(request.fingerprint())) {
+    case retry::SuspectState::Quarantined:
+        return true;
+    case retry::SuspectState::Held:
+        return !request.is_trial() || request.suspect_crashes() < m_suspects.record(request.fingerprint()).crashes;
+    default:
+        return false;
+    }
+}
+
 Refusal RunRegistry::eligibility(const schema::RunRequest &request) const
 {
     const auto config = m_config.current();
@@ -140,8 +159,12 @@
     if (conclusion.outcome == admission::RunOutcome::Success) {
         m_suspects.noteSuccess(request.fingerprint());
     }
-    if (conclusion.end.endpoint_crashed()) {
-        conclusion.end.set_suspect_crashes(m_suspects.noteCrash(request.fingerprint()));
+    if (conclusion.crash) {
+        const auto counted = m_suspects.noteCrash(request.fingerprint(), *conclusion.crash);
+        conclusion.end.set_endpoint_crashed(true);
+        conclusion.end.set_suspect_crashes(counted.crashes);
+        conclusion.end.set_suspect_unproven(counted.unproven);
+        m_process.metrics.count("burdock_runs_lost_total", {{"evidence", evidenceName(*conclusion.crash)}});
     }
 }
 
--- a/lib/libburdock-serving/source/entry/attempt.cpp
+++ b/lib/libburdock-serving/source/entry/attempt.cpp
@@ -157,7 +157,7 @@
 Attempt::Outcome Attempt::onBroken(const schema::RunEnd &end)
 {
     if (end.endpoint_crashed()) {
-        m_fleet.suspects().noteCrashes(m_spec.fingerprint, end.suspect_crashes());
+        m_fleet.suspects().noteCrashes({m_spec.fingerprint, end.suspect_crashes(), Duration::zero(), end.suspect_unproven()});
     }
     m_link->send(ackMessage(m_ref, end.length()));
     if (!end.may_have_run()) {
--- a/lib/libburdock-serving/source/entry/run_driver.cpp
+++ b/lib/libburdock-serving/source/entry/run_driver.cpp
@@ -62,6 +62,7 @@
     bool isRepeatable = true; // by all terms that it has had
     bool isNextPaid = false; // the next attempt costs no retry, or one that was paid already
     bool hasRecovered = false;
+    bool isTrial = false; // held back but for this run
 };
 
 class RunDriver::Payer : public detail::RetryPayer
@@ -103,6 +104,16 @@
 boost::asio::awaitable<RunResult> RunDriver::run(const RunSpec &spec, RunSink &sink, const runtime::SpanContext &parent)
 {
     Progress progress;
+    auto result = co_await tryInTurn(spec, sink, progress, parent);
+    if (progress.isTrial) {
+        m_fleet.suspects().giveBack(spec.fingerprint);
+    }
+    co_return result;
+}
+
+boost::asio::awaitable<RunResult> RunDriver::tryInTurn(const RunSpec &spec, RunSink &sink, Progress &progress,
+                                                       const runtime::SpanContext &parent)
+{
     progress.runId = m_process.random.bytes(RunIdBytes);
     progress.random = m_process.random.word();
     if (takeTerms(spec, progress) == RefusalReason::None) {
@@ -111,8 +122,8 @@
     RunResult result;
     result.refusal = {RefusalReason::NoEndpoint, DefaultRetryAfter};
     while (progress.attempts < MaxAttempts && progress.freeAttempts < MaxFreeAttempts && m_process.clock.now() < spec.deadline) {
-        if (m_fleet.suspects().state(spec.fingerprint) == retry::SuspectState::Quarantined) {
-            result.refusal = {RefusalReason::Quarantined, Duration::zero()};
+        if (const auto refusal = holdBack(spec, progress); refusal.reason != RefusalReason::None) {
+            result.refusal = refusal;
             break;
         }
         if (const auto reason = takeTerms(spec, progress); reason != RefusalReason::None) {
@@ -158,6 +169,24 @@
     co_return result;
 }
 
+Refusal RunDriver::holdBack(const RunSpec &spec, Progress &progress)
+{
+    auto &suspects = m_fleet.suspects();
+    const auto suspicion = suspects.state(spec.fingerprint);
+    if (suspicion == retry::SuspectState::Quarantined) {
+        return {RefusalReason::Quarantined, Duration::zero()};
+    }
+    if (suspicion != retry::SuspectState::Held) {
+        return {};
+    }
+    // A trial is over with the first run that was begun.
+    progress.isTrial = progress.isTrial || (!progress.mayHaveRun && suspects.tryBegin(spec.fingerprint));
+    if (progress.isTrial && !progress.mayHaveRun) {
+        return {};
+    }
+    return {RefusalReason::Quarantined, suspects.untilTrial(spec.fingerprint)};
+}
+
 bool RunDriver::mayGoOn(const RunSpec &spec, Progress &progress, const AttemptResult &attempted)
 {
     if (attempted.kind == AttemptKind::NotSent || attempted.refusal.reason == RefusalReason::StaleConfig) {
@@ -277,7 +306,10 @@
     request->set_customer(spec.customer);
     request->set_priority(terms.priority);
     request->set_fingerprint(spec.fingerprint);
-    request->set_suspect_crashes(m_fleet.suspects().crashes(spec.fingerprint));
+    const auto suspicion = m_fleet.suspects().record(spec.fingerprint);
+    request->set_suspect_crashes(suspicion.crashes);
+    request->set_suspect_unproven(suspicion.unproven);
+    request->set_is_trial(progress.isTrial);
     request->set_deadline_ms(static_cast<u32>(toMilliseconds(spec.deadline - m_process.clock.now())));
     request->mutable_trace()->set_trace_id(span.traceId);
     request->mutable_trace()->set_span_id(span.spanId);
--- a/lib/libburdock-serving/source/link_messages.cpp
+++ b/lib/libburdock-serving/source/link_messages.cpp
@@ -63,6 +63,7 @@
         suspect->set_fingerprint(record.fingerprint);
         suspect->set_crashes(record.crashes);
         suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
+        suspect->set_unproven(record.unproven);
     }
     heartbeat.set_suspects_up_to(news.upTo);
     heartbeat.set_suspects_heard(news.heard);
@@ -73,7 +74,7 @@
 {
     retry::SuspectNews news;
     for (const auto &suspect : heartbeat.suspects()) {
-        news.records.push_back({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())});
+        news.records.push_back({suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms()), suspect.unproven()});
     }
     news.upTo = heartbeat.suspects_up_to();
     news.heard = heartbeat.suspects_heard();
--- a/lib/libburdock-serving/source/suspect_book.cpp
+++ b/lib/libburdock-serving/source/suspect_book.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration ForgetSuspects = std::chrono::minutes(30);
 constexpr std::size_t MaxSuspects = 4096;
+constexpr retry::TrialPolicy Trials{retry::LossesToHold, std::chrono::seconds(10)};
 
 } // namespace
 
@@ -31,23 +32,41 @@
     return m_quarantine.state(fingerprint, m_process.clock.now());
 }
 
-u32 SuspectBook::crashes(u64 fingerprint) const
+retry::SuspectRecord SuspectBook::record(u64 fingerprint) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_quarantine.crashes(fingerprint, m_process.clock.now());
+    return m_quarantine.record(fingerprint, m_process.clock.now());
 }
 
-u32 SuspectBook::noteCrash(u64 fingerprint)
+bool SuspectBook::tryBegin(u64 fingerprint)
 {
-    u32 count = 0;
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.tryBegin(fingerprint, Trials, m_process.clock.now());
+}
+
+void SuspectBook::giveBack(u64 fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.giveBack(fingerprint, Trials, m_process.clock.now());
+}
+
+Duration SuspectBook::untilTrial(u64 fingerprint) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_quarantine.untilTrial(fingerprint, Trials, m_process.clock.now());
+}
+
+retry::SuspectRecord SuspectBook::noteCrash(u64 fingerprint, retry::CrashEvidence evidence)
+{
+    retry::SuspectRecord counted;
     {
         const std::lock_guard lock(m_mutex);
         const TimePoint now = m_process.clock.now();
-        m_quarantine.noteCrash(fingerprint, now);
-        count = m_quarantine.crashes(fingerprint, now);
+        m_quarantine.noteCrash(fingerprint, now, evidence);
+        counted = m_quarantine.record(fingerprint, now);
     }
-    announce(count >= m_leastCrashesTold);
-    return count;
+    announce(counted.crashes >= m_leastCrashesTold);
+    return counted;
 }
 
 void SuspectBook::noteSuccess(u64 fingerprint)
@@ -56,17 +75,17 @@
     m_quarantine.noteSuccess(fingerprint);
 }
 
-void SuspectBook::noteCrashes(u64 fingerprint, u32 crashes)
+void SuspectBook::noteCrashes(const retry::SuspectRecord &record)
 {
-    if (crashes == 0) {
+    if (record.crashes == 0) {
         return;
     }
     bool isNew = false;
     {
         const std::lock_guard lock(m_mutex);
-        isNew = m_quarantine.merge({fingerprint, crashes, Duration::zero()}, m_process.clock.now());
+        isNew = m_quarantine.merge(record, m_process.clock.now());
     }
-    announce(isNew && crashes >= m_leastCrashesTold);
+    announce(isNew && record.crashes >= m_leastCrashesTold);
 }
 
 void SuspectBook::tell(const std::string &peer, schema::Heartbeat &heartbeat)
--- a/lib/libburdock/include/burdock/retry/quarantine.hpp
+++ b/lib/libburdock/include/burdock/retry/quarantine.hpp
@@ -12,10 +12,20 @@
 /** @brief Crashes at which a request counts as their cause. */
 inline constexpr u32 CrashesToQuarantine = 2;
 
+/** @brief Lost endpoints, crashed or not, at which a request is held back until a trial clears it. */
+inline constexpr u32 LossesToHold = 3;
+
+/** @brief What speaks for a crash of an endpoint that was lost while a request was under way. */
+enum class CrashEvidence : u8 {
+    Restart, ///< it answers again, as another process
+    None, ///< it can't be reached: it crashed, or lost its connections or its power
+};
+
 /** @brief How a request with a given fingerprint may run. */
 enum class SuspectState : u8 {
     Clear, ///< as any other
     Suspect, ///< never beside another suspect
+    Held, ///< only as a trial
     Quarantined, ///< not at all
 };
 
@@ -34,6 +44,7 @@
     u32 crashes = 0;
     /** Time since the last crash; keeps a record from living for ever by being passed round. */
     Duration age{};
+    u32 unproven = 0; ///< those among the crashes without evidence
 };
 
 /**
@@ -41,8 +52,9 @@
  *
  * Guards against a poisonous request that its caller sends again and again: it shows as an endpoint that restarts while the
  * request is under way. All requests under way become suspects, and no two suspects run beside each other; a suspect that ends
- * well is cleared, and one that is under way at a second crash is quarantined. Records are exchanged among processes as maxima, so a lost
- * or repeated message does no harm. Not thread-safe.
+ * well is cleared, and one that is under way at a second crash is quarantined. A loss without evidence of a crash weighs less, as cut
+ * connections take innocent requests with them: only the third holds a request back, and trials let it in again. Records are exchanged
+ * among processes as maxima, so a lost or repeated message does no harm. Not thread-safe.
  */
 class Quarantine
 {
@@ -55,9 +67,12 @@
 
     [[nodiscard]] SuspectState state(u64 fingerprint, TimePoint now) const;
 
-    /** @brief Crashes counted for a fingerprint. */
+    /** @brief Crashes counted for a fingerprint, with or without evidence. */
     [[nodiscard]] u32 crashes(u64 fingerprint, TimePoint now) const;
 
+    /** @brief What is known of a fingerprint; a record without crashes if nothing is. */
+    [[nodiscard]] SuspectRecord record(u64 fingerprint, TimePoint now) const;
+
     /**
      * @brief Whether a request may run: it was under way at few crashes, or at none for long enough to be tried once.
      *
@@ -70,7 +85,10 @@
     /** @brief Gives back a trial that tryBegin() let through and whose end tells nothing; changes nothing where none was taken. */
     void giveBack(u64 fingerprint, const TrialPolicy &policy, TimePoint now);
 
-    void noteCrash(u64 fingerprint, TimePoint now);
+    /** @brief Time until tryBegin() lets a request through that it refuses now. */
+    [[nodiscard]] Duration untilTrial(u64 fingerprint, const TrialPolicy &policy, TimePoint now) const;
+
+    void noteCrash(u64 fingerprint, TimePoint now, CrashEvidence evidence = CrashEvidence::Restart);
 
     /**
      * @brief Clears a request that ended well, of crashes before and after.
@@ -101,6 +119,7 @@
     struct Entry
     {
         u32 crashes = 0;
+        u32 proven = 0; ///< those among the crashes with evidence
         u32 failedTrials = 0;
         bool isTrialUnderWay = false;
         TimePoint touched{}; ///< by a crash or a trial
@@ -108,6 +127,7 @@
         u64 sequence = 0; ///< of the last change
     };
 
+    [[nodiscard]] const Entry *find(u64 fingerprint, TimePoint now) const;
     [[nodiscard]] static Duration pauseOf(const Entry &entry, const TrialPolicy &policy);
     static void noteCrashes(Entry &entry, u32 crashes, TimePoint at);
     void dropOldest();
--- a/lib/libburdock/source/retry/quarantine.cpp
+++ b/lib/libburdock/source/retry/quarantine.cpp
@@ -21,20 +21,34 @@
 
 SuspectState Quarantine::state(u64 fingerprint, TimePoint now) const
 {
-    const u32 count = crashes(fingerprint, now);
-    if (count == 0) {
+    const auto *entry = find(fingerprint, now);
+    if (entry == nullptr || entry->crashes == 0) {
         return SuspectState::Clear;
     }
-    return count >= CrashesToQuarantine ? SuspectState::Quarantined : SuspectState::Suspect;
+    if (entry->proven >= CrashesToQuarantine) {
+        return SuspectState::Quarantined;
+    }
+    return entry->crashes >= LossesToHold ? SuspectState::Held : SuspectState::Suspect;
 }
 
 u32 Quarantine::crashes(u64 fingerprint, TimePoint now) const
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.touched + m_forgetAfter < now) {
-        return 0;
+    return record(fingerprint, now).crashes;
+}
+
+SuspectRecord Quarantine::record(u64 fingerprint, TimePoint now) const
+{
+    const auto *entry = find(fingerprint, now);
+    if (entry == nullptr) {
+        return {fingerprint, 0, Duration::zero(), 0};
     }
-    return found->second.crashes;
+    return {fingerprint, entry->crashes, now - entry->touched, entry->crashes - entry->proven};
+}
+
+const Quarantine::Entry *Quarantine::find(u64 fingerprint, TimePoint now) const
+{
+    const auto found = m_entries.find(fingerprint);
+    return found == m_entries.end() || found->second.touched + m_forgetAfter < now ? nullptr : &found->second;
 }
 
 bool Quarantine::tryBegin(u64 fingerprint, const TrialPolicy &policy, TimePoint now)
@@ -61,6 +75,15 @@
     }
 }
 
+Duration Quarantine::untilTrial(u64 fingerprint, const TrialPolicy &policy, TimePoint now) const
+{
+    const auto *entry = find(fingerprint, now);
+    if (entry == nullptr || entry->crashes < policy.crashes) {
+        return Duration::zero();
+    }
+    return std::max(Duration::zero(), entry->touched + pauseOf(*entry, policy) - now);
+}
+
 Duration Quarantine::pauseOf(const Entry &entry, const TrialPolicy &policy)
 {
     return policy.firstPause * (1U << std::min(entry.failedTrials, MostDoublings));
@@ -78,7 +101,7 @@
     entry.crashedAt = at;
 }
 
-void Quarantine::noteCrash(u64 fingerprint, TimePoint now)
+void Quarantine::noteCrash(u64 fingerprint, TimePoint now, CrashEvidence evidence)
 {
     if (m_innocent.count(fingerprint) > 0) {
         return;
@@ -88,6 +111,7 @@
         entry = Entry{};
     }
     noteCrashes(entry, entry.crashes + 1, now);
+    entry.proven += evidence == CrashEvidence::Restart ? 1 : 0;
     entry.sequence = ++m_sequence;
     dropOldest();
 }
@@ -111,10 +135,12 @@
         return false;
     }
     auto &entry = m_entries[record.fingerprint];
-    if (record.crashes <= entry.crashes) {
+    const u32 proven = record.crashes - std::min(record.unproven, record.crashes);
+    if (record.crashes <= entry.crashes && proven <= entry.proven) {
         return false;
     }
-    noteCrashes(entry, record.crashes, now - record.age);
+    noteCrashes(entry, std::max(record.crashes, entry.crashes), now - record.age);
+    entry.proven = std::max(proven, entry.proven);
     entry.sequence = ++m_sequence;
     dropOldest();
     return true;
@@ -130,7 +156,7 @@
     std::vector<SuspectRecord> out;
     for (const auto &[fingerprint, entry] : m_entries) {
         if (entry.touched + m_forgetAfter >= now && entry.sequence > after && entry.crashes >= crashes) {
-            out.push_back({fingerprint, entry.crashes, now - entry.touched});
+            out.push_back({fingerprint, entry.crashes, now - entry.touched, entry.crashes - entry.proven});
         }
     }
     return out;
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -31,6 +31,34 @@
     return count;
 }
 
+PromptCall longPrompt()
+{
+    PromptCall call;
+    call.prompt = "a long prompt";
+    call.tokens = 600;
+    return call;
+}
+
+// Cuts the engine that a prompt runs at off from its endpoint process, and returns its number.
+u32 cutWhereItRuns(Deployment &deployment, const PromptCall &call, const std::vector<u32> &cutBefore)
+{
+    u32 found = 0;
+    REQUIRE(waitUntil([&] {
+        for (u32 number = 0; number < 4; ++number) {
+            const bool isCut = std::find(cutBefore.begin(), cutBefore.end(), number) != cutBefore.end();
+            if (!isCut && deployment.engine(number).startedWith(call.prompt) > 0) {
+                found = number;
+                return true;
+            }
+        }
+        return false;
+    }));
+    auto &proxy = deployment.backendProxy("model-" + std::to_string(found));
+    proxy.setRefusing(true);
+    proxy.cutAll();
+    return found;
+}
+
 } // namespace
 
 // One draft crashes each engine that runs it, and its caller sends it again and again. Within a minute no engine is left, and
@@ -100,6 +128,55 @@
     CHECK(whole >= Requests * 95 / 100);
 }
 
+// Guards against a caller that gets no answer because the connections to two engines were cut under its prompt.
+TEST_CASE("a prompt that loses its connections to two engines is answered by a third, and so is its next sending")
+{
+    Deployment deployment(manyEngines(4));
+    deployment.start();
+    const auto call = longPrompt();
+    auto answer = deployment.spawn(sendPrompt(deployment.entryAddress(0), call));
+    std::vector<u32> cut;
+    while (cut.size() < 2) {
+        cut.push_back(cutWhereItRuns(deployment, call, cut));
+    }
+    const bool isRight = answer.get().text == standins::expectedAnswer(call.prompt, call.tokens);
+    CHECK(isRight);
+    for (const u32 number : cut) {
+        deployment.backendProxy("model-" + std::to_string(number)).setRefusing(false);
+    }
+    CHECK(ask(deployment, 1, call).isWhole);
+}
+
+// Guards against an innocent caller who is refused for half an hour after an outage took three engines' connections under its prompt.
+TEST_CASE("a prompt that lost its connections to three engines is told when to come back, and is answered then")
+{
+    Deployment deployment(manyEngines(4));
+    deployment.start();
+    const auto call = longPrompt();
+    auto answer = deployment.spawn(sendPrompt(deployment.entryAddress(0), call));
+    std::vector<u32> cut;
+    while (cut.size() < 3) {
+        cut.push_back(cutWhereItRuns(deployment, call, cut));
+    }
+    CHECK_FALSE(answer.get().isWhole);
+    for (const u32 number : cut) {
+        deployment.backendProxy("model-" + std::to_string(number)).setRefusing(false);
+    }
+    const auto refused = ask(deployment, 0, call);
+    CHECK(refused.reason == "quarantined");
+    CHECK(refused.verdict == "not_run");
+    CHECK(refused.saysWhen);
+    Answer later;
+    CHECK(waitUntil(
+        [&] {
+            later = ask(deployment, 0, call);
+            return later.isWhole || later.reason != "quarantined";
+        },
+        std::chrono::seconds(20)));
+    CHECK(later.isWhole);
+    CHECK(ask(deployment, 0, call).isWhole);
+}
+
 // A fault of new weights breaks every answer off after its first token. Each request is tried three times, and the engines do three
 // times the work for nothing. Cause: retries that know no measure.
 TEST_CASE("where every run breaks, engines get fewer runs than there are requests")
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -294,6 +294,42 @@
     CHECK(one.state(8, Start) == retry::SuspectState::Quarantined);
 }
 
+// Guards against an innocent request that is refused because connections to two endpoints were cut under it.
+TEST_CASE("lost endpoints of which none is seen to restart hold a request back at the third, until a trial")
+{
+    const retry::TrialPolicy policy{retry::LossesToHold, std::chrono::seconds(10)};
+    retry::Quarantine quarantine(std::chrono::minutes(30), 100);
+    quarantine.noteCrash(7, Start, retry::CrashEvidence::None);
+    quarantine.noteCrash(7, Start, retry::CrashEvidence::None);
+    CHECK(quarantine.state(7, Start) == retry::SuspectState::Suspect);
+    CHECK(quarantine.untilTrial(7, policy, Start) == Duration::zero());
+    quarantine.noteCrash(7, Start, retry::CrashEvidence::None);
+    CHECK(quarantine.state(7, Start) == retry::SuspectState::Held);
+    const auto soon = Start + std::chrono::seconds(4);
+    CHECK_FALSE(quarantine.tryBegin(7, policy, soon));
+    CHECK(quarantine.untilTrial(7, policy, soon) == std::chrono::seconds(6));
+    CHECK(quarantine.tryBegin(7, policy, Start + std::chrono::seconds(10)));
+    CHECK(quarantine.untilTrial(7, policy, Start + std::chrono::seconds(10)) == std::chrono::seconds(10));
+}
+
+// Guards against a poisonous request that goes on because the restarts it caused were told as mere losses.
+TEST_CASE("two crashes with evidence quarantine a request, whoever counted them")
+{
+    retry::Quarantine told(std::chrono::minutes(30), 100);
+    retry::Quarantine heard(std::chrono::minutes(30), 100);
+    told.noteCrash(7, Start, retry::CrashEvidence::None);
+    told.noteCrash(7, Start, retry::CrashEvidence::Restart);
+    CHECK(told.state(7, Start) == retry::SuspectState::Suspect);
+    heard.noteCrash(7, Start, retry::CrashEvidence::None);
+    heard.noteCrash(7, Start, retry::CrashEvidence::None);
+    CHECK(heard.merge(told.record(7, Start), Start));
+    CHECK(heard.record(7, Start).unproven == 1);
+    CHECK_FALSE(heard.merge(told.record(7, Start), Start));
+    told.noteCrash(7, Start, retry::CrashEvidence::Restart);
+    CHECK(heard.merge(told.record(7, Start), Start));
+    CHECK(heard.state(7, Start) == retry::SuspectState::Quarantined);
+}
+
 // Readers fetch the same page all day. Connections to three endpoints are reset under it, and for minutes everybody who asks for
 // the page is refused. Cause: the request was under way at each reset, and counted as what crashed the endpoints.
 TEST_CASE("a request that has ended well before is no suspect, however often endpoints crash under it")
