Answer what the kernel has accepted before an entry or a gateway stops

What callers saw: during a planned stop some requests ended without a status, reset after they were written or cut at the end of the stream, so that nobody knows whether they ran.

Cause: closing the listening socket resets connections that wait to be accepted; an accepted one was dropped unread once listening had ended; a request counted as under way only when it was read whole; idle connections were closed with what was on its way to them; and closing right after the last answer of a connection discards what its caller hasn't read if it sends once more.

Fix: when listening ends no further handshake begins, begun ones complete, and all are accepted; every open connection gets one more answer that says it closes; a request counts from its first byte; idle connections go last, at an entry with a farewell that says not_run; a server that closes reads on for a while. Gateways end in the same order, without the farewell.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -533,20 +533,27 @@
     {
         m_parts.logger.event(LogLevel::Info, "draining", {{"under_way", u64{m_state.underWay}}});
         const auto started = m_parts.clock.now();
+        const auto end = started + m_settings.grace - EndMargin;
         static_cast<void>(co_await m_parts.store.remove(ObjectKind::Entries, m_settings.name));
-        while (true) {
-            co_await runtime::sleepFor(DrainPoll);
-            const auto elapsed = m_parts.clock.now() - started;
-            const bool isDone = elapsed >= LameDuck && m_callers.busyConnections() == 0;
-            if (isDone || elapsed >= m_settings.grace - EndMargin) {
-                break;
-            }
-        }
-        m_parts.logger.event(LogLevel::Info, "drained", {{"cut", u64{m_callers.busyConnections()}}});
+        co_await awaitIdle(started + LameDuck, end);
         m_callers.stopListening();
+        co_await awaitIdle(started, end);
+        m_callers.closeIdle();
+        co_await awaitIdle(started, end);
+        m_parts.logger.event(LogLevel::Info, "drained", {{"cut", u64{m_callers.busyConnections()}}});
         m_parts.context.stop();
     }
 
+    /** @brief Waits until some time, and after it while requests are under way. */
+    boost::asio::awaitable<void> awaitIdle(TimePoint atLeast, TimePoint atMost)
+    {
+        TimePoint now;
+        do {
+            co_await runtime::sleepFor(DrainPoll);
+            now = m_parts.clock.now();
+        } while (now < atMost && (now < atLeast || m_callers.busyConnections() > 0));
+    }
+
     const GatewayParts m_parts;
     const GatewaySettings m_settings;
     State m_state;
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace burdock::runtime::http {
 
@@ -87,13 +88,19 @@
     /** @brief Goes on serving, and closes each connection after its next answer. */
     void closeAfterAnswers();
 
-    /** @brief Takes no new connections, and no further request on those that are open. */
+    /** @brief Takes no new connections but those that are complete already, and closes each connection after its next answer. */
     void stopListening();
 
+    /**
+     * @brief Closes connections that wait for a request, after stopListening().
+     * @param farewell  sent on each of them first, as the answer to a request that crosses it; nothing if none
+     */
+    void closeIdle(const std::optional<Response> &farewell = std::nullopt);
+
     /** @brief Cuts all connections. */
     void closeAll();
 
-    /** @brief Requests that are being answered. */
+    /** @brief Connections that wait to be accepted, and those with a request that has begun to arrive or is being answered. */
     [[nodiscard]] u32 busyConnections() const;
 
 private:
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -1,10 +1,13 @@
 #include <burdock/runtime/http/server.hpp>
 
+#include "listening_socket.hpp"
+
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <sys/socket.h>
 #include <tuple>
@@ -22,6 +25,8 @@
 constexpr std::size_t DiscardBufferBytes = 64 * 1024;
 constexpr std::size_t DiscardAtMost = 32 * 1024 * 1024;
 constexpr Duration DiscardTime = std::chrono::seconds(2);
+/** Time in which a handshake that was begun completes. */
+constexpr Duration HandshakeTime = std::chrono::milliseconds(50);
 
 void copyHeaders(const Headers &from, beast::http::fields &to)
 {
@@ -215,10 +220,29 @@
             return;
         }
         m_acceptor.listen();
+        m_isListening = true;
         asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
     }
 
     void stopListening()
+    {
+        if (m_isStopping.exchange(true)) {
+            return;
+        }
+        m_isAccepting = m_isListening.load();
+        asio::co_spawn(m_acceptor.get_executor(), acceptLast(shared_from_this()), asio::detached);
+    }
+
+    void closeIdle(const std::optional<Response> &farewell)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_farewell = farewell;
+        for (auto *open : m_open) {
+            asio::post(open->stream.get_executor(), [self = shared_from_this(), open] { self->cancelIfIdle(open); });
+        }
+    }
+
+    void abandon()
     {
         m_isStopping = true;
         asio::dispatch(m_acceptor.get_executor(), [self = shared_from_this()] {
@@ -230,8 +254,8 @@
     void closeAll()
     {
         const std::lock_guard lock(m_mutex);
-        for (auto *stream : m_streams) {
-            asio::post(stream->get_executor(), [self = shared_from_this(), stream] { self->closeIfOpen(stream); });
+        for (auto *open : m_open) {
+            asio::post(open->stream.get_executor(), [self = shared_from_this(), open] { self->closeIfOpen(open); });
         }
     }
 
@@ -252,23 +276,62 @@
 
     [[nodiscard]] u32 busyConnections() const
     {
-        return m_busy;
+        return m_busy + (m_isAccepting ? 1 : 0);
     }
 
 private:
-    void closeIfOpen(beast::tcp_stream *stream)
+    /** @brief An open connection; but for the server's set of them, only its own strand touches it. */
+    struct Open
+    {
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        bool isIdle = false; // waits for its next request
+        bool mayGetMore = false; // its peer doesn't know yet that no further request is read
+    };
+
+    /** @brief Counts a request as under way while it lives. */
+    class Busy
+    {
+    public:
+        explicit Busy(std::atomic<u32> &count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+
+        ~Busy()
+        {
+            --m_count;
+        }
+
+        Busy(const Busy &) = delete;
+        Busy &operator=(const Busy &) = delete;
+
+    private:
+        std::atomic<u32> &m_count;
+    };
+
+    void closeIfOpen(Open *open)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_streams.count(stream) > 0) {
+        if (m_open.count(open) > 0) {
             boost::system::error_code ignored;
-            stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
-            stream->socket().close(ignored);
+            open->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            open->stream.socket().close(ignored);
+        }
+    }
+
+    void cancelIfIdle(Open *open)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_open.count(open) > 0 && open->isIdle) {
+            open->stream.cancel();
         }
     }
 
     static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
     {
-        while (!self->m_isStopping) {
+        while (true) {
             Tcp::socket socket(asio::make_strand(self->m_context));
             const auto [error] = co_await self->m_acceptor.async_accept(socket, Awaitable);
             if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
@@ -280,30 +343,63 @@
                 co_await pause.async_wait(Awaitable);
                 continue;
             }
-            const auto strand = socket.get_executor();
-            asio::co_spawn(strand, serve(self, std::move(socket)), asio::detached);
+            spawnServe(self, std::move(socket));
         }
     }
 
+    static void spawnServe(const std::shared_ptr<Impl> &self, Tcp::socket socket)
+    {
+        const auto strand = socket.get_executor();
+        asio::co_spawn(strand, serve(self, std::move(socket)), asio::detached);
+    }
+
+    // Guards against a request that is reset unread because its connection waits to be accepted when listening ends.
+    static asio::awaitable<void> acceptLast(std::shared_ptr<Impl> self)
+    {
+        if (self->m_isListening) {
+            detail::ignoreNewPeers(self->m_acceptor.native_handle());
+            asio::steady_timer handshakes(self->m_acceptor.get_executor(), HandshakeTime);
+            co_await handshakes.async_wait(Awaitable);
+            boost::system::error_code error;
+            self->m_acceptor.cancel(error);
+            self->m_acceptor.non_blocking(true, error);
+            while (!error) {
+                Tcp::socket socket(asio::make_strand(self->m_context));
+                self->m_acceptor.accept(socket, error);
+                if (!error) {
+                    spawnServe(self, std::move(socket));
+                }
+            }
+        }
+        boost::system::error_code ignored;
+        self->m_acceptor.close(ignored);
+        self->m_isAccepting = false;
+    }
+
     static asio::awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         boost::system::error_code ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
-        beast::tcp_stream stream(std::move(socket));
-        self->track(&stream);
-        beast::flat_buffer buffer;
-        while (!self->m_isStopping && co_await self->serveOne(stream, buffer)) { }
-        self->untrack(&stream);
-        stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        Open open{beast::tcp_stream(std::move(socket)), {}};
+        self->track(&open);
+        while (co_await self->serveOne(open)) { }
+        self->untrack(&open);
+        if (open.mayGetMore) {
+            co_await discardInput(open.stream);
+        }
+        open.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     }
 
     // Answers one request; true if the connection may carry another.
-    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+    asio::awaitable<bool> serveOne(Open &open)
     {
+        auto &stream = open.stream;
+        auto &buffer = open.buffer;
         beast::http::request_parser<beast::http::string_body> parser;
         parser.header_limit(m_limits.headerBytes);
         parser.body_limit(m_limits.bodyBytes);
-        boost::system::error_code error = co_await awaitBegin(stream, buffer);
+        boost::system::error_code error = co_await awaitBegin(open);
+        const Busy busy(m_busy);
         if (!error) {
             stream.expires_after(m_limits.headerTimeout);
             std::tie(error, std::ignore) = co_await beast::http::async_read_header(stream, buffer, parser, Awaitable);
@@ -312,6 +408,10 @@
             stream.expires_after(m_limits.ioTimeout);
             std::tie(error, std::ignore) = co_await beast::http::async_read(stream, buffer, parser, Awaitable);
         }
+        if (error == asio::error::operation_aborted) {
+            co_await sayFarewell(open);
+            co_return false;
+        }
         if (error) {
             if (const u16 status = statusFor(error); status != 0 && stream.socket().is_open()) {
                 BeastReply reply(stream, m_limits.ioTimeout, false);
@@ -321,40 +421,67 @@
             }
             co_return false;
         }
-        ++m_busy;
-        const bool keepAlive = parser.get().keep_alive() && !m_isStopping && !m_closesAfterAnswers;
+        const bool wantsMore = parser.get().keep_alive();
+        const bool keepAlive = wantsMore && !m_isStopping && !m_closesAfterAnswers;
         const auto request = toRequest(parser.release());
         BeastReply reply(stream, m_limits.ioTimeout, keepAlive);
         co_await m_handler.handle(request, reply);
         reply.endWatch();
-        --m_busy;
-        co_return keepAlive &&reply.isWhole();
+        const bool goesOn = keepAlive && reply.isWhole();
+        open.mayGetMore = wantsMore && !goesOn;
+        co_return goesOn;
     }
 
     // Waits for the first byte of the next request.
-    asio::awaitable<boost::system::error_code> awaitBegin(beast::tcp_stream &stream, beast::flat_buffer &buffer) const
+    asio::awaitable<boost::system::error_code> awaitBegin(Open &open)
     {
-        if (buffer.size() > 0) {
+        if (open.buffer.size() > 0) {
             co_return boost::system::error_code();
         }
-        stream.expires_after(m_limits.idleTimeout);
-        const auto room = buffer.prepare(ReadBytes);
-        const auto [error, size] = co_await stream.async_read_some(room, Awaitable);
-        buffer.commit(size);
+        auto error = co_await readBegin(open);
+        boost::system::error_code ignored;
+        if (error == asio::error::operation_aborted && open.stream.socket().available(ignored) > 0) {
+            // Arrived before closeIdle() ended the wait.
+            error = co_await readBegin(open);
+        }
         const bool isIdle = error == beast::error::timeout || error == asio::error::eof;
         co_return isIdle ? boost::system::error_code(beast::http::error::end_of_stream) : error;
     }
 
-    void track(beast::tcp_stream *stream)
+    asio::awaitable<void> sayFarewell(Open &open)
+    {
+        std::optional<Response> farewell;
+        {
+            const std::lock_guard lock(m_mutex);
+            farewell = m_farewell;
+        }
+        if (farewell && open.stream.socket().is_open()) {
+            BeastReply reply(open.stream, m_limits.ioTimeout, false);
+            open.mayGetMore = co_await reply.send(*farewell);
+        }
+    }
+
+    asio::awaitable<boost::system::error_code> readBegin(Open &open)
+    {
+        open.isIdle = true;
+        open.stream.expires_after(m_limits.idleTimeout);
+        const auto room = open.buffer.prepare(ReadBytes);
+        const auto [error, size] = co_await open.stream.async_read_some(room, Awaitable);
+        open.buffer.commit(size);
+        open.isIdle = false;
+        co_return error;
+    }
+
+    void track(Open *open)
     {
         const std::lock_guard lock(m_mutex);
-        m_streams.insert(stream);
+        m_open.insert(open);
     }
 
-    void untrack(beast::tcp_stream *stream)
+    void untrack(Open *open)
     {
         const std::lock_guard lock(m_mutex);
-        m_streams.erase(stream);
+        m_open.erase(open);
     }
 
     asio::io_context &m_context;
@@ -364,9 +491,12 @@
     u16 m_port = 0;
     std::atomic<bool> m_isStopping{false};
     std::atomic<bool> m_closesAfterAnswers{false};
+    std::atomic<bool> m_isListening{false};
+    std::atomic<bool> m_isAccepting{false}; // the last connections, after listening has ended
     std::atomic<u32> m_busy{0};
     std::mutex m_mutex;
-    std::set<beast::tcp_stream *> m_streams;
+    std::set<Open *> m_open;
+    std::optional<Response> m_farewell; // to connections that are closed while they wait for a request
 };
 
 Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler, Listening listening)
@@ -384,7 +514,7 @@
 
 Server::~Server()
 {
-    m_impl->stopListening();
+    m_impl->abandon();
 }
 
 u16 Server::port() const
@@ -407,6 +537,11 @@
     m_impl->stopListening();
 }
 
+void Server::closeIdle(const std::optional<Response> &farewell)
+{
+    m_impl->closeIdle(farewell);
+}
+
 void Server::closeAll()
 {
     m_impl->closeAll();
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -3,6 +3,7 @@
 #include "../role_support.hpp"
 
 #include <burdock/runtime/sleep.hpp>
+#include <burdock/serving/problem.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,8 +21,9 @@
 // elsewhere before that runs a request twice whenever links, not endpoints, fall silent.
 constexpr u32 SilentBeatsUntilElsewhere = 6;
 constexpr Duration ReadyPause = std::chrono::milliseconds(20);
+constexpr Duration RetryElsewhere = std::chrono::milliseconds(100);
 constexpr Duration DrainPause = std::chrono::milliseconds(20);
-// A request whose first bytes had arrived when listening ended shows up as busy only once it is read whole.
+// Callers that use a kept connection within this time are told on it that it closes.
 constexpr Duration QuietUntilGone = std::chrono::milliseconds(200);
 
 http::ServerLimits callerLimits(const schema::EntrySettings &settings)
@@ -94,8 +96,16 @@
 boost::asio::awaitable<void> EntryRole::drain()
 {
     m_callers.setStopping();
+    m_callerServer.closeAfterAnswers();
     co_await runtime::sleepFor(std::chrono::milliseconds(m_settings.entry().lame_duck_ms()));
     m_callerServer.stopListening();
+    co_await awaitQuiet();
+    m_callerServer.closeIdle(problemFor({RefusalReason::Leaving, RetryElsewhere}));
+    co_await awaitQuiet();
+}
+
+boost::asio::awaitable<void> EntryRole::awaitQuiet()
+{
     TimePoint quietSince = m_process.clock.now();
     while (m_process.clock.now() - quietSince < QuietUntilGone) {
         if (m_callerServer.busyConnections() > 0) {
--- a/lib/libburdock-serving/source/entry/entry_role.hpp
+++ b/lib/libburdock-serving/source/entry/entry_role.hpp
@@ -21,6 +21,8 @@
 
 private:
     [[nodiscard]] boost::asio::awaitable<void> openToCallers();
+    /** @brief Waits until no request has been under way for a moment. */
+    [[nodiscard]] boost::asio::awaitable<void> awaitQuiet();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string status() const;
 
--- a/tests/integration/zone_test.cpp
+++ b/tests/integration/zone_test.cpp
@@ -78,6 +78,34 @@
     std::vector<std::future<u32>> m_callers;
 };
 
+struct KeptCallerCounts
+{
+    u32 answered = 0;
+    u32 cutOff = 0;
+};
+
+/** @brief Asks without pause on kept connections until the entry refuses new ones. */
+boost::asio::awaitable<KeptCallerCounts> keepAsking(std::string entry, u32 number)
+{
+    constexpr Duration Patience = std::chrono::seconds(20);
+    runtime::http::KeptClient client(runtime::http::parseAddress(entry), Patience);
+    KeptCallerCounts counts;
+    for (u32 round = 0;; ++round) {
+        runtime::http::Request request;
+        request.method = "POST";
+        request.target = "/v1/completions";
+        request.headers.emplace_back("Authorization", "Bearer key-desk");
+        request.headers.emplace_back("Content-Type", "application/json");
+        request.body
+            = R"({"model":"m","max_tokens":3,"prompt":"caller )" + std::to_string(number) + " round " + std::to_string(round) + R"("})";
+        const auto exchange = co_await client.exchange(request, Patience);
+        if (exchange.progress == runtime::http::Progress::NotSent) {
+            co_return counts;
+        }
+        ++(exchange.progress == runtime::http::Progress::Answered ? counts.answered : counts.cutOff);
+    }
+}
+
 DeploymentOptions fourEngines()
 {
     DeploymentOptions options;
@@ -199,6 +227,30 @@
     MESSAGE("served " << load.served.load() << " requests during the restarts");
 }
 
+// Guards against requests that are cut off on connections which their callers keep while an entry stops.
+TEST_CASE("callers that keep their connections get an answer to each request though their entry stops")
+{
+    DeploymentOptions options = fourEngines();
+    options.entries = 1;
+    Deployment deployment(options);
+    deployment.start();
+    std::vector<std::future<KeptCallerCounts>> callers;
+    for (u32 i = 0; i < 24; ++i) {
+        callers.push_back(deployment.spawn(keepAsking(deployment.entryAddress(0), i)));
+    }
+    REQUIRE(waitUntil([&] { return deployment.engine(0).started() + deployment.engine(1).started() > 200; }));
+    deployment.process("entry-0").signal(SIGTERM);
+    CHECK(deployment.process("entry-0").waitForEnd(std::chrono::seconds(20)) == 0);
+    KeptCallerCounts sum;
+    for (auto &caller : callers) {
+        const auto counts = caller.get();
+        sum.answered += counts.answered;
+        sum.cutOff += counts.cutOff;
+    }
+    MESSAGE("answered " << sum.answered << ", cut off " << sum.cutOff);
+    CHECK(sum.cutOff == 0);
+}
+
 // Guards against an engine that restarts and falls over again and again, as load reports lag behind its restart.
 TEST_CASE("an engine that restarts under load gets no more than it bears while cold")
 {
