--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -175,16 +175,19 @@
     return support::waitUntil(areLoaded, patience);
 }
 
-u32 Deployment::countUnserved(const std::string &key, u32 callsEach)
+std::map<std::string, u32> Deployment::countUnserved(const std::string &key, u32 callsEach)
 {
+    constexpr std::size_t ShownBytes = 80;
     const std::atomic<bool> isOver{false};
-    u32 unserved = 0;
+    std::map<std::string, u32> unserved;
     for (u32 gateway = 0; gateway < m_faces.size(); ++gateway) {
         Caller prober(FirstProber + gateway, m_seed, m_ledger, m_keys, m_faces, isOver);
         for (u32 i = 0; i < callsEach * 3; ++i) {
             const auto kind = static_cast<CallKind>(i % 3);
             const auto end = asio::co_spawn(asio::make_strand(m_pool.context()), prober.call(gateway, kind, key), asio::use_future).get();
-            unserved += end.hasLeft || (end.status == Ok && end.isWhole) ? 0 : 1;
+            if (!end.hasLeft && (end.status != Ok || !end.isWhole)) {
+                ++unserved[fmt::format("gateway {} {} {} {}", gateway, toString(kind), end.status, end.body.substr(0, ShownBytes))];
+            }
         }
     }
     return unserved;
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -7,6 +7,8 @@
 #include <support/gateway_process.hpp>
 
 #include <future>
+#include <map>
+#include <string>
 #include <thread>
 
 namespace soak {
@@ -60,8 +62,8 @@
     /** @brief Waits until each engine that stays holds the newest weights; false if one does not. */
     [[nodiscard]] bool awaitWeights(u64 version, Duration patience);
 
-    /** @brief Sends some calls of each kind to each gateway; says how many were not served. */
-    [[nodiscard]] u32 countUnserved(const std::string &key, u32 callsEach);
+    /** @brief Sends some calls of each kind to each gateway; counts those that were not served, by gateway, kind and answer. */
+    [[nodiscard]] std::map<std::string, u32> countUnserved(const std::string &key, u32 callsEach);
 
     /** @brief Adds an endpoint like the given one in place of it. */
     BackEnd &addEndpoint(bool isEngine, const std::string &zone);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -66,8 +66,8 @@
     }
     deployment.stopCallers();
     std::this_thread::sleep_for(Calm);
-    if (const u32 unserved = deployment.countUnserved("key-desk", CallsEach)) {
-        ledger.broken("all is served once faults are over", fmt::format("{} calls were not", unserved));
+    for (const auto &[answer, calls] : deployment.countUnserved("key-desk", CallsEach)) {
+        ledger.broken("all is served once faults are over", fmt::format("{} calls were not: {}", calls, answer));
     }
     const auto counted = ledger.counts();
     const auto poison = counted.find("poison runs");
