Let no run in while it is open whether an engine has restarted

Cause: between the first run that breaks off and the answer that shows the new start the endpoint process let runs in up to the warm limit.

Fix: admission holds from the first run that breaks off until the look at the engine has ended, and the cold limit is in force when it goes on.

Evidence: the unit test "while it is open whether an endpoint restarted" has no counterpart before (no hold).

--- a/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
@@ -29,6 +29,10 @@
     /** @brief The endpoint showed a sign of a restart. */
     void noteRestart();
 
+    /** @brief Lets nothing in until release(), which is called once for each hold(). */
+    void hold();
+    void release();
+
     [[nodiscard]] schema::EndpointLoad load() const;
 
 private:
@@ -43,6 +47,7 @@
         Place place = Place::Queued;
     };
 
+    void settleAll(const admission::AdmissionChanges &changes);
     void settle(admission::Ticket ticket, Place place);
 
     Process &m_process;
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watch.hpp
@@ -22,6 +22,9 @@
     /** @brief Asks the engine for its state now; false if it can't be reached. */
     boost::asio::awaitable<bool> look();
 
+    /** @brief The same after a run broke off; lets no run in until it is known whether the engine restarted. */
+    [[nodiscard]] boost::asio::awaitable<bool> lookAfterBreak();
+
     /** @brief Takes note of a boot id seen in an answer; true if the engine had restarted. */
     bool noteBootId(const std::string &bootId);
 
--- a/lib/libburdock-serving/source/endpoint/admission_gate.cpp
+++ b/lib/libburdock-serving/source/endpoint/admission_gate.cpp
@@ -62,8 +62,25 @@
 void AdmissionGate::leave(const admission::FinishedRun &run)
 {
     const std::lock_guard lock(m_mutex);
-    // Expired requests find out by themselves: each waits no longer than until its deadline.
-    for (const auto ticket : m_controller.finished(run, m_process.clock.now()).admitted) {
+    settleAll(m_controller.finished(run, m_process.clock.now()));
+}
+
+void AdmissionGate::hold()
+{
+    const std::lock_guard lock(m_mutex);
+    m_controller.hold();
+}
+
+void AdmissionGate::release()
+{
+    const std::lock_guard lock(m_mutex);
+    settleAll(m_controller.release(m_process.clock.now()));
+}
+
+// Expired requests find out by themselves: each waits no longer than until its deadline.
+void AdmissionGate::settleAll(const admission::AdmissionChanges &changes)
+{
+    for (const auto ticket : changes.admitted) {
         settle(ticket, Place::Admitted);
     }
 }
--- a/lib/libburdock-serving/source/endpoint/engine_watch.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watch.cpp
@@ -40,6 +40,14 @@
     co_return state.isReachable;
 }
 
+boost::asio::awaitable<bool> EngineWatch::lookAfterBreak()
+{
+    m_gate.hold();
+    const bool isReachable = co_await look();
+    m_gate.release();
+    co_return isReachable;
+}
+
 bool EngineWatch::noteBootId(const std::string &bootId)
 {
     bool isRestart = false;
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -149,7 +149,7 @@
 
 boost::asio::awaitable<std::optional<retry::CrashEvidence>> PromptRunner::lookForCrash(std::string bootBefore)
 {
-    const bool isReachable = co_await m_watch.look();
+    const bool isReachable = co_await m_watch.lookAfterBreak();
     if (!isReachable) {
         co_return retry::CrashEvidence::None;
     }
--- a/lib/libburdock/include/burdock/admission/admission_controller.hpp
+++ b/lib/libburdock/include/burdock/admission/admission_controller.hpp
@@ -78,6 +78,16 @@
     /** @brief The endpoint showed a sign of a restart apart from any run. */
     void noteRestart(TimePoint now);
 
+    /**
+     * @brief Starts nothing until release(), which is called once for each hold().
+     *
+     * Guards against work let in to an endpoint that has just restarted: it shows as an engine that falls over again, as what came
+     * between the first sign and its confirmation met it cold. Holding until that is known holds because all work waits here.
+     */
+    void hold();
+
+    [[nodiscard]] AdmissionChanges release(TimePoint now);
+
     void setPolicy(const AdmissionPolicy &policy);
 
     [[nodiscard]] u32 running() const;
@@ -99,6 +109,7 @@
     FairQueue m_queue;
     std::deque<AdmissionRequest> m_suspects;
     u32 m_running = 0;
+    u32 m_holds = 0;
     std::optional<TimePoint> m_restartedAt;
     bool m_suspectRuns = false;
     double m_meanServiceMs = 0;
--- a/lib/libburdock/source/admission/admission_controller.cpp
+++ b/lib/libburdock/source/admission/admission_controller.cpp
@@ -127,6 +127,17 @@
     m_limit.noteRestart();
 }
 
+void AdmissionController::hold()
+{
+    ++m_holds;
+}
+
+AdmissionChanges AdmissionController::release(TimePoint now)
+{
+    m_holds -= std::min<u32>(m_holds, 1);
+    return expire(now);
+}
+
 // Guards against a restarted endpoint that counts as warm by what it did before: it shows as an engine that falls over again
 // right after a crash at which many runs ended. Passing such successes over holds because a run that began after the restart was
 // seen can only have run in the new start.
@@ -172,7 +183,7 @@
 
 bool AdmissionController::hasRoom() const
 {
-    return m_running < m_limit.limit();
+    return m_holds == 0 && m_running < m_limit.limit();
 }
 
 } // namespace burdock::admission
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -171,6 +171,27 @@
     CHECK(controller.limit() == 1);
 }
 
+// Guards against an engine that falls over again because runs were let in between the first sign of its restart and the proof.
+TEST_CASE("while it is open whether an endpoint restarted nothing starts, and then only what a cold one bears")
+{
+    auto controller = controllerWith(2, 8, 10);
+    for (u32 i = 0; i < 2; ++i) {
+        CHECK(controller.request(from("a", i), Start).status == AdmissionStatus::Admitted);
+        static_cast<void>(controller.finished(Success, Start));
+    }
+    REQUIRE(controller.limit() == 4);
+    CHECK(controller.request(from("a", 10), Start).status == AdmissionStatus::Admitted);
+    controller.hold();
+    controller.hold();
+    CHECK(controller.request(from("a", 11), Start).status == AdmissionStatus::Queued);
+    CHECK(controller.request(from("a", 12), Start).status == AdmissionStatus::Queued);
+    CHECK(controller.finished(Restarted, Start).admitted.empty());
+    CHECK(controller.request(from("a", 13), Start).status == AdmissionStatus::Queued);
+    CHECK(controller.release(Start).admitted.empty());
+    CHECK(controller.release(Start).admitted.size() == 2);
+    CHECK(controller.queued() == 1);
+}
+
 // Guards against an engine that falls over again right after a crash, as runs that ended before it are told of after it.
 TEST_CASE("successes from before a restart do not warm an endpoint up")
 {
