Let the stand-in engine be gone before it is back

The check is unchanged. What was wrong is the stand-in: at a crash it counted itself as restarted, and took runs as a cold engine, before it began to cut the connections of the runs before; on a busy machine those were cut milliseconds later, and until then nobody could know of the crash. A run too many also crashed starts that came after the one it had overloaded, so one overload counted as up to twelve crashes.

Now it is back, with no further time, once the runs from before its crash have ended, and cuts what comes meanwhile; a run crashes only its own start.

--- a/tests/standins/include/standins/engine.hpp
+++ b/tests/standins/include/standins/engine.hpp
@@ -46,7 +46,7 @@
 
     [[nodiscard]] std::string address() const;
 
-    /** @brief Falls over: cuts all connections, forgets all cache, is cold again. */
+    /** @brief Falls over: cuts all connections, forgets all cache, and is back, cold, once none of its earlier runs is left. */
     void crash();
 
     /** @brief Does not answer anything until set back. */
@@ -91,6 +91,8 @@
     [[nodiscard]] u32 useCache(const boost::json::object &body);
     void hold(const std::string &key);
     [[nodiscard]] u32 bears() const;
+    /** @brief Still ending what it ran before it fell over; connections are cut until then. */
+    [[nodiscard]] bool isDown() const;
     [[nodiscard]] std::string bootId() const;
 
     EngineOptions m_options;
@@ -98,6 +100,8 @@
     std::atomic<bool> m_isFrozen{false};
     std::atomic<bool> m_isBreaking{false};
     mutable std::mutex m_mutex; // guards what follows
+    u32 m_inFlight = 0;
+    u32 m_dying = 0; // of those in flight, what ran before the last crash
     std::vector<std::string> m_loaded;
     std::list<std::string> m_order; // held keys, newest first
     std::map<std::string, std::list<std::string>::iterator> m_held;
--- a/tests/standins/source/engine.cpp
+++ b/tests/standins/source/engine.cpp
@@ -87,6 +87,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_boot;
+        m_dying = m_inFlight;
         m_order.clear();
         m_held.clear();
         m_dropped.clear();
@@ -164,6 +165,9 @@
     while (m_isFrozen) {
         co_await runtime::sleepFor(std::chrono::milliseconds(20));
     }
+    if (isDown()) {
+        co_return;
+    }
     const auto path = request.path();
     if (path == "/v1/generate") {
         co_await generate(request, reply);
@@ -202,11 +206,24 @@
     }
     if (fallsOver) {
         co_await runtime::sleepFor(std::chrono::milliseconds(20));
-        crash();
-        co_return;
+        if (run.boot == m_boot) {
+            crash();
+        }
+    } else {
+        co_await stream(run, reply);
+        finish(run);
     }
-    co_await stream(run, reply);
-    finish(run);
+    const std::lock_guard lock(m_mutex);
+    --m_inFlight;
+    if (run.boot != m_boot) {
+        m_dying -= std::min<u32>(m_dying, 1);
+    }
+}
+
+bool Engine::isDown() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dying > 0;
 }
 
 void Engine::finish(Run &run)
@@ -235,6 +252,7 @@
     run.boot = m_boot;
     run.cachedTokens = std::min(run.promptTokens, useCache(body));
     m_prompts.push_back(run.prompt);
+    ++m_inFlight;
     ++m_running;
     m_maxRunning = std::max(m_maxRunning, m_running);
     return true;
