Confirm keys at once after a gateway stood still, and let the soak tell its own standstills

What callers saw: 503 keys_unconfirmed for up to 1.5 s after a gateway that had stood still went on, with a store that answers.

Cause: the watch under way at the standstill confirms the keys as of its begin, which is too old; the next one is held for 1.5 s before it confirms.

Fix: while keys are refused for want of an answer, the configuration is asked for without a wait, unless the newest one can't be read.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -231,11 +231,19 @@
             }
         };
         return {takeAll, [takeAll](const ObjectChanges &changes) { takeAll(changes.changed); },
-                [this](TimePoint asOf, Evidence /*evidence*/) {
-                    confirmConfiguration(asOf);
+                [this](TimePoint asOf, Evidence /*evidence*/) { confirmConfiguration(asOf); }, nullptr,
+                [this] {
+                    return mustConfirmKeys();
                 }};
     }
 
+    // Guards against a gateway that refuses keys for the length of a whole watch after it stood still: it shows as refusals
+    // keys_unconfirmed though the store answers. A configuration that can't be read is no reason to ask at once, as no answer confirms it.
+    [[nodiscard]] bool mustConfirmKeys() const
+    {
+        return m_isNewestConfigurationRead && !m_state.keysAreCurrent(m_parts.clock.now(), m_settings);
+    }
+
     // Guards against a configuration that can't be read and takes a key away: it shows as requests that run with that key for as long
     // as the one before is in force. Not confirming that one holds, as keys are refused once it is too old.
     void confirmConfiguration(TimePoint asOf)
--- a/lib/libburdock-gateway/source/kind_watcher.cpp
+++ b/lib/libburdock-gateway/source/kind_watcher.cpp
@@ -69,8 +69,9 @@
 {
     while (m_failures < FailuresToRelist) {
         const auto started = m_parts.clock.now();
-        // After a failure the answer matters, not the wait.
-        const auto wait = m_failures > 0 ? Duration::zero() : m_wait;
+        // After a failure, or while requests are refused for want of an answer, the answer matters, not the wait.
+        const bool isUrgent = m_failures > 0 || (m_handlers.isUrgent && m_handlers.isUrgent());
+        const auto wait = isUrgent ? Duration::zero() : m_wait;
         const auto changes = co_await m_parts.store.watch(m_kind, m_revision, wait);
         if (changes.answer == StoreAnswer::Absent) {
             m_parts.logger.event(runtime::LogLevel::Info, "history_gone", {{"kind", toString(m_kind)}, {"revision", m_revision}});
--- a/lib/libburdock-gateway/source/kind_watcher.hpp
+++ b/lib/libburdock-gateway/source/kind_watcher.hpp
@@ -20,6 +20,7 @@
     std::function<void(const ObjectChanges &)> onChanges;
     std::function<void(TimePoint, Evidence)> onCurrent = nullptr; ///< all changes before this time have been seen; may be empty
     std::function<void(TimePoint)> onHeld = nullptr; ///< a watch was held until this time without a change; may be empty
+    std::function<bool()> isUrgent = nullptr; ///< whether requests wait for the next answer; may be empty
 };
 
 /**
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "faults.hpp"
+#include "stillness.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -40,6 +41,7 @@
 
 std::vector<std::string> runOnce(u64 seed)
 {
+    const Stillness stillness;
     Size size;
     size.gateways = FLAGS_gateways;
     size.engines = FLAGS_engines;
@@ -88,7 +90,8 @@
     for (const auto &[what, count] : counted) {
         counts += fmt::format(" {}={}", what, count);
     }
-    std::cout << "seed " << seed << ": " << faults.story().size() << " faults," << counts << std::endl;
+    std::cout << "seed " << seed << ": " << faults.story().size() << " faults," << counts << " stood still "
+              << toMilliseconds(stillness.longest()) << " ms at most" << std::endl;
     return ledger.violations();
 }
 
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -502,6 +502,21 @@
     CHECK(plain.received().size() == 1);
 }
 
+// Guards against a gateway that refuses all keys for the length of a whole watch after it stood still.
+TEST_CASE("a gateway that stood still for longer than a revocation may take serves keys again within a second")
+{
+    GatewayDeployment gateway(R"({"revocation_ms": 2500})");
+    Replica plain(answerWhole);
+    serve(gateway, "plain", {&plain});
+    REQUIRE(gateway.call({}).response.status == 200);
+    gateway.process().signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2600)); // a revocation that it could have missed
+    const auto woken = std::chrono::steady_clock::now();
+    gateway.process().signal(SIGCONT);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 200; }));
+    CHECK(std::chrono::steady_clock::now() - woken < std::chrono::seconds(1));
+}
+
 // Guards against an aborted process in place of a line that says what failed, where the port is taken.
 TEST_CASE("a gateway whose address is taken says so and ends with the code for a failed start")
 {
