Count looks, not time, before a draining process ends

Cause: entries and endpoint processes waited until nothing had been under way for 200 ms and 1.5 s by the clock. If the process stood still for as long between two looks, the time had passed though the look before had found requests under way, and it ended at once.

Fix: run::QuietCount counts looks in a row that found nothing; while a process stands still nothing is looked at.

--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -3,6 +3,7 @@
 #include "../role_support.hpp"
 
 #include <burdock/clients/http_block_store.hpp>
+#include <burdock/run/quiet_count.hpp>
 #include <burdock/runtime/sleep.hpp>
 #include <burdock/serving/link_messages.hpp>
 
@@ -98,11 +99,8 @@
 boost::asio::awaitable<void> EndpointRole::drain()
 {
     m_registry.setLeaving();
-    TimePoint quietSince = m_process.clock.now();
-    while (m_process.clock.now() - quietSince < QuietUntilGone) {
-        if (!m_registry.isIdle()) {
-            quietSince = m_process.clock.now();
-        }
+    run::QuietCount quiet(QuietUntilGone / DrainPause);
+    while (!quiet.look(!m_registry.isIdle())) {
         co_await runtime::sleepFor(DrainPause);
     }
 }
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -2,6 +2,7 @@
 
 #include "../role_support.hpp"
 
+#include <burdock/run/quiet_count.hpp>
 #include <burdock/runtime/sleep.hpp>
 #include <burdock/serving/problem.hpp>
 
@@ -106,11 +107,8 @@
 
 boost::asio::awaitable<void> EntryRole::awaitQuiet()
 {
-    TimePoint quietSince = m_process.clock.now();
-    while (m_process.clock.now() - quietSince < QuietUntilGone) {
-        if (m_callerServer.busyConnections() > 0) {
-            quietSince = m_process.clock.now();
-        }
+    run::QuietCount quiet(QuietUntilGone / DrainPause);
+    while (!quiet.look(m_callerServer.busyConnections() > 0)) {
         co_await runtime::sleepFor(DrainPause);
     }
 }
--- a/tests/integration/zone_test.cpp
+++ b/tests/integration/zone_test.cpp
@@ -251,6 +251,54 @@
     CHECK(sum.cutOff == 0);
 }
 
+// Guards against streams that are cut off because their entry stood still for a moment of its planned stop.
+TEST_CASE("streams end whole though their entry stands still while it stops")
+{
+    Deployment deployment(fourEngines());
+    deployment.start();
+    std::vector<std::pair<PromptCall, std::future<Answer>>> answers;
+    for (u32 i = 0; i < 8; ++i) {
+        PromptCall call;
+        call.prompt = "stream " + std::to_string(i);
+        call.tokens = 2000;
+        call.begun = std::make_shared<std::atomic<u32>>(0);
+        answers.emplace_back(call, deployment.spawn(sendPrompt(deployment.entryAddress(0), call)));
+    }
+    REQUIRE(
+        waitUntil([&] { return std::all_of(answers.begin(), answers.end(), [](const auto &answer) { return *answer.first.begun > 0; }); }));
+    auto &entry = deployment.process("entry-0");
+    entry.signal(SIGTERM);
+    REQUIRE(waitUntil([&] { return ask(deployment, 0, PromptCall{}).progress == runtime::http::Progress::NotSent; }));
+    entry.signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    entry.signal(SIGCONT);
+    for (auto &[call, pending] : answers) {
+        CHECK(pending.get().isWhole);
+    }
+    CHECK(entry.waitForEnd(std::chrono::seconds(20)) == 0);
+}
+
+// Guards against streams that break off because all processes stood still for longer than a silent engine is waited for.
+TEST_CASE("streams go on after all processes stood still for four seconds")
+{
+    Deployment deployment(fourEngines());
+    deployment.start();
+    SteadyLoad load(deployment, 8, 200);
+    REQUIRE(waitUntil([&] { return load.served > 8; }));
+    const auto signalAll = [&](int signal) {
+        for (const auto *name : {"entry-0", "entry-1", "model-0", "model-1", "model-2", "model-3"}) {
+            deployment.process(name).signal(signal);
+        }
+    };
+    signalAll(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::seconds(4)); // longer than the three seconds of an engine's silence
+    signalAll(SIGCONT);
+    const u32 before = load.served;
+    CHECK(waitUntil([&] { return load.served > before + 20; }));
+    load.stop();
+    CHECK(load.failed == 0);
+}
+
 // Guards against an engine that restarts and falls over again and again, as load reports lag behind its restart.
 TEST_CASE("an engine that restarts under load gets no more than it bears while cold")
 {
