--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -200,8 +200,9 @@
     for (u32 i = 0; i < 12; ++i) {
         send("short " + std::to_string(i), 5);
     }
-    for (auto &[call, pending] : answers) {
-        const auto answer = pending.get();
+    for (auto &sent : answers) {
+        const PromptCall &call = sent.first;
+        const auto answer = sent.second.get();
         const bool isRight = answer.text == standins::expectedAnswer(call.prompt, call.tokens);
         CHECK_MESSAGE(isRight, call.prompt << ": " << answer.status << " " << answer.reason);
     }
