--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -59,6 +59,23 @@
     return found;
 }
 
+// Cuts off engines under a prompt, each as soon as it runs there.
+std::vector<u32> cutEnginesUnder(Deployment &deployment, const PromptCall &call, u32 engines)
+{
+    std::vector<u32> cut;
+    while (cut.size() < engines) {
+        cut.push_back(cutWhereItRuns(deployment, call, cut));
+    }
+    return cut;
+}
+
+void reconnect(Deployment &deployment, const std::vector<u32> &engines)
+{
+    for (const u32 number : engines) {
+        deployment.backendProxy("model-" + std::to_string(number)).setRefusing(false);
+    }
+}
+
 } // namespace
 
 // One draft crashes each engine that runs it, and its caller sends it again and again. Within a minute no engine is left, and
@@ -135,15 +152,10 @@
     deployment.start();
     const auto call = longPrompt();
     auto answer = deployment.spawn(sendPrompt(deployment.entryAddress(0), call));
-    std::vector<u32> cut;
-    while (cut.size() < 2) {
-        cut.push_back(cutWhereItRuns(deployment, call, cut));
-    }
+    const auto cut = cutEnginesUnder(deployment, call, 2);
     const bool isRight = answer.get().text == standins::expectedAnswer(call.prompt, call.tokens);
     CHECK(isRight);
-    for (const u32 number : cut) {
-        deployment.backendProxy("model-" + std::to_string(number)).setRefusing(false);
-    }
+    reconnect(deployment, cut);
     CHECK(ask(deployment, 1, call).isWhole);
 }
 
@@ -154,14 +166,9 @@
     deployment.start();
     const auto call = longPrompt();
     auto answer = deployment.spawn(sendPrompt(deployment.entryAddress(0), call));
-    std::vector<u32> cut;
-    while (cut.size() < 3) {
-        cut.push_back(cutWhereItRuns(deployment, call, cut));
-    }
+    const auto cut = cutEnginesUnder(deployment, call, 3);
     CHECK_FALSE(answer.get().isWhole);
-    for (const u32 number : cut) {
-        deployment.backendProxy("model-" + std::to_string(number)).setRefusing(false);
-    }
+    reconnect(deployment, cut);
     const auto refused = ask(deployment, 0, call);
     CHECK(refused.reason == "quarantined");
     CHECK(refused.verdict == "not_run");
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -1,4 +1,5 @@
 #include <burdock/admission/admission_controller.hpp>
+#include <burdock/run/quiet_count.hpp>
 
 #include <doctest/doctest.h>
 
@@ -171,6 +172,18 @@
     CHECK(controller.limit() == 1);
 }
 
+// Guards against a process that ends in the midst of its work, as one quiet look counted for more than itself.
+TEST_CASE("only looks in a row that find nothing under way end a planned stop")
+{
+    run::QuietCount quiet(3);
+    CHECK_FALSE(quiet.look(false));
+    CHECK_FALSE(quiet.look(false));
+    CHECK_FALSE(quiet.look(true));
+    CHECK_FALSE(quiet.look(false));
+    CHECK_FALSE(quiet.look(false));
+    CHECK(quiet.look(false));
+}
+
 // Guards against an engine that falls over again because runs were let in between the first sign of its restart and the proof.
 TEST_CASE("while it is open whether an endpoint restarted nothing starts, and then only what a cold one bears")
 {
