Let the stand-in engine lose its connections when it crashes

The check of "an engine that restarts under load" is unchanged, as are the run capacities, the moment at which the engine is back, and each bound.

What was wrong with the stand-in: its next start served requests of connections that the start before had accepted, or had not accepted yet. A process that dies loses both.

Cause: Engine::crash() raised the boot number, then posted the resets of the connections; a request read before its reset was handled in the new start. The listening socket kept its backlog.

Now closeAll() also resets the backlog, and drops requests that have not reached the handler; the engine is down while it crashes, and starts a run only in the start in which its request was handled. No run is let off: a request that reaches the new start on a connection of its own counts as before, and a run over the capacity crashes the engine as before.

--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -100,7 +100,7 @@
      */
     void closeIdle(const std::optional<Response> &finalResponse = std::nullopt);
 
-    /** @brief Resets all connections (TCP RST). */
+    /** @brief Resets all connections (TCP RST), also those not accepted yet; requests that have not reached the handler are dropped. */
     void closeAll();
 
     /** @brief Number of connections with a request that is being received or handled, plus 1 while stopListening() empties the backlog. */
--- a/lib/libburdock-runtime/source/http/listening_socket.cpp
+++ b/lib/libburdock-runtime/source/http/listening_socket.cpp
@@ -4,6 +4,7 @@
 #include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace burdock::runtime::http::detail {
 
@@ -29,4 +30,14 @@
     static_cast<void>(::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)));
 }
 
+void resetBacklog(int socket)
+{
+    // Closing a connection that lingers for no time sends a reset.
+    constexpr linger ResetOnClose{1, 0};
+    for (int connection = ::accept(socket, nullptr, nullptr); connection >= 0; connection = ::accept(socket, nullptr, nullptr)) {
+        static_cast<void>(::setsockopt(connection, SOL_SOCKET, SO_LINGER, &ResetOnClose, sizeof(ResetOnClose)));
+        ::close(connection);
+    }
+}
+
 } // namespace burdock::runtime::http::detail
--- a/lib/libburdock-runtime/source/http/listening_socket.hpp
+++ b/lib/libburdock-runtime/source/http/listening_socket.hpp
@@ -12,4 +12,10 @@
  */
 void dropNewHandshakes(int socket);
 
+/**
+ * @brief Resets the connections that wait to be accepted.
+ * @param socket descriptor of a listening TCP socket in non-blocking mode
+ */
+void resetBacklog(int socket);
+
 } // namespace burdock::runtime::http::detail
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -210,6 +210,7 @@
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
         m_acceptor.bind(endpoint);
+        m_acceptor.native_non_blocking(true);
         m_port = m_acceptor.local_endpoint().port();
     }
 
@@ -252,8 +253,10 @@
 
     void closeAll()
     {
+        detail::resetBacklog(m_acceptor.native_handle());
         const std::lock_guard lock(m_mutex);
         for (auto *connection : m_connections) {
+            connection->isClosing = true;
             asio::post(connection->stream.get_executor(), [self = shared_from_this(), connection] { self->resetIfOpen(connection); });
         }
     }
@@ -286,6 +289,7 @@
         beast::flat_buffer buffer;
         bool isIdle = false; // waiting for the next request
         bool mayReceiveMore = false; // the peer has not learned yet that no further request will be read
+        bool isClosing = false; // guarded by the server's mutex; no further request is passed to the handler
     };
 
     /** @brief Counts a request as busy during its lifetime. */
@@ -420,6 +424,9 @@
             }
             co_return false;
         }
+        if (isClosing(connection)) {
+            co_return false;
+        }
         const bool clientKeepsAlive = parser.get().keep_alive();
         const bool keepAlive = clientKeepsAlive && !m_isStopping && !m_closesAfterAnswers;
         const auto request = toRequest(parser.release());
@@ -471,6 +478,12 @@
         co_return error;
     }
 
+    [[nodiscard]] bool isClosing(const OpenConnection &connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        return connection.isClosing;
+    }
+
     void track(OpenConnection *connection)
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/standins/include/standins/engine.hpp
+++ b/tests/standins/include/standins/engine.hpp
@@ -82,7 +82,7 @@
     };
 
     boost::asio::awaitable<void> handle(const runtime::http::Request &request, runtime::http::Reply &reply) override;
-    boost::asio::awaitable<void> generate(const runtime::http::Request &request, runtime::http::Reply &reply);
+    boost::asio::awaitable<void> generate(const runtime::http::Request &request, u64 boot, runtime::http::Reply &reply);
     void finishRun(Run &run);
     boost::asio::awaitable<void> streamRun(Run &run, runtime::http::Reply &reply);
     boost::asio::awaitable<runtime::http::Response> loadWeights(const runtime::http::Request &request);
@@ -103,6 +103,7 @@
     std::atomic<bool> m_isAbortingRuns{false};
     mutable std::mutex m_mutex; // guards the members below
     u32 m_inFlight = 0;
+    u32 m_crashesInProgress = 0; // connections from before the last crash may still be open
     u32 m_crashedInFlight = 0; // runs in flight that started before the last crash
     std::vector<std::string> m_loadedModels;
     std::list<std::string> m_recency; // cached keys, most recently used first
--- a/tests/standins/include/standins/fault_proxy.hpp
+++ b/tests/standins/include/standins/fault_proxy.hpp
@@ -3,6 +3,7 @@
 #include <burdock/types.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -39,6 +40,20 @@
     /** @brief Closes each connection after this many response bytes; 0 for never. */
     void setCloseAfter(u64 bytes);
 
+    /**
+     * @brief Holds requests that begin with `start` (such as "GET /v1/state") until releaseRequests(start), at most `maxRequests` of them.
+     *
+     * While the first request of a connection is held, the connection to the server is not opened; it never is if the caller has left.
+     */
+    void holdRequests(const std::string &start, u32 maxRequests = std::numeric_limits<u32>::max());
+    void releaseRequests(const std::string &start);
+    /** @brief Number of requests that holdRequests(start) has held; 0 after their release. */
+    [[nodiscard]] u32 heldRequests(const std::string &start) const;
+
+    /** @brief On all connections open now, keeps responses and the end of the connection from the caller until releaseResponses(). */
+    void holdResponses();
+    void releaseResponses();
+
     [[nodiscard]] u64 connections() const;
 
 private:
--- a/tests/standins/source/engine.cpp
+++ b/tests/standins/source/engine.cpp
@@ -87,6 +87,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_boot;
+        ++m_crashesInProgress;
         m_crashedInFlight = m_inFlight;
         m_recency.clear();
         m_cachedBlocks.clear();
@@ -96,6 +97,8 @@
         m_finishedSinceBoot = 0;
     }
     m_server.closeAll();
+    const std::lock_guard lock(m_mutex);
+    --m_crashesInProgress;
 }
 
 void Engine::setFrozen(bool isFrozen)
@@ -165,12 +168,13 @@
     while (m_isFrozen) {
         co_await runtime::sleepFor(std::chrono::milliseconds(20));
     }
+    const u64 boot = m_boot;
     if (isDown()) {
         co_return;
     }
     const auto path = request.path();
     if (path == "/v1/generate") {
-        co_await generate(request, reply);
+        co_await generate(request, boot, reply);
         co_return;
     }
     Response response = status(404);
@@ -189,11 +193,15 @@
     co_await reply.send(response);
 }
 
-boost::asio::awaitable<void> Engine::generate(const Request &request, runtime::http::Reply &reply)
+boost::asio::awaitable<void> Engine::generate(const Request &request, u64 boot, runtime::http::Reply &reply)
 {
     const auto body = parseBody(request.body);
     Run run;
+    run.boot = boot;
     if (!startRun(body, run)) {
+        if (boot != m_boot) {
+            co_return;
+        }
         auto refusal = status(409);
         refusal.headers.emplace_back("Engine-Boot-Id", bootId());
         co_await reply.send(refusal);
@@ -223,7 +231,7 @@
 bool Engine::isDown() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_crashedInFlight > 0;
+    return m_crashedInFlight > 0 || m_crashesInProgress > 0;
 }
 
 void Engine::finishRun(Run &run)
@@ -249,7 +257,9 @@
     if (std::find(m_loadedModels.begin(), m_loadedModels.end(), name) == m_loadedModels.end()) {
         return false;
     }
-    run.boot = m_boot;
+    if (run.boot != m_boot) {
+        return false;
+    }
     run.cachedTokens = std::min(run.promptTokens, useCache(body));
     m_startedPrompts.push_back(run.prompt);
     ++m_inFlight;
