Start a run only in the start of the engine that it was admitted for

What callers saw: prompts that were cut off a second time, as an engine that had just restarted got more runs than it bears while cold and crashed again (zone_test "an engine that restarts under load").

Cause: an admission counted against the limit of one start of the engine, and nothing tied the run to that start. Between admission and engine lie the import of cache blocks, the connection and the way of the request; up to the warm limit of runs were there at once and reached the next start.

Fix: the run asks the engine's boot id on the connection that then carries it, and is sent only if no sign of a restart has been seen since its admission and the boot id is the known one; otherwise it gives back its slot and is admitted again, for as long as its deadline allows. A connection ends with the process that accepted it, so a run reaches the start that it was counted for, or none. The controller keeps boot id, epoch and limit under one lock; until now the boot id was published before the limit dropped.

Weighed: no more unanswered runs than the cold limit.

--- a/lib/libburdock-clients/include/burdock/clients/engine.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/engine.hpp
@@ -36,6 +36,14 @@
     u32 cachedTokens = 0;
 };
 
+/** @brief Process and loaded weights of an engine. */
+struct EngineState
+{
+    bool isReachable = false;
+    std::string bootId;
+    std::vector<std::string> loadedVersions; ///< `model@version`
+};
+
 enum class GenerateEventKind : u8 {
     Text,
     Done, ///< the response is complete
@@ -55,21 +63,20 @@
 public:
     virtual ~Generation() = default;
 
-    /** @brief Sends the request and waits for the head of the response. */
+    /**
+     * @brief Connects and queries the state of the engine process that start() will send the request to.
+     *
+     * A connection ends with the process that accepted it, so the run either starts in the process with this boot id or not at all.
+     */
+    [[nodiscard]] virtual boost::asio::awaitable<EngineState> open() = 0;
+
+    /** @brief Sends the request on the connection of open() and waits for the head of the response. */
     [[nodiscard]] virtual boost::asio::awaitable<GenerateHead> start() = 0;
 
     /** @brief Waits for the next event. */
     [[nodiscard]] virtual boost::asio::awaitable<GenerateEvent> next() = 0;
 };
 
-/** @brief Process and loaded weights of an engine. */
-struct EngineState
-{
-    bool isReachable = false;
-    std::string bootId;
-    std::vector<std::string> loadedVersions; ///< `model@version`
-};
-
 /** @brief Cache blocks that the engine reported as dropped. */
 struct CacheEvents
 {
@@ -92,7 +99,7 @@
 public:
     virtual ~Engine() = default;
 
-    /** @brief Prepares a run; Generation::start() sends it. */
+    /** @brief Prepares a run; Generation::open() connects and Generation::start() sends it. */
     [[nodiscard]] virtual std::unique_ptr<Generation> generate(const GenerateRequest &request) = 0;
     [[nodiscard]] virtual boost::asio::awaitable<EngineState> state() = 0;
 
--- a/lib/libburdock-clients/source/http_engine.cpp
+++ b/lib/libburdock-clients/source/http_engine.cpp
@@ -42,6 +42,33 @@
     return strings;
 }
 
+json::object objectOf(const http::Exchange &exchange)
+{
+    if (exchange.progress != http::Progress::Answered || exchange.response.status != Ok) {
+        return {};
+    }
+    boost::system::error_code error;
+    auto value = json::parse(exchange.response.body, error);
+    return error || !value.is_object() ? json::object() : std::move(value.get_object());
+}
+
+http::Request stateRequest()
+{
+    http::Request request;
+    request.target = "/v1/state";
+    return request;
+}
+
+EngineState toState(const http::Exchange &exchange)
+{
+    const auto body = objectOf(exchange);
+    EngineState state;
+    state.isReachable = body.contains("boot_id");
+    state.bootId = textOf(body, "boot_id");
+    state.loadedVersions = stringsOf(body, "loaded");
+    return state;
+}
+
 // Reads a run as JSON lines: a head, then texts and pings, then a `done` line that marks the response as complete.
 class HttpGeneration : public Generation
 {
@@ -52,6 +79,11 @@
     {
     }
 
+    boost::asio::awaitable<EngineState> open() override
+    {
+        co_return toState(co_await m_call.exchangeFirst(stateRequest()));
+    }
+
     boost::asio::awaitable<GenerateHead> start() override
     {
         http::Request request;
@@ -136,16 +168,6 @@
     return "/v1/cache/" + hash::toHex(hash::asBytes(key));
 }
 
-json::object objectOf(const http::Exchange &exchange)
-{
-    if (exchange.progress != http::Progress::Answered || exchange.response.status != Ok) {
-        return {};
-    }
-    boost::system::error_code error;
-    auto value = json::parse(exchange.response.body, error);
-    return error || !value.is_object() ? json::object() : std::move(value.get_object());
-}
-
 } // namespace
 
 HttpEngine::HttpEngine(const http::Address &address, Duration ioTimeout)
@@ -161,14 +183,7 @@
 
 boost::asio::awaitable<EngineState> HttpEngine::state()
 {
-    http::Request request;
-    request.target = "/v1/state";
-    const auto body = objectOf(co_await http::exchange(m_address, request, m_ioTimeout));
-    EngineState state;
-    state.isReachable = body.contains("boot_id");
-    state.bootId = textOf(body, "boot_id");
-    state.loadedVersions = stringsOf(body, "loaded");
-    co_return state;
+    co_return toState(co_await http::exchange(m_address, stateRequest(), m_ioTimeout));
 }
 
 boost::asio::awaitable<OrderResult> HttpEngine::load(const std::string &model, const std::string &version, u64 token)
--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -14,8 +14,15 @@
     Answered, ///< the response, or at least its head, arrived
 };
 
+/** @brief Result of a request whose response was read completely. */
+struct Exchange
+{
+    Progress progress = Progress::NotSent;
+    Response response; ///< complete if progress is Answered
+};
+
 /**
- * @brief One request on a new connection, with a streamed response.
+ * @brief One request with a streamed response, on a new connection that may carry other requests before it.
  *
  * A connection can stop carrying data without being closed while new connections work, and a request on a reused one would then get
  * no response. A new connection for each request avoids this at the cost of one round trip, under a millisecond within a region.
@@ -26,7 +33,13 @@
     /** @param ioTimeout limit for connecting and for each read */
     Call(const Address &address, Duration ioTimeout);
 
-    /** @brief Connects, sends the request and reads the head of the response. */
+    /** @brief Connects, sends a request that precedes send(), and reads the complete response; the connection stays open for send(). */
+    [[nodiscard]] boost::asio::awaitable<Exchange> exchangeFirst(const Request &request);
+
+    /**
+     * @brief Sends the request and reads the head of the response; connects unless exchangeFirst() has done so.
+     * @return NotSent also if the server has closed the connection since exchangeFirst()
+     */
     [[nodiscard]] boost::asio::awaitable<Progress> send(const Request &request);
 
     /** @brief Status and headers of the response, without the body. */
@@ -36,18 +49,13 @@
     [[nodiscard]] boost::asio::awaitable<BodyChunk> read();
 
 private:
+    [[nodiscard]] boost::asio::awaitable<bool> connect(Reuse reuse);
+
     Address m_address;
     Duration m_timeout;
     std::unique_ptr<Connection> m_connection;
 };
 
-/** @brief Result of a request whose response was read completely. */
-struct Exchange
-{
-    Progress progress = Progress::NotSent;
-    Response response; ///< complete if progress is Answered
-};
-
 /**
  * @brief Sends a request on a new connection and reads the complete response.
  * @param timeout limit for connecting and for each read
--- a/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
@@ -40,6 +40,9 @@
     /** @brief Connects; false on failure. */
     [[nodiscard]] boost::asio::awaitable<bool> connect(Duration timeout);
 
+    /** @brief Sends a request; false on failure. A Host header is added as by startSend(). */
+    [[nodiscard]] boost::asio::awaitable<bool> send(const Request &request, Duration timeout);
+
     /**
      * @brief Starts to send a request without waiting, as a server may respond before it has read the whole request.
      *
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -6,19 +6,71 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Reads the complete response to a request that was sent.
+asio::awaitable<Exchange> readResponse(Connection &connection, Duration timeout)
+{
+    Exchange result;
+    result.progress = Progress::MayBeSent;
+    const bool hasHead = co_await connection.readHead(timeout);
+    if (!hasHead) {
+        co_return result;
+    }
+    result.response = connection.head();
+    while (true) {
+        const auto chunk = co_await connection.read(timeout);
+        result.response.body += chunk.data;
+        if (chunk.isBroken) {
+            co_return result;
+        }
+        if (chunk.isEnd) {
+            result.progress = Progress::Answered;
+            co_return result;
+        }
+    }
+}
+
+} // namespace
+
 Call::Call(const Address &address, Duration ioTimeout)
     : m_address(address)
     , m_timeout(ioTimeout)
 {
 }
 
-asio::awaitable<Progress> Call::send(const Request &request)
+asio::awaitable<bool> Call::connect(Reuse reuse)
 {
     const auto executor = co_await asio::this_coro::executor;
-    m_connection = std::make_unique<Connection>(executor, m_address, Reuse::SingleRequest);
-    const bool isConnected = co_await m_connection->connect(m_timeout);
+    m_connection = std::make_unique<Connection>(executor, m_address, reuse);
+    co_return co_await m_connection->connect(m_timeout);
+}
+
+asio::awaitable<Exchange> Call::exchangeFirst(const Request &request)
+{
+    const bool isConnected = co_await connect(Reuse::KeepAlive);
     if (!isConnected) {
-        co_return Progress::NotSent;
+        co_return Exchange{};
+    }
+    // A connection is reusable only once its send has ended, which may be noticed after the response.
+    const bool isSent = co_await m_connection->send(request, m_timeout);
+    if (!isSent) {
+        co_return Exchange{Progress::MayBeSent, {}};
+    }
+    co_return co_await readResponse(*m_connection, m_timeout);
+}
+
+asio::awaitable<Progress> Call::send(const Request &request)
+{
+    if (m_connection) {
+        if (!m_connection->isReusable() || !m_connection->isIdle()) {
+            co_return Progress::NotSent;
+        }
+    } else {
+        const bool isConnected = co_await connect(Reuse::SingleRequest);
+        if (!isConnected) {
+            co_return Progress::NotSent;
+        }
     }
     m_connection->startSend(request);
     const bool hasHead = co_await m_connection->readHead(m_timeout);
@@ -38,33 +90,6 @@
     return m_connection->read(m_timeout);
 }
 
-namespace {
-
-// Reads the complete response to a request that was sent.
-asio::awaitable<Exchange> readResponse(Connection &connection, Duration timeout)
-{
-    Exchange result;
-    result.progress = Progress::MayBeSent;
-    const bool hasHead = co_await connection.readHead(timeout);
-    if (!hasHead) {
-        co_return result;
-    }
-    result.response = connection.head();
-    while (true) {
-        const auto chunk = co_await connection.read(timeout);
-        result.response.body += chunk.data;
-        if (chunk.isBroken) {
-            co_return result;
-        }
-        if (chunk.isEnd) {
-            result.progress = Progress::Answered;
-            co_return result;
-        }
-    }
-}
-
-} // namespace
-
 asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout)
 {
     const auto executor = co_await asio::this_coro::executor;
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -60,23 +60,18 @@
         co_return true;
     }
 
+    asio::awaitable<bool> send(const Request &request, Duration timeout)
+    {
+        prepareMessage(request);
+        m_stream.expires_after(timeout);
+        const auto [error, size] = co_await beast::http::async_write(m_stream, *m_message, Awaitable);
+        m_isSent = !error;
+        co_return m_isSent;
+    }
+
     void startSend(const Request &request)
     {
-        m_message.emplace(beast::http::string_to_verb(request.method), request.target, 11);
-        if (m_message->method() == beast::http::verb::unknown) {
-            m_message->method_string(request.method);
-        }
-        for (const auto &[name, value] : request.headers) {
-            m_message->insert(name, value);
-        }
-        if (m_message->find(beast::http::field::host) == m_message->end()) {
-            m_message->set(beast::http::field::host, m_address.ip);
-        }
-        m_message->keep_alive(m_reuse == Reuse::KeepAlive);
-        m_message->body() = request.body;
-        m_message->prepare_payload();
-        m_isSent = false;
-        m_parser.reset();
+        prepareMessage(request);
         m_stream.expires_never();
         auto onSent = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->m_isSent = !error;
@@ -152,6 +147,25 @@
     }
 
 private:
+    void prepareMessage(const Request &request)
+    {
+        m_message.emplace(beast::http::string_to_verb(request.method), request.target, 11);
+        if (m_message->method() == beast::http::verb::unknown) {
+            m_message->method_string(request.method);
+        }
+        for (const auto &[name, value] : request.headers) {
+            m_message->insert(name, value);
+        }
+        if (m_message->find(beast::http::field::host) == m_message->end()) {
+            m_message->set(beast::http::field::host, m_address.ip);
+        }
+        m_message->keep_alive(m_reuse == Reuse::KeepAlive);
+        m_message->body() = request.body;
+        m_message->prepare_payload();
+        m_isSent = false;
+        m_parser.reset();
+    }
+
     void copyHead()
     {
         const auto &message = m_parser->get();
@@ -187,6 +201,11 @@
     return m_impl->connect(timeout);
 }
 
+asio::awaitable<bool> Connection::send(const Request &request, Duration timeout)
+{
+    return m_impl->send(request, timeout);
+}
+
 void Connection::startSend(const Request &request)
 {
     m_impl->startSend(request);
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
@@ -11,6 +11,14 @@
 
 namespace burdock::serving {
 
+/** @brief Outcome of waiting for admission. */
+struct Admission
+{
+    /** RefusalReason::None if the run may start */
+    Refusal refusal;
+    admission::Epoch epoch = 0;
+};
+
 /** @brief Admission control of one endpoint: every run is admitted here and reports its end here. Thread-safe. */
 class AdmissionGate
 {
@@ -19,12 +27,9 @@
 
     void setPolicy(const admission::AdmissionPolicy &policy);
 
-    /**
-     * @brief Waits until the run is admitted, evicted or cancelled, or its deadline has passed.
-     * @return RefusalReason::None if the run may start; otherwise the refusal
-     */
-    [[nodiscard]] boost::asio::awaitable<Refusal> waitForAdmission(admission::AdmissionRequest request, std::shared_ptr<RunSignals> signals,
-                                                                   const ResponseStream &response);
+    /** @brief Waits until the run is admitted, evicted or cancelled, or its deadline has passed. */
+    [[nodiscard]] boost::asio::awaitable<Admission> waitForAdmission(admission::AdmissionRequest request,
+                                                                     std::shared_ptr<RunSignals> signals, const ResponseStream &response);
 
     /** @brief Frees the capacity of a run that has ended. */
     void finishRun(const admission::FinishedRun &run);
@@ -32,6 +37,13 @@
     /** @brief Records a sign that the endpoint has restarted. */
     void noteRestart();
 
+    /** @brief Records the boot id that the endpoint reported; true if it shows a restart. */
+    bool noteBootId(const std::string &bootId);
+    [[nodiscard]] std::string bootId() const;
+
+    /** @brief Whether a run admitted in this epoch may start in the process with this boot id. */
+    [[nodiscard]] bool mayStart(admission::Epoch admittedIn, const std::string &bootId) const;
+
     /** @brief Admits nothing until release(), which must be called once for each hold(). */
     void hold();
     void release();
@@ -48,6 +60,7 @@
     {
         std::shared_ptr<RunSignals> signals; // shared with the run's coroutine
         WaitState state = WaitState::Queued;
+        admission::Epoch epoch = 0; // set when admitted
     };
 
     void notifyAdmitted(const admission::AdmissionChanges &changes);
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
@@ -19,6 +19,12 @@
     std::optional<retry::CrashEvidence> crash;
     /** Set if this attempt did not run at the back end; `end` is then ignored. */
     std::optional<Refusal> refusal;
+
+    /** @brief Whether the run has to be admitted again; nothing of it has run, and the other members are then ignored. */
+    [[nodiscard]] bool isAdmissionInvalid() const
+    {
+        return outcome == admission::RunOutcome::NotStarted;
+    }
 };
 
 /** @brief Runs admitted requests at the back end of this process. Thread-safe. */
@@ -33,9 +39,13 @@
      */
     [[nodiscard]] virtual Refusal check(const schema::RunRequest &request) = 0;
 
-    /** @brief Runs a request and sends the head and data of its response, but not the end. */
-    [[nodiscard]] virtual boost::asio::awaitable<BackEndResult> run(const schema::RunRequest &request, ResponseStream &response,
-                                                                    TimePoint deadline, const runtime::SpanContext &parent)
+    /**
+     * @brief Runs a request and sends the head and data of its response, but not the end.
+     * @param admittedIn epoch of the admission; the request is not run if the back end has restarted since
+     */
+    [[nodiscard]] virtual boost::asio::awaitable<BackEndResult> run(const schema::RunRequest &request, admission::Epoch admittedIn,
+                                                                    ResponseStream &response, TimePoint deadline,
+                                                                    const runtime::SpanContext &parent)
         = 0;
 
     /** @brief Completes work that is left once the end of the response has been sent. */
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watcher.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/engine_watcher.hpp
@@ -10,7 +10,7 @@
 
 namespace burdock::serving {
 
-/** @brief Tracks an engine's boot id and loaded weights. Thread-safe. */
+/** @brief Tracks an engine's restarts and loaded weights. Thread-safe. */
 class EngineWatcher
 {
 public:
@@ -25,8 +25,8 @@
     /** @brief Like refresh(), after a run has failed; admits no run until it is known whether the engine restarted. */
     [[nodiscard]] boost::asio::awaitable<bool> refreshAfterFailure();
 
-    /** @brief Records the boot id of an engine response; true if the engine has restarted. */
-    bool noteBootId(const std::string &bootId);
+    /** @brief Records the boot id of an engine response. */
+    void noteBootId(const std::string &bootId);
 
     /** @brief Records that the engine did not respond or closed a connection. */
     void noteUnreachable();
@@ -34,7 +34,6 @@
     [[nodiscard]] std::vector<std::string> loadedWeights() const;
     [[nodiscard]] bool hasLoaded(const std::string &weightName) const;
     [[nodiscard]] bool isReachable() const;
-    [[nodiscard]] std::string bootId() const;
 
 private:
     void setLoadedWeights(std::vector<std::string> weightNames);
@@ -44,7 +43,6 @@
     AdmissionGate &m_gate;
     KvCacheOffloader &m_cacheOffloader;
     mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex;
-    std::string m_bootId;
     std::vector<std::string> m_loadedWeights;
     bool m_isReachable = false;
 };
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
@@ -56,8 +56,10 @@
     [[nodiscard]] std::shared_ptr<ResponseStream> findResponse(const schema::RunRef &ref);
     [[nodiscard]] boost::asio::awaitable<void> execute(schema::RunRequest request, std::shared_ptr<ResponseStream> response,
                                                        std::shared_ptr<RunSignals> signals, TimePoint deadline);
-    [[nodiscard]] boost::asio::awaitable<void> runAdmitted(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline,
-                                                           bool isSuspect, const runtime::SpanContext &span);
+    /** @brief Runs a request once it is admitted; returns the refusal if it did not run, otherwise RefusalReason::None. */
+    [[nodiscard]] boost::asio::awaitable<Refusal> admitAndRun(const schema::RunRequest &request, ResponseStream &response,
+                                                              std::shared_ptr<RunSignals> signals, TimePoint deadline,
+                                                              const runtime::SpanContext &span);
     [[nodiscard]] bool isRefusedAsSuspect(const schema::RunRequest &request) const;
     [[nodiscard]] Refusal checkEligibility(const schema::RunRequest &request) const;
     void noteOutcome(const schema::RunRequest &request, BackEndResult &result);
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
@@ -15,7 +15,8 @@
     ServiceRunner(Process &process, OnceStore &onceStore, const runtime::http::Address &backEnd, Duration idleTimeout);
 
     [[nodiscard]] Refusal check(const schema::RunRequest &request) override;
-    [[nodiscard]] boost::asio::awaitable<BackEndResult> run(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline,
+    [[nodiscard]] boost::asio::awaitable<BackEndResult> run(const schema::RunRequest &request, admission::Epoch admittedIn,
+                                                            ResponseStream &response, TimePoint deadline,
                                                             const runtime::SpanContext &parent) override;
     [[nodiscard]] boost::asio::awaitable<void> onEndSent(const schema::RunRequest &request) override;
     [[nodiscard]] std::vector<std::string> loadedWeights() const override;
--- a/lib/libburdock-serving/source/endpoint/admission_gate.cpp
+++ b/lib/libburdock-serving/source/endpoint/admission_gate.cpp
@@ -20,8 +20,8 @@
     m_controller.setPolicy(policy);
 }
 
-boost::asio::awaitable<Refusal> AdmissionGate::waitForAdmission(admission::AdmissionRequest request, std::shared_ptr<RunSignals> signals,
-                                                                const ResponseStream &response)
+boost::asio::awaitable<Admission> AdmissionGate::waitForAdmission(admission::AdmissionRequest request, std::shared_ptr<RunSignals> signals,
+                                                                  const ResponseStream &response)
 {
     const TimePoint deadline = request.deadline;
     {
@@ -29,12 +29,12 @@
         request.ticket = ++m_lastTicket;
         const auto decision = m_controller.request(request, m_process.clock.now());
         if (decision.status == admission::AdmissionStatus::Admitted) {
-            co_return Refusal{};
+            co_return Admission{{}, m_controller.epoch()};
         }
         if (decision.status == admission::AdmissionStatus::Refused) {
-            co_return decision.refusal;
+            co_return Admission{decision.refusal};
         }
-        m_waiters.emplace(request.ticket, Waiter{signals, WaitState::Queued});
+        m_waiters.emplace(request.ticket, Waiter{signals});
         if (decision.evicted) {
             notifyWaiter(*decision.evicted, WaitState::Evicted);
         }
@@ -43,19 +43,20 @@
         const auto signal = co_await signals->receive(deadline);
         const std::lock_guard lock(m_mutex);
         const WaitState state = m_waiters.at(request.ticket).state;
+        const admission::Epoch epoch = m_waiters.at(request.ticket).epoch;
         const bool isAbandoned = !signal || response.isCancelled();
         if (state == WaitState::Queued && !isAbandoned) {
             continue;
         }
         m_waiters.erase(request.ticket);
         if (state == WaitState::Admitted) {
-            co_return Refusal{};
+            co_return Admission{{}, epoch};
         }
         if (state == WaitState::Evicted) {
-            co_return Refusal{RefusalReason::Overloaded, RetryAfterEviction};
+            co_return Admission{{RefusalReason::Overloaded, RetryAfterEviction}};
         }
         m_controller.abandon(request.ticket);
-        co_return Refusal{RefusalReason::DeadlineTooShort, m_controller.expectedWait()};
+        co_return Admission{{RefusalReason::DeadlineTooShort, m_controller.expectedWait()}};
     }
 }
 
@@ -89,6 +90,7 @@
 {
     auto &waiter = m_waiters.at(ticket);
     waiter.state = state;
+    waiter.epoch = m_controller.epoch();
     waiter.signals->push(state == WaitState::Admitted ? RunSignal::Admitted : RunSignal::Evicted);
 }
 
@@ -98,6 +100,24 @@
     m_controller.noteRestart(m_process.clock.now());
 }
 
+bool AdmissionGate::noteBootId(const std::string &bootId)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controller.noteBootId(bootId, m_process.clock.now());
+}
+
+std::string AdmissionGate::bootId() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controller.bootId();
+}
+
+bool AdmissionGate::mayStart(admission::Epoch admittedIn, const std::string &bootId) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controller.mayStart(admittedIn, bootId);
+}
+
 schema::EndpointLoad AdmissionGate::load() const
 {
     schema::EndpointLoad load;
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -47,7 +47,7 @@
     , cacheOffloader(process, config, engine, makeStores(process, settings.endpoint()))
     , watcher(process, engine, gate, cacheOffloader)
     , weightLoader(process, config, store, engine, watcher, settings.endpoint().pool())
-    , runner(process, engine, watcher, cacheOffloader)
+    , runner(process, engine, gate, watcher, cacheOffloader)
 {
 }
 
--- a/lib/libburdock-serving/source/endpoint/engine_watcher.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watcher.cpp
@@ -48,22 +48,17 @@
     co_return isReachable;
 }
 
-bool EngineWatcher::noteBootId(const std::string &bootId)
+void EngineWatcher::noteBootId(const std::string &bootId)
 {
-    bool isRestart = false;
     {
         const std::lock_guard lock(m_mutex);
         m_isReachable = true;
-        isRestart = !m_bootId.empty() && m_bootId != bootId;
-        m_bootId = bootId;
     }
-    if (isRestart) {
+    if (m_gate.noteBootId(bootId)) {
         m_process.metrics.count("burdock_endpoint_restarts_total");
         m_process.logger.event(runtime::LogLevel::Warning, "endpoint_restarted", {{"boot_id", std::string_view(bootId)}});
-        m_gate.noteRestart();
         m_cacheOffloader.forgetEngineBlocks();
     }
-    return isRestart;
 }
 
 void EngineWatcher::noteUnreachable()
@@ -104,10 +99,4 @@
     return m_isReachable;
 }
 
-std::string EngineWatcher::bootId() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_bootId;
-}
-
 } // namespace burdock::serving
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -44,6 +44,13 @@
     return out;
 }
 
+BackEndResult admissionInvalidResult()
+{
+    BackEndResult result;
+    result.outcome = RunOutcome::NotStarted;
+    return result;
+}
+
 BackEndResult refusedResult(RefusalReason reason, Duration retryAfter)
 {
     BackEndResult result;
@@ -54,9 +61,11 @@
 
 } // namespace
 
-PromptRunner::PromptRunner(Process &process, clients::Engine &engine, EngineWatcher &engineWatcher, KvCacheOffloader &cacheOffloader)
+PromptRunner::PromptRunner(Process &process, clients::Engine &engine, AdmissionGate &gate, EngineWatcher &engineWatcher,
+                           KvCacheOffloader &cacheOffloader)
     : m_process(process)
     , m_engine(engine)
+    , m_gate(gate)
     , m_engineWatcher(engineWatcher)
     , m_cacheOffloader(cacheOffloader)
 {
@@ -74,8 +83,8 @@
     return {};
 }
 
-boost::asio::awaitable<BackEndResult> PromptRunner::run(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline,
-                                                        const runtime::SpanContext &parent)
+boost::asio::awaitable<BackEndResult> PromptRunner::run(const schema::RunRequest &request, admission::Epoch admittedIn,
+                                                        ResponseStream &response, TimePoint deadline, const runtime::SpanContext &parent)
 {
     const auto generateRequest = toGenerateRequest(request);
     u32 imported = 0;
@@ -85,16 +94,21 @@
         span.setAttribute("imported_blocks", std::to_string(imported));
     }
     runtime::Span span(m_process.tracer, "endpoint.generate", parent);
-    // Read before the request is sent: by the time that it fails, the watcher may already know the boot id of the restarted engine.
-    const std::string previousBootId = m_engineWatcher.bootId();
     const auto generation = m_engine.generate(generateRequest);
+    const auto engineState = co_await generation->open();
+    if (!engineState.isReachable) {
+        co_return co_await notSentResult(admittedIn);
+    }
+    m_engineWatcher.noteBootId(engineState.bootId);
+    if (!m_gate.mayStart(admittedIn, engineState.bootId)) {
+        co_return admissionInvalidResult();
+    }
     const auto head = co_await generation->start();
     if (head.progress == Progress::NotSent) {
-        m_engineWatcher.noteUnreachable();
-        co_return brokenResult(false, std::nullopt, "engine unreachable");
+        co_return co_await notSentResult(admittedIn);
     }
     if (head.progress == Progress::MayBeSent) {
-        const auto crash = co_await checkForCrash(previousBootId);
+        const auto crash = co_await checkForCrash(engineState.bootId);
         co_return brokenResult(true, crash, "engine cut the connection");
     }
     m_engineWatcher.noteBootId(head.bootId);
@@ -153,12 +167,21 @@
     if (!isReachable) {
         co_return retry::CrashEvidence::None;
     }
-    if (m_engineWatcher.bootId() != previousBootId) {
+    if (m_gate.bootId() != previousBootId) {
         co_return retry::CrashEvidence::Restart;
     }
     co_return std::nullopt;
 }
 
+boost::asio::awaitable<BackEndResult> PromptRunner::notSentResult(admission::Epoch admittedIn)
+{
+    const bool isReachable = co_await m_engineWatcher.refreshAfterFailure();
+    if (isReachable && !m_gate.mayStart(admittedIn, m_gate.bootId())) {
+        co_return admissionInvalidResult();
+    }
+    co_return brokenResult(false, std::nullopt, "engine unreachable");
+}
+
 BackEndResult PromptRunner::brokenResult(bool mayHaveRun, std::optional<retry::CrashEvidence> crash, std::string detail)
 {
     BackEndResult result;
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -30,6 +30,17 @@
     return 1.0 + static_cast<double>(request.prompt().prompt().size()) / BytesPerToken;
 }
 
+admission::AdmissionRequest toAdmissionRequest(const schema::RunRequest &request, TimePoint deadline, bool isSuspect)
+{
+    admission::AdmissionRequest admissionRequest;
+    admissionRequest.customer = request.customer();
+    admissionRequest.priority = request.priority();
+    admissionRequest.cost = admissionCost(request);
+    admissionRequest.deadline = deadline;
+    admissionRequest.isSuspect = isSuspect;
+    return admissionRequest;
+}
+
 } // namespace
 
 RunRegistry::RunRegistry(Process &process, ConfigHolder &config, AdmissionGate &gate, BackEndRunner &runner, SuspectTable &suspects,
@@ -83,42 +94,50 @@
         refusal = {RefusalReason::Quarantined, m_suspects.timeUntilTrial(request.fingerprint())};
     }
     if (refusal.reason == RefusalReason::None) {
-        refusal = m_runner.check(request);
-    }
-    const bool isSuspect = m_suspects.state(request.fingerprint()) != retry::SuspectState::Clear;
-    if (refusal.reason == RefusalReason::None) {
-        admission::AdmissionRequest admission;
-        admission.customer = request.customer();
-        admission.priority = request.priority();
-        admission.cost = admissionCost(request);
-        admission.deadline = deadline;
-        admission.isSuspect = isSuspect;
-        refusal = co_await m_gate.waitForAdmission(admission, signals, *response);
+        refusal = co_await admitAndRun(request, *response, signals, deadline, span.context());
     }
     if (refusal.reason != RefusalReason::None) {
         span.setAttribute("refused", std::string(refusalRule(refusal.reason).name));
         refuse(*response, refusal);
         co_return;
     }
-    co_await runAdmitted(request, *response, deadline, isSuspect, span.context());
     co_await m_runner.onEndSent(request);
 }
 
-boost::asio::awaitable<void> RunRegistry::runAdmitted(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline,
-                                                      bool isSuspect, const runtime::SpanContext &span)
+boost::asio::awaitable<Refusal> RunRegistry::admitAndRun(const schema::RunRequest &request, ResponseStream &response,
+                                                         std::shared_ptr<RunSignals> signals, TimePoint deadline,
+                                                         const runtime::SpanContext &span)
 {
-    const TimePoint startTime = m_process.clock.now();
-    auto result = co_await m_runner.run(request, response, deadline, span);
-    const Duration serviceTime = m_process.clock.now() - startTime;
-    noteOutcome(request, result);
-    m_gate.finishRun({result.outcome, serviceTime, isSuspect, startTime});
-    m_process.metrics.observe("burdock_run_seconds", serviceTime);
-    if (result.refusal) {
-        refuse(response, *result.refusal);
-        co_return;
+    const bool isSuspect = m_suspects.state(request.fingerprint()) != retry::SuspectState::Clear;
+    const auto admissionRequest = toAdmissionRequest(request, deadline, isSuspect);
+    while (true) {
+        if (const auto refusal = m_runner.check(request); refusal.reason != RefusalReason::None) {
+            co_return refusal;
+        }
+        const auto admission = co_await m_gate.waitForAdmission(admissionRequest, signals, response);
+        if (admission.refusal.reason != RefusalReason::None) {
+            co_return admission.refusal;
+        }
+        const TimePoint startTime = m_process.clock.now();
+        auto result = co_await m_runner.run(request, admission.epoch, response, deadline, span);
+        const Duration serviceTime = m_process.clock.now() - startTime;
+        noteOutcome(request, result);
+        m_gate.finishRun({result.outcome, serviceTime, isSuspect, startTime});
+        if (result.isAdmissionInvalid()) {
+            m_process.metrics.count("burdock_readmissions_total");
+            if (m_process.clock.now() >= deadline || response.isCancelled()) {
+                co_return Refusal{RefusalReason::DeadlineTooShort, RetryAfterIneligible};
+            }
+            continue;
+        }
+        m_process.metrics.observe("burdock_run_seconds", serviceTime);
+        if (result.refusal) {
+            co_return *result.refusal;
+        }
+        *result.end.mutable_load() = load();
+        response.finish(std::move(result.end));
+        co_return Refusal{};
     }
-    *result.end.mutable_load() = load();
-    response.finish(std::move(result.end));
 }
 
 // A trial that its entry allowed without knowing of the latest crash does not count as one.
--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -72,8 +72,8 @@
     return {};
 }
 
-boost::asio::awaitable<BackEndResult> ServiceRunner::run(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline,
-                                                         const runtime::SpanContext &parent)
+boost::asio::awaitable<BackEndResult> ServiceRunner::run(const schema::RunRequest &request, admission::Epoch /*admittedIn*/,
+                                                         ResponseStream &response, TimePoint deadline, const runtime::SpanContext &parent)
 {
     runtime::Span span(m_process.tracer, "endpoint.call", parent);
     const auto &work = request.service();
--- a/lib/libburdock/include/burdock/admission/admission_controller.hpp
+++ b/lib/libburdock/include/burdock/admission/admission_controller.hpp
@@ -5,6 +5,7 @@
 #include <burdock/verdict.hpp>
 
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace burdock::admission {
@@ -23,6 +24,9 @@
     Refused, ///< not run; the decision holds the refusal
 };
 
+/** @brief Counts the signs of a restart of the endpoint; work admitted in one epoch must not start in a later one. */
+using Epoch = u64;
+
 /** @brief Decision on an admission request. */
 struct AdmissionDecision
 {
@@ -44,6 +48,7 @@
     Success,
     Failure,
     EndpointRestarted,
+    NotStarted, ///< the admission was no longer valid when the run was about to start
 };
 
 /** @brief An admitted run that has ended. */
@@ -52,7 +57,7 @@
     RunOutcome outcome = RunOutcome::Success;
     Duration serviceTime{};
     bool wasSuspect = false;
-    TimePoint startedAt{}; ///< when it was admitted
+    TimePoint startedAt{}; ///< when it began after its admission
 };
 
 /**
@@ -80,11 +85,26 @@
     /** @brief Records a sign of a restart that was seen outside of a run. */
     void noteRestart(TimePoint now);
 
+    /** @brief Records the boot id that the endpoint reported; true if it shows a restart. */
+    bool noteBootId(const std::string &bootId, TimePoint now);
+
+    /** @brief The epoch of what is admitted now. */
+    [[nodiscard]] Epoch epoch() const;
+
+    /**
+     * @brief Whether work admitted in this epoch may start in the process with this boot id.
+     *
+     * An admission counts against the limit of its epoch, and a process that started later may bear less.
+     */
+    [[nodiscard]] bool mayStart(Epoch admittedIn, const std::string &bootId) const;
+
+    /** @brief The boot id that was reported last; empty if none. */
+    [[nodiscard]] const std::string &bootId() const;
+
     /**
      * @brief Stops admission until release() has been called once for each hold().
      *
-     * Called while a suspected restart is being checked: work admitted before the restart is confirmed would reach a cold engine and
-     * could crash it again. All work of the endpoint passes through this class, so no other check is needed.
+     * Called while a suspected restart is being checked, as work admitted meanwhile would only have to be admitted again (mayStart()).
      */
     void hold();
 
@@ -114,6 +134,8 @@
     u32 m_running = 0;
     u32 m_holdCount = 0;
     std::optional<TimePoint> m_restartedAt;
+    Epoch m_epoch = 0;
+    std::string m_bootId;
     bool m_isSuspectRunning = false;
     double m_meanServiceMs = 0;
 };
--- a/lib/libburdock/source/admission/admission_controller.cpp
+++ b/lib/libburdock/source/admission/admission_controller.cpp
@@ -124,10 +124,39 @@
 
 void AdmissionController::noteRestart(TimePoint now)
 {
+    ++m_epoch;
     m_restartedAt = now;
     m_limit.noteRestart();
 }
 
+bool AdmissionController::noteBootId(const std::string &bootId, TimePoint now)
+{
+    if (m_bootId == bootId) {
+        return false;
+    }
+    const bool isRestart = !m_bootId.empty();
+    m_bootId = bootId;
+    if (isRestart) {
+        noteRestart(now);
+    }
+    return isRestart;
+}
+
+Epoch AdmissionController::epoch() const
+{
+    return m_epoch;
+}
+
+bool AdmissionController::mayStart(Epoch admittedIn, const std::string &bootId) const
+{
+    return admittedIn == m_epoch && bootId == m_bootId;
+}
+
+const std::string &AdmissionController::bootId() const
+{
+    return m_bootId;
+}
+
 void AdmissionController::hold()
 {
     ++m_holdCount;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -239,3 +239,48 @@
     }
     CHECK(controller.limit() == 3);
 }
+
+// Guards against a cold engine that gets the runs which were admitted under the warm limit but had not been sent at its restart.
+TEST_CASE("a run admitted before a restart may not start after it, whichever sign showed the restart")
+{
+    auto controller = controllerWith(2, 8, 10);
+    CHECK_FALSE(controller.noteBootId("first", Start));
+    const Epoch admittedIn = controller.epoch();
+    CHECK(controller.mayStart(admittedIn, "first"));
+    CHECK_FALSE(controller.mayStart(admittedIn, "second"));
+    SUBCASE("a boot id")
+    {
+        CHECK(controller.noteBootId("second", Start));
+        CHECK_FALSE(controller.mayStart(admittedIn, "second"));
+        CHECK(controller.mayStart(controller.epoch(), "second"));
+    }
+    SUBCASE("a broken run")
+    {
+        static_cast<void>(controller.finishRun(Restarted, Start));
+    }
+    SUBCASE("an unreachable endpoint")
+    {
+        controller.noteRestart(Start);
+    }
+    CHECK_FALSE(controller.mayStart(admittedIn, "first"));
+}
+
+// Guards against runs that count twice, or not at all, while they wait to be admitted again.
+TEST_CASE("a run that has to be admitted again gives back its slot and waits for the cold limit")
+{
+    auto controller = controllerWith(1, 8, 10);
+    static_cast<void>(controller.noteBootId("first", Start));
+    CHECK(controller.request(requestFrom("a", 1), Start).status == AdmissionStatus::Admitted);
+    static_cast<void>(controller.finishRun(Success, Start));
+    REQUIRE(controller.limit() == 2);
+    CHECK(controller.request(requestFrom("a", 2), Start).status == AdmissionStatus::Admitted);
+    CHECK(controller.request(requestFrom("a", 3), Start).status == AdmissionStatus::Admitted);
+    CHECK(controller.noteBootId("second", Start));
+    constexpr FinishedRun NotStarted{RunOutcome::NotStarted, Duration::zero(), false};
+    CHECK(controller.finishRun(NotStarted, Start).admitted.empty());
+    CHECK(controller.request(requestFrom("a", 4), Start).status == AdmissionStatus::Queued);
+    CHECK(controller.finishRun(NotStarted, Start).admitted == std::vector<Ticket>{4});
+    CHECK(controller.request(requestFrom("a", 5), Start).status == AdmissionStatus::Queued);
+    CHECK(controller.limit() == 1);
+    CHECK(controller.running() == 1);
+}
