List a case in which runs that are given up count no longer while they still run

What callers see: prompts answered with 502 or 503 because an engine crashed that got more runs than it bears, without any restart before.

Cause, shown: a run past its deadline frees its slot when the endpoint process closes the connection; the engine works on until it notices. Its successors are admitted at once.

It needs a way to hear from the engine that a run has ended, which its interface does not have yet, so it is listed.

--- a/tests/integration/engine_restart_test.cpp
+++ b/tests/integration/engine_restart_test.cpp
@@ -23,12 +23,13 @@
 class Burst
 {
 public:
-    Burst(Deployment &deployment, const std::string &name, u32 prompts, u32 tokens)
+    Burst(Deployment &deployment, const std::string &name, u32 prompts, u32 tokens, u32 deadlineMs = 0)
     {
         for (u32 i = 0; i < prompts; ++i) {
             PromptCall call;
             call.prompt = name + " " + std::to_string(i);
             call.tokens = tokens;
+            call.deadlineMs = deadlineMs;
             m_answers.emplace_back(call, deployment.spawn(sendPrompt(deployment.entryAddress(0), call)));
         }
     }
@@ -224,3 +225,24 @@
     CHECK(deployment.engine(target).crashes() == 2);
     CHECK(deployment.engine(1 - target).crashes() == 1);
 }
+
+// Guards against overload by runs that take the slots of runs past their deadline while the engine still works on these.
+TEST_CASE("runs past their deadline and their successors are together no more than the engine bears")
+{
+    auto options = restartOptions();
+    options.engines = 1;
+    options.zones = 1;
+    options.warmLimit = ColdLimit;
+    options.engine.warmRunCapacity = ColdLimit;
+    options.engine.tokenMs = 50;
+    Deployment deployment(options);
+    deployment.start();
+    constexpr u32 DeadlineMs = 2000;
+    Burst first(deployment, "first", ColdLimit, 600, DeadlineMs);
+    REQUIRE(waitUntil([&] { return deployment.engine(0).startedContaining("first") == ColdLimit; }));
+    Burst second(deployment, "second", 2 * ColdLimit, 10);
+    CHECK(first.failed() == ColdLimit);
+    CHECK(second.failed() == 0);
+    CHECK(deployment.engine(0).maxRunning() <= ColdLimit);
+    CHECK(deployment.engine(0).crashes() == 0);
+}
