Divide the requests of a cold endpoint by turns, not by a rate for each entry

Cause: each entry had the N-th part of the rate and a burst of one request. The bursts add up: N requests in the first second, whatever the rate. Evidence, the former table simulated with demand at all times (allowed 20 in a second): 4 entries 12, 68 entries 68, 300 entries 300, 1000 entries 1000; and in the following seconds nearly nothing, since the N-th part of the rate fills a burst in N/10 seconds. Change: endpoints::ColdAdmission. An endpoint has a fixed number of requests a period of one second, 0.4 of what any second may bring, and a hash of endpoint, period and entry says which entries get them. A sliding second touches two periods. The order by hash makes lists that differ by some entries differ by few owners. Each entry gets requests of other endpoints in each second.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -115,6 +115,7 @@
         , m_readinessServer(dependencies.context, settings.readinessAddress, http::ServerLimits{}, m_readinessHandler)
         , m_metricsServer(dependencies.context, settings.metricsAddress, http::ServerLimits{}, m_metricsHandler)
     {
+        m_state.endpoints.coldAdmission().setLimit({std::max(1.0, settings.coldFactor), settings.coldSlack});
         m_watchers.emplace_back(
             std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Configuration, ConfigurationWait, configurationHandlers()));
         m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Endpoints, EndpointWait, endpointHandlers()));
@@ -541,6 +542,7 @@
         }
         m_loadExchange.setPeers(peers);
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
+        m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
     }
 
     boost::asio::awaitable<void> drainAndStop()
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -61,7 +61,6 @@
         return;
     }
     entryCount = count;
-    endpoints.setEntryCount(count);
 }
 
 // A gateway that is cut off from the platform doesn't learn of revoked keys and would accept them long after the revocation. So all keys
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -236,6 +236,7 @@
     selectionRequest.residentTokens = [this](const endpoints::Endpoint &endpoint) {
         return m_planner->residentTokensAt(endpoint);
     };
+    selectionRequest.timeOfDay = std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
     selectionRequest.target = m_route->isPrompt ? m_route->target : Duration::zero();
     selectionRequest.model = m_requestMetadata.model;
     selectionRequest.wantedVersion = m_state.wantedVersion(m_requestMetadata.model);
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <burdock/cache/engine_cache_estimate.hpp>
+#include <burdock/endpoints/cold_admission.hpp>
 #include <burdock/endpoints/peer_loads.hpp>
-#include <burdock/limits/token_bucket.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/types.hpp>
 
@@ -101,6 +101,7 @@
     /** Time from which the request may no longer start on a weight version; nullopt for no limit. May be empty if no version has one. */
     std::function<std::optional<TimePoint>(u64 version)> expiry;
     Duration target{}; ///< target time to the first event; zero for no limit
+    Duration timeOfDay{}; ///< wall-clock time, by which entries take turns at cold endpoints
     std::set<std::string, std::less<>> tried; ///< ids of endpoints that must not be selected again
 };
 
@@ -158,7 +159,7 @@
     double slowdown = 1; ///< exponential moving average of measured delay divided by the delay expected at reference speed
     TimePoint slowdownUpdatedAt{};
     TimePoint coldUntil{};
-    std::optional<limits::TokenBucket> coldBucket;
+    ColdQuota coldQuota;
     cache::EngineCacheEstimate memory;
     bool isDeregistered = false; ///< gets no new requests; kept until its requests in progress have ended
 };
@@ -189,8 +190,8 @@
      */
     void setServiceLimits(std::string_view service, u64 cacheTokens, double coldRequestsPerSecond);
 
-    /** @brief Sets the number of entries that share the rate limits of cold endpoints. */
-    void setEntryCount(u32 entries);
+    /** @brief Decides which requests go to cold endpoints; must know the entries before any does. */
+    [[nodiscard]] ColdAdmission &coldAdmission();
 
     [[nodiscard]] const Policy &policy() const;
 
@@ -278,7 +279,7 @@
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isUnresponsiveToPeers(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool hasMemory(const Endpoint &endpoint, u64 needed) const;
-    [[nodiscard]] bool tryAdmit(Endpoint &endpoint, TimePoint now);
+    [[nodiscard]] bool tryAdmit(Endpoint &endpoint, Duration timeOfDay, TimePoint now);
     [[nodiscard]] Selection choosePlain(const SelectionRequest &request, TimePoint now);
     [[nodiscard]] Selection choosePrompt(const SelectionRequest &request, TimePoint now);
     [[nodiscard]] NewestWeightsResult newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates,
@@ -293,7 +294,7 @@
     void eraseIfUnused(Endpoints::iterator endpoint);
 
     Policy m_policy;
-    u32 m_entryCount = 0; ///< zero until it is known
+    ColdAdmission m_coldAdmission;
     Endpoints m_endpoints;
     std::unordered_map<u64, Endpoint *> m_byHash;
     std::set<std::string, std::less<>> m_evacuatedZones;
--- /dev/null
+++ b/lib/libburdock/source/endpoints/cold_admission.cpp
@@ -0,0 +1,85 @@
+#include <burdock/endpoints/cold_admission.hpp>
+
+#include <burdock/hash/digest.hpp>
+
+#include <algorithm>
+
+namespace burdock::endpoints {
+
+namespace {
+
+/** A span of one period touches two of them. The rest of the limit covers a quarter of the entries that the others do not know yet. */
+constexpr double SharePerPeriod = 0.4;
+
+// The finalizer of SplitMix64.
+u64 mix(u64 value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+} // namespace
+
+void ColdAdmission::setLimit(const ColdLimit &limit)
+{
+    m_limit = limit;
+}
+
+void ColdAdmission::setEntries(std::string_view own, const std::vector<std::string> &entries)
+{
+    m_own = hash::hash64(own);
+    m_others.clear();
+    m_isListed = false;
+    for (const auto &entry : entries) {
+        if (entry == own) {
+            m_isListed = true;
+        } else {
+            m_others.push_back(hash::hash64(entry));
+        }
+    }
+}
+
+bool ColdAdmission::hasEntries() const
+{
+    return m_isListed;
+}
+
+bool ColdAdmission::tryTake(ColdQuota &quota, u64 endpoint, double perSecond, Duration timeOfDay) const
+{
+    if (!m_isListed) {
+        return false;
+    }
+    // The offset keeps the periods of all endpoints from starting at the same moment.
+    const auto offset = static_cast<i64>(endpoint % static_cast<u64>(Period.count()));
+    const auto period = static_cast<u64>((timeOfDay.count() + offset) / Period.count());
+    if (quota.period != period) {
+        quota = {period, ownRequests(endpoint, period, requestsPerPeriod(perSecond))};
+    }
+    if (quota.remaining == 0) {
+        return false;
+    }
+    --quota.remaining;
+    return true;
+}
+
+u32 ColdAdmission::requestsPerPeriod(double perSecond) const
+{
+    const double limit = perSecond * m_limit.factor + m_limit.slack;
+    return std::max<u32>(1, static_cast<u32>(limit * SharePerPeriod));
+}
+
+u32 ColdAdmission::ownRequests(u64 endpoint, u64 period, u32 requests) const
+{
+    const auto entries = static_cast<u32>(m_others.size() + 1);
+    const u32 remainder = requests % entries;
+    const u64 seed = mix(endpoint + mix(period));
+    const u64 own = mix(seed ^ m_own);
+    const auto isAhead = [seed, own](u64 other) {
+        return mix(seed ^ other) > own;
+    };
+    const bool getsRemainder = remainder > 0 && std::count_if(m_others.begin(), m_others.end(), isAhead) < static_cast<i64>(remainder);
+    return requests / entries + (getsRemainder ? 1 : 0);
+}
+
+} // namespace burdock::endpoints
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -136,9 +136,9 @@
     m_serviceLimits[std::string(service)] = ServiceLimits{cacheTokens, coldRequestsPerSecond};
 }
 
-void EndpointTable::setEntryCount(u32 entries)
+ColdAdmission &EndpointTable::coldAdmission()
 {
-    m_entryCount = std::max<u32>(1, entries);
+    return m_coldAdmission;
 }
 
 const Policy &EndpointTable::policy() const
@@ -170,7 +170,7 @@
     for (const u32 index : m_leastLoaded.order({request.affinityHash, 0, request.random}, views, static_cast<u32>(views.size()))) {
         auto &endpoint = *eligibleEndpoints[index];
         const u64 slotLimit = std::max<u64>(1, u64{endpoint.registration.slots} * m_policy.slotLimitPercent / 100);
-        if (loadAt(endpoint).running < slotLimit && tryAdmit(endpoint, now)) {
+        if (loadAt(endpoint).running < slotLimit && tryAdmit(endpoint, request.timeOfDay, now)) {
             selection.id = endpoint.registration.id;
             selection.startTimeMs = endpoint.registration.startTimeMs;
             selection.reason = SelectionFailure::None;
@@ -216,7 +216,7 @@
             selection.expectedDelay = candidate.delay;
             continue;
         }
-        if (tryAdmit(*candidate.endpoint, now)) {
+        if (tryAdmit(*candidate.endpoint, request.timeOfDay, now)) {
             const auto &chosen = candidate.endpoint->registration;
             const RequestCost cost{candidate.memory, candidate.prefill};
             const auto newest = newestWeights(candidate, candidates, request, now);
@@ -524,25 +524,11 @@
     return memory == 0 || taken == 0 || taken + needed <= memory;
 }
 
-// The rate is updated on each call because the number of entries may change while an endpoint is cold: when several entries have just
-// started, a share calculated for fewer of them would overload it. Until the number is known, there is no share to use.
-bool EndpointTable::tryAdmit(Endpoint &endpoint, TimePoint now)
+bool EndpointTable::tryAdmit(Endpoint &endpoint, Duration timeOfDay, TimePoint now)
 {
-    const double totalPerSecond = limitsOf(endpoint.registration.service).coldRequestsPerSecond;
+    const double perSecond = limitsOf(endpoint.registration.service).coldRequestsPerSecond;
     const bool isCold = now < endpoint.coldUntil || m_returningZones.count(endpoint.registration.zone) > 0;
-    if (totalPerSecond <= 0 || !isCold) {
-        endpoint.coldBucket.reset();
-        return true;
-    }
-    if (m_entryCount == 0) {
-        return false;
-    }
-    const double perSecond = totalPerSecond / m_entryCount;
-    if (!endpoint.coldBucket) {
-        endpoint.coldBucket.emplace(perSecond, 1.0);
-    }
-    endpoint.coldBucket->setRate(perSecond, 1.0, now);
-    return endpoint.coldBucket->tryTake(1.0, now);
+    return perSecond <= 0 || !isCold || m_coldAdmission.tryTake(endpoint.coldQuota, endpoint.hash, perSecond, timeOfDay);
 }
 
 const EndpointTable::ServiceLimits &EndpointTable::limitsOf(const std::string &service) const
