Plan fetches from cache stores by zone, by the target time and by what all entries observe

Callers saw: once a third of the prompts return, first events come after 360 ms (p50) where 80 are expected, without any fault, and while links of one store are slow, 0.50 of the prompts are in aim, for 8 s longer than the links are. Each transfer to another zone occupies a store's link twice as long; five of six went to another zone. The links of the twelve large stores (0.46 M tokens a second each within a zone) carried up to 0.8 of what they bear. Besides, a fetch could hold a prompt for 450 us a token, 3.5 s for a long one, before a target of 300 to 500 ms; and one entry sees one fetch in two seconds from a store, so it learns too late that the store is slow. Short fetches weigh less, as their time is mostly the engine's own variation, and the share falls from 150 %.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -54,6 +54,8 @@
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusNotFound = 404;
 constexpr u16 StatusUnavailable = 503;
+/** Bytes that a link of 1 Mbit/s carries in 1 ms. */
+constexpr double BytesPerMsAndMegabit = 125.0;
 /** Metric value of an unknown age. */
 constexpr double UnknownAge = -1;
 
@@ -284,14 +286,28 @@
         m_callerServer.setLimits(callerLimits(m_state.routes->configuration().limits));
     }
 
+    /** @brief Returns the size of a cached token, by the first engines that give it; zero if none do. */
+    static double cachedTokenBytes(const routing::Configuration &configuration)
+    {
+        for (const auto &service : configuration.services) {
+            if (service.engine && service.engine->tokenBytes > 0) {
+                return service.engine->tokenBytes;
+            }
+        }
+        return 0;
+    }
+
     void applyServices(const routing::Configuration &configuration)
     {
         std::vector<cache::PartStore> stores;
+        const double tokenBytes = cachedTokenBytes(configuration);
         for (const auto &service : configuration.services) {
             const u64 cacheTokens = service.engine ? service.engine->cacheTokens : 0;
             m_state.endpoints.setServiceLimits(service.name, cacheTokens, service.coldRequestsPerSecond);
             if (service.cacheStore && service.cacheStore->isManaged) {
-                stores.push_back({service.cacheStore->address, service.cacheStore->zone, service.cacheStore->cacheTokens});
+                const auto &store = *service.cacheStore;
+                const double tokensPerMs = tokenBytes > 0 ? store.linkMegabitsPerSecond * BytesPerMsAndMegabit / tokenBytes : 0;
+                stores.push_back({store.address, store.zone, store.cacheTokens, tokensPerMs, store.transferDelay});
             }
         }
         m_state.parts.setStores(stores);
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -165,6 +165,12 @@
         addStoreEvents(message, events);
     }
     m_state.outgoingStoreEvents.clear();
+    for (const auto &samples : m_state.fetchCosts.takeSamples()) {
+        auto *out = message.add_fetches();
+        out->set_store(samples.store);
+        out->set_count(static_cast<float>(samples.count));
+        out->set_mean_percent(static_cast<u32>(samples.meanPercent));
+    }
     return message.SerializeAsString();
 }
 
@@ -286,6 +292,12 @@
     for (const auto &storeEvents : message.store_events()) {
         applyStoreEvents(storeEvents);
     }
+    for (const auto &samples : message.fetches()) {
+        if (m_state.storeListeners.count(samples.store()) > 0) {
+            m_state.fetchCosts.applySamples({samples.store(), samples.count(), static_cast<double>(samples.mean_percent())},
+                                            m_dependencies.clock.now());
+        }
+    }
     for (const auto &placed : message.placed()) {
         for (int i = 0; i < std::min(placed.parts_size(), placed.tokens_size()); ++i) {
             m_state.endpoints.notePart(placed.endpoint(), placed.parts(i), placed.tokens(i));
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -1,5 +1,6 @@
 #include "prompt_planner.hpp"
 
+#include <burdock/cache/fetch_time.hpp>
 #include <burdock/hash/digest.hpp>
 
 #include <algorithm>
@@ -12,16 +13,16 @@
 constexpr u64 EngineFetchPercent = 10;
 /** Number of fetched tokens from which the time of a fetch can be told apart from the engine's own delay. */
 constexpr u64 MinObservedFetchTokens = 2000;
-/** Timeout of a fetch: about forty times the prefill time of its tokens, as a repeated prefill delays other prompts too. */
-constexpr Duration FetchTimeoutPerToken = std::chrono::microseconds(450);
-constexpr Duration MinFetchTimeout = std::chrono::milliseconds(150);
+constexpr double Percent = 100.0;
 
 } // namespace
 
-PromptPlanner::PromptPlanner(GatewayState &state, const RequestMetadata &requestMetadata, const routing::Customer *customer, TimePoint now)
+PromptPlanner::PromptPlanner(GatewayState &state, const RequestMetadata &requestMetadata, const routing::Customer *customer,
+                             Duration target, TimePoint now)
     : m_state(state)
     , m_requestMetadata(requestMetadata)
     , m_customer(customer)
+    , m_target(target)
     , m_arrivedAt(now)
 {
 }
@@ -55,11 +56,24 @@
     const auto &parts = partsFor(weightVersionOf(endpoint));
     u64 tokens = m_requestMetadata.parts.back().tokens;
     for (std::size_t i = 0; i + 1 < m_requestMetadata.parts.size(); ++i) {
-        tokens += endpoint.memory.contains(parts.hashes[i]) ? 0 : parts.fetchTokens[i];
+        tokens += endpoint.memory.contains(parts.hashes[i]) ? 0 : costAt(parts, i, endpoint).tokens;
     }
     return tokens;
 }
 
+Duration PromptPlanner::storeLinkTimeAt(const endpoints::Endpoint &endpoint) const
+{
+    if (m_requestMetadata.parts.empty()) {
+        return Duration::zero();
+    }
+    const auto &parts = partsFor(weightVersionOf(endpoint));
+    Duration time{};
+    for (std::size_t i = 0; i + 1 < m_requestMetadata.parts.size(); ++i) {
+        time += endpoint.memory.contains(parts.hashes[i]) ? Duration::zero() : costAt(parts, i, endpoint).linkTime;
+    }
+    return time;
+}
+
 u64 PromptPlanner::residentTokensAt(const endpoints::Endpoint &endpoint) const
 {
     if (m_requestMetadata.parts.empty()) {
@@ -83,18 +97,54 @@
     parts.salt = saltFor(weightVersion);
     for (const auto &part : m_requestMetadata.parts) {
         parts.hashes.push_back(cache::partHash(parts.salt, part.id));
-        u64 percent = 100;
-        const auto store = m_state.parts.findStore(parts.salt, part);
-        if (isResidentAtAnyEngine(parts.hashes.back())) {
-            percent = EngineFetchPercent;
-        } else if (!store.empty() && m_state.fetchCosts.isWorthFetching(store, m_arrivedAt)) {
-            percent = static_cast<u64>(m_state.fetchCosts.percentOfPrefill(store, m_arrivedAt));
+        const auto *store = m_state.parts.findStore(parts.salt, part);
+        if (store != nullptr && mayFetchFrom(store->address)) {
+            parts.storeZones.push_back(store->zone);
+            parts.sameZoneCosts.push_back(partCost(part, *store, store->zone));
+            parts.otherZoneCosts.push_back(partCost(part, *store, {}));
+            continue;
         }
-        parts.fetchTokens.push_back(part.tokens * percent / 100);
+        const u64 percent = isResidentAtAnyEngine(parts.hashes.back()) ? EngineFetchPercent : 100;
+        parts.storeZones.emplace_back();
+        parts.sameZoneCosts.push_back({part.tokens * percent / 100, {}});
+        parts.otherZoneCosts.push_back(parts.sameZoneCosts.back());
     }
     return parts;
 }
 
+PromptPlanner::PartCost PromptPlanner::partCost(const cache::PromptPart &part, const cache::PartStore &store,
+                                                std::string_view engineZone) const
+{
+    const auto time = cache::fetchTime(store, part.tokens, engineZone, prefillTime(part.tokens))
+        + extraFetchTime(store.address, part.tokens, m_arrivedAt);
+    const double tokens = toMilliseconds(std::max(Duration::zero(), time)) / m_state.endpoints.policy().delayPerTokenMs;
+    return {static_cast<u64>(tokens), cache::linkTime(store, part.tokens, engineZone)};
+}
+
+const PromptPlanner::PartCost &PromptPlanner::costAt(const SaltedParts &parts, std::size_t index, const endpoints::Endpoint &endpoint) const
+{
+    const bool isSameZone = parts.storeZones[index] == endpoint.registration.zone;
+    return isSameZone ? parts.sameZoneCosts[index] : parts.otherZoneCosts[index];
+}
+
+Duration PromptPlanner::prefillTime(u64 tokens) const
+{
+    return fromMilliseconds(static_cast<double>(tokens) * m_state.endpoints.policy().delayPerTokenMs);
+}
+
+// Decided as of the arrival, so that an engine is chosen and its request is planned by the same sources.
+bool PromptPlanner::mayFetchFrom(std::string_view store) const
+{
+    return m_state.fetchCosts.mayFetch(store, hash::hash64(m_requestMetadata.attemptId), m_arrivedAt);
+}
+
+// The estimator's default is the time at an idle link, which is known better here.
+Duration PromptPlanner::extraFetchTime(std::string_view store, u64 tokens, TimePoint now) const
+{
+    const double extraPercent = m_state.fetchCosts.percentOfPrefill(store, now) - m_state.fetchCosts.policy().defaultPercent;
+    return fromMilliseconds(toMilliseconds(prefillTime(tokens)) * extraPercent / Percent);
+}
+
 bool PromptPlanner::isResidentAtAnyEngine(u64 part) const
 {
     const auto &all = m_state.endpoints.all();
@@ -123,11 +173,7 @@
 {
     const auto &parts = partsFor(weightVersion);
     const auto &announced = m_state.weights[m_requestMetadata.model];
-    const u64 sharedTokens = m_requestMetadata.parts.empty()
-        ? 0
-        : m_requestMetadata.promptTokens - std::min(m_requestMetadata.promptTokens, m_requestMetadata.parts.back().tokens);
-    const auto timeout
-        = std::clamp(FetchTimeoutPerToken * static_cast<i64>(sharedTokens), MinFetchTimeout, m_state.retirement.policy().maxFetchTime);
+    const auto timeout = fetchTimeout(endpoint, now);
     options.fetchTimeout = timeout;
     options.fetchDeadlineMs = m_state.endpointClockMs(now + timeout);
     cache::PartIndex::PlanRules rules;
@@ -139,7 +185,7 @@
     rules.mayFetchFrom = [this, now](std::string_view store) {
         const auto freshness = m_state.storeFreshness.find(store);
         const bool isCurrent = freshness != m_state.storeFreshness.end() && freshness->second.isCurrent(now);
-        return isCurrent && m_state.fetchCosts.isWorthFetching(store, now);
+        return isCurrent && mayFetchFrom(store);
     };
     rules.mayFetch = [&](std::string_view part) {
         return options.fetchDeadlineMs && m_state.retirement.mayFetch(announced, weightVersion, part, m_state.weightsAsOf, now);
@@ -152,40 +198,60 @@
         return source == nullptr ? std::string() : source->registration.address;
     };
     options.parts = m_state.parts.plan(options.salt, m_requestMetadata.parts, rules, now);
-    noteFetchSource(options.parts);
+    noteFetchSource(options.parts, endpoint.registration.zone);
 }
 
-void PromptPlanner::noteFetchSource(const cache::PartPlan &plan)
+Duration PromptPlanner::fetchTimeout(const endpoints::Endpoint &endpoint, TimePoint now) const
 {
-    std::map<std::string_view, u64> tokens;
-    for (std::size_t i = 0; i < plan.fetchFrom.size(); ++i) {
-        const std::string_view source = plan.fetchFrom[i];
-        const auto &stores = m_state.parts.stores();
-        const bool isStore = std::any_of(stores.begin(), stores.end(), [source](const auto &store) { return store.address == source; });
-        if (isStore) {
-            tokens[source] += m_requestMetadata.parts[i].tokens;
-        }
+    const auto maxFetch = m_state.retirement.policy().maxFetchTime;
+    if (m_target <= Duration::zero() || m_requestMetadata.parts.empty()) {
+        return maxFetch;
     }
+    const auto &parts = partsFor(weightVersionOf(endpoint));
+    u64 fetchTokens = 0;
+    u64 promptTokens = m_requestMetadata.parts.back().tokens;
+    for (std::size_t i = 0; i + 1 < m_requestMetadata.parts.size(); ++i) {
+        const bool isResident = endpoint.memory.contains(parts.hashes[i]);
+        fetchTokens += isResident ? 0 : costAt(parts, i, endpoint).tokens;
+        promptTokens += isResident ? 0 : m_requestMetadata.parts[i].tokens;
+    }
+    cache::FetchWait wait;
+    wait.timeLeft = m_target - (now - m_arrivedAt);
+    wait.readDelay = m_state.endpoints.expectedDelay(endpoint, promptTokens, now);
+    wait.expectedFetch = prefillTime(fetchTokens);
+    wait.maxFetch = maxFetch;
+    return cache::fetchTimeLimit(wait);
+}
+
+void PromptPlanner::noteFetchSource(const cache::PartPlan &plan, std::string_view engineZone)
+{
     m_fetchedTokens = 0;
-    for (const auto &[store, fetched] : tokens) {
+    for (const auto &store : m_state.parts.stores()) {
+        u64 fetched = 0;
+        for (std::size_t i = 0; i < plan.fetchFrom.size(); ++i) {
+            fetched += plan.fetchFrom[i] == store.address ? m_requestMetadata.parts[i].tokens : 0;
+        }
         if (fetched > m_fetchedTokens) {
             m_fetchedTokens = fetched;
-            m_fetchSource = store;
+            m_fetchSource = store.address;
+            m_idleFetchTime = cache::fetchTime(store, fetched, engineZone, prefillTime(fetched));
         }
     }
 }
 
-PromptPlanner::FetchObservation PromptPlanner::noteFirstEvent(Duration delay, Duration expected, Duration prefillTimePerToken,
-                                                              TimePoint now)
+PromptPlanner::FetchObservation PromptPlanner::noteFirstEvent(Duration delay, Duration expected, TimePoint now)
 {
     if (m_fetchedTokens < MinObservedFetchTokens) {
         return {};
     }
     const bool wasWorthIt = m_state.fetchCosts.isWorthFetching(m_fetchSource, now);
-    const auto prefillTime = prefillTimePerToken * static_cast<i64>(m_fetchedTokens);
-    const auto fetchShare = m_state.fetchCosts.percentOfPrefill(m_fetchSource, m_arrivedAt) / 100.0;
-    const auto expectedFetch = std::chrono::duration_cast<Duration>(prefillTime * fetchShare);
-    m_state.fetchCosts.noteFetch(m_fetchSource, prefillTime, delay - (expected - expectedFetch), now);
+    const auto defaultShare = m_state.fetchCosts.policy().defaultPercent / Percent;
+    const auto prefill = prefillTime(m_fetchedTokens);
+    const auto expectedFetch = m_idleFetchTime + extraFetchTime(m_fetchSource, m_fetchedTokens, m_arrivedAt);
+    const auto fetch = delay - (expected - expectedFetch);
+    // Without the difference between the idle link and the default, so that the estimate doesn't depend on the zone of the engine.
+    const auto normalized = fetch - m_idleFetchTime + fromMilliseconds(toMilliseconds(prefill) * defaultShare);
+    m_state.fetchCosts.noteFetch(m_fetchSource, prefill, normalized, now);
     const bool hasBecomeSlow = wasWorthIt && !m_state.fetchCosts.isWorthFetching(m_fetchSource, now);
     return {m_fetchSource, m_state.fetchCosts.percentOfPrefill(m_fetchSource, now), hasBecomeSlow};
 }
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -111,7 +111,7 @@
     if (timeout < MinAttemptTime) {
         return Rejection{503, "no_time", {}};
     }
-    m_planner.emplace(m_state, m_requestMetadata, m_customer, m_arrivedAt);
+    m_planner.emplace(m_state, m_requestMetadata, m_customer, m_route->target, m_arrivedAt);
     const std::string_view customer = m_customer == nullptr ? std::string_view() : m_customer->name;
     const u64 affinityHash = m_planner->affinityHash();
     const auto *service = chooseDestination(*m_route, m_route->isPrompt ? affinityHash : hash::hash64(m_requestMetadata.attemptId));
@@ -233,6 +233,9 @@
     selectionRequest.prefill = [this](const endpoints::Endpoint &endpoint) {
         return m_planner->prefillTokensAt(endpoint);
     };
+    selectionRequest.sharedLinkTime = [this](const endpoints::Endpoint &endpoint) {
+        return m_planner->storeLinkTimeAt(endpoint);
+    };
     selectionRequest.residentTokens = [this](const endpoints::Endpoint &endpoint) {
         return m_planner->residentTokensAt(endpoint);
     };
@@ -277,8 +280,7 @@
         const auto now = m_dependencies.clock.now();
         m_isPrefillPending = false;
         m_firstEventAt = now;
-        const auto prefillTime = fromMilliseconds(m_state.endpoints.policy().delayPerTokenMs);
-        const auto fetch = m_planner->noteFirstEvent(now - m_sentAt, m_selection.expectedDelay, prefillTime, now);
+        const auto fetch = m_planner->noteFirstEvent(now - m_sentAt, m_selection.expectedDelay, now);
         if (fetch.hasBecomeSlow) {
             m_dependencies.logger.event(
                 LogLevel::Warning, "cache_store_slow",
--- a/lib/libburdock/include/burdock/cache/part_index.hpp
+++ b/lib/libburdock/include/burdock/cache/part_index.hpp
@@ -47,6 +47,8 @@
     std::string address;
     std::string zone;
     u64 tokens = 0; ///< capacity in tokens
+    double tokensPerMs = 0; ///< bandwidth of its link to engines in the same zone; zero if unknown
+    Duration transferDelay{}; ///< constant part of each transfer
 };
 
 /** @brief How the engine that receives a prompt obtains one of its shared parts. */
@@ -117,8 +119,8 @@
      */
     [[nodiscard]] PartPlan plan(std::string_view salt, const std::vector<PromptPart> &parts, const PlanRules &rules, TimePoint now);
 
-    /** @brief Returns the address of a store that holds the complete part, or empty. */
-    [[nodiscard]] std::string_view findStore(std::string_view salt, const PromptPart &part) const;
+    /** @brief Returns a store that holds the complete part; null if none does. */
+    [[nodiscard]] const PartStore *findStore(std::string_view salt, const PromptPart &part) const;
 
     /**
      * @brief Returns parts of a model in one store that may be freed.
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -96,6 +96,8 @@
     std::function<u64(const Endpoint &)> prefill; ///< prompt tokens that an engine would have to process; must be set for prompts
     /** Prompt tokens that are already in an engine's memory and take no further memory there. May be empty, which means none. */
     std::function<u64(const Endpoint &)> residentTokens;
+    /** Time for which a request to an endpoint occupies links that other requests need too. May be empty, which means none. */
+    std::function<Duration(const Endpoint &)> sharedLinkTime;
     std::string_view model;
     u64 wantedVersion = 0; ///< newest weight version of the model
     /** Time from which the request may no longer start on a weight version; nullopt for no limit. May be empty if no version has one. */
@@ -243,6 +245,9 @@
     /** @brief Hashes of the endpoints that do not respond to this entry, to be reported to the others. */
     [[nodiscard]] std::vector<u64> unresponsive(TimePoint now) const;
 
+    /** @brief Expected time to the first event of a prompt with this many tokens to process, behind those that are queued. */
+    [[nodiscard]] Duration expectedDelay(const Endpoint &endpoint, u64 tokens, TimePoint now) const;
+
     /** @brief Load of an endpoint, summed over all entries. */
     [[nodiscard]] Load loadAt(const Endpoint &endpoint) const;
 
--- a/lib/libburdock/include/burdock/routing/configuration.hpp
+++ b/lib/libburdock/include/burdock/routing/configuration.hpp
@@ -49,6 +49,7 @@
     u32 slots = 0; ///< maximum number of concurrent requests of one engine
     u64 cacheTokens = 0; ///< memory of one engine in tokens, for running and cached prompts
     u32 maxEventRequests = 0; ///< maximum number of concurrent requests for cache events at one engine
+    double tokenBytes = 0; ///< size of one cached token; zero if unknown
     std::vector<std::string> models;
 };
 
@@ -60,6 +61,8 @@
     u64 cacheTokens = 0;
     u32 maxEventRequests = 0;
     bool isManaged = false; ///< the store does not evict anything on its own
+    double linkMegabitsPerSecond = 0; ///< bandwidth of its link, over which transfers run one after another; zero if unknown
+    Duration transferDelay{}; ///< constant part of each transfer
 };
 
 struct Service
--- a/lib/libburdock/source/cache/fetch_cost_estimator.cpp
+++ b/lib/libburdock/source/cache/fetch_cost_estimator.cpp
@@ -5,6 +5,14 @@
 
 namespace burdock::cache {
 
+namespace {
+
+/** Bounds the influence of one message. */
+constexpr double MaxPeerSamples = 10;
+constexpr u64 RandomSteps = 1000;
+
+} // namespace
+
 FetchCostEstimator::FetchCostEstimator(const FetchCostPolicy &policy)
     : m_policy(policy)
 {
@@ -16,8 +24,43 @@
         return;
     }
     const double sample = std::clamp(100.0 * toMilliseconds(fetchTime) / toMilliseconds(prefillTime), 0.0, m_policy.maxSamplePercent);
+    const double count = std::min(1.0, toMilliseconds(prefillTime) / toMilliseconds(m_policy.fullWeightPrefill));
+    update(store, sample, count, now);
+    auto &own = m_ownSamples.try_emplace(std::string(store), FetchSamples{std::string(store), 0, 0}).first->second;
+    own.count += count;
+    own.meanPercent += (sample - own.meanPercent) * count / own.count;
+}
+
+void FetchCostEstimator::update(std::string_view store, double percent, double count, TimePoint now)
+{
     const double current = percentOfPrefill(store, now);
-    m_estimates.insert_or_assign(std::string(store), Estimate{current + m_policy.sampleWeight * (sample - current), now});
+    const double weight = 1 - std::pow(1 - m_policy.sampleWeight, count);
+    m_estimates.insert_or_assign(std::string(store), Estimate{current + weight * (percent - current), now});
+}
+
+std::vector<FetchSamples> FetchCostEstimator::takeSamples()
+{
+    std::vector<FetchSamples> samples;
+    for (auto &[store, own] : m_ownSamples) {
+        samples.push_back(std::move(own));
+    }
+    m_ownSamples.clear();
+    return samples;
+}
+
+void FetchCostEstimator::applySamples(const FetchSamples &samples, TimePoint now)
+{
+    const bool isPlausible = samples.meanPercent >= 0 && samples.meanPercent <= m_policy.maxSamplePercent;
+    if (isPlausible && samples.count > 0) {
+        update(samples.store, samples.meanPercent, std::min(samples.count, MaxPeerSamples), now);
+    }
+}
+
+bool FetchCostEstimator::mayFetch(std::string_view store, u64 random, TimePoint now) const
+{
+    const double percent = percentOfPrefill(store, now);
+    const double share = (m_policy.maxWorthwhilePercent - percent) / (m_policy.maxWorthwhilePercent - m_policy.fullUsePercent);
+    return static_cast<double>(random % RandomSteps) < std::min(1.0, share) * static_cast<double>(RandomSteps);
 }
 
 double FetchCostEstimator::percentOfPrefill(std::string_view store, TimePoint now) const
@@ -35,4 +78,9 @@
     return percentOfPrefill(store, now) <= m_policy.maxWorthwhilePercent;
 }
 
+const FetchCostPolicy &FetchCostEstimator::policy() const
+{
+    return m_policy;
+}
+
 } // namespace burdock::cache
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -162,10 +162,9 @@
     return plan;
 }
 
-std::string_view PartIndex::findStore(std::string_view salt, const PromptPart &part) const
+const PartStore *PartIndex::findStore(std::string_view salt, const PromptPart &part) const
 {
-    const auto *store = findHolder(partKey(salt, part.id), part.tokens, nullptr);
-    return store == nullptr ? std::string_view() : std::string_view(store->address);
+    return findHolder(partKey(salt, part.id), part.tokens, nullptr);
 }
 
 PartsToFree PartIndex::partsToFree(std::string_view store, std::string_view model,
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -256,8 +256,8 @@
     candidate.endpoint = &endpoint;
     candidate.memory = memory;
     candidate.prefill = request.prefill(endpoint);
-    candidate.delay = delayAt(endpoint, loadAt(endpoint).pending + candidate.prefill, now);
-    candidate.score = candidate.delay;
+    candidate.delay = expectedDelay(endpoint, candidate.prefill, now);
+    candidate.score = candidate.delay + (request.sharedLinkTime ? request.sharedLinkTime(endpoint) : Duration::zero());
     if (hasOlderWeights(endpoint, request)) {
         candidate.score += m_policy.oldWeightsPenalty;
     }
@@ -265,6 +265,11 @@
     return candidate;
 }
 
+Duration EndpointTable::expectedDelay(const Endpoint &endpoint, u64 tokens, TimePoint now) const
+{
+    return delayAt(endpoint, loadAt(endpoint).pending + tokens, now);
+}
+
 Duration EndpointTable::delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const
 {
     return fromMilliseconds(toMilliseconds(referenceDelay(tokens)) * currentSlowdown(endpoint, now));
