Count the wait for a slot, and don't crowd onto engines that all entries know to be idle

The expected delay knew nothing of slots: it counted memory, which lasts for more than 12 runs here. And an engine that has just loaded is known to be idle to all entries for as long as their reports take: 24 prompts within 100 ms were sent to one. Ruled out: lost reports (in the calm phase belief and truth differ by -1 to 2 runs), the stores (prompts that fetch nothing wait as long). Change: EndpointTable::slotDelay, from the time that answered prompts took their slots; endpoints::PlacementTurns, which opens the fastest engines to as many entries as fill their room until the next reports, and the next ones to as many of the rest.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -109,6 +109,7 @@
     Impl(const GatewayDependencies &dependencies, const GatewaySettings &settings)
         : m_dependencies(dependencies)
         , m_settings(settings)
+        , m_state(settings.name)
         , m_rolloutController(m_dependencies, m_settings, m_state)
         , m_loadExchange(m_dependencies, m_settings, m_state)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
@@ -559,6 +560,7 @@
         m_loadExchange.setPeers(peers);
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
+        m_state.endpoints.turns().setEntries(list.items.size(), endpoints::LoadReporter::period(peers.size()));
     }
 
     boost::asio::awaitable<void> drainAndStop()
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway_state.hpp"
 
+#include <burdock/hash/digest.hpp>
+
 #include <algorithm>
 #include <cstdlib>
 
@@ -30,8 +32,8 @@
 
 } // namespace
 
-GatewayState::GatewayState()
-    : endpoints(endpoints::Policy{})
+GatewayState::GatewayState(std::string_view name)
+    : endpoints(endpoints::Policy{}, hash::hash64(name))
     , parts(SaveRetryDelay)
     , retirement(cache::RetirementPolicy{})
     , fetchCosts(cache::FetchCostPolicy{})
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -33,7 +33,8 @@
 /** @brief Shared state of one gateway. Only used on the single thread of the gateway's context. */
 struct GatewayState
 {
-    GatewayState();
+    /** @param name name of this entry */
+    explicit GatewayState(std::string_view name);
 
     /** @brief Returns the retry budget of a service, which is created on first use. */
     [[nodiscard]] retry::RetryBudget &retryBudget(const std::string &service, const GatewaySettings &settings);
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -314,6 +314,9 @@
     ++(wasNotRun ? m_history.declined : m_history.begun);
     if (attempt.outcome == Outcome::Answered) {
         m_state.quarantine.noteSuccess(m_fingerprint);
+        if (m_route->isPrompt) {
+            m_state.endpoints.noteRunTime(m_service, now - m_sentAt);
+        }
     }
     if (attempt.outcome == Outcome::Abandoned || attempt.outcome == Outcome::Expired || wasNotRun) {
         m_state.quarantine.returnTrial(m_fingerprint, retry::TrialPolicy{}, now);
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -3,6 +3,7 @@
 #include <burdock/cache/engine_cache_estimate.hpp>
 #include <burdock/endpoints/cold_admission.hpp>
 #include <burdock/endpoints/peer_loads.hpp>
+#include <burdock/endpoints/placement_turns.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/types.hpp>
 
@@ -66,6 +67,8 @@
     /** Time to the first event of a prompt at an idle engine of reference speed: a constant part, and one per prompt token to process. */
     Duration baseDelay = std::chrono::milliseconds(50);
     double delayPerTokenMs = 0.0095;
+    /** Assumed time for which a prompt takes a slot of an engine, until the first one has ended. */
+    Duration initialRunTime = std::chrono::seconds(1);
     /** Delay that is added to the score of an engine with older weights than wanted. */
     Duration oldWeightsPenalty = std::chrono::milliseconds(120);
     /** Width of the bands of expected delay within which engines count as equally fast. */
@@ -170,7 +173,8 @@
 class EndpointTable
 {
 public:
-    explicit EndpointTable(const Policy &policy);
+    /** @param own distinguishes this entry from the others */
+    explicit EndpointTable(const Policy &policy, u64 own = 0);
 
     /** @brief Adds or updates an endpoint; discards the state of an earlier instance with the same id. */
     void setRegistration(const Registration &registration, TimePoint now);
@@ -195,6 +199,9 @@
     /** @brief Decides which requests go to cold endpoints; must know the entries before any does. */
     [[nodiscard]] ColdAdmission &coldAdmission();
 
+    /** @brief Decides to which engines this entry may send prompts between two reports of the other entries. */
+    [[nodiscard]] PlacementTurns &turns();
+
     [[nodiscard]] const Policy &policy() const;
 
     /** @brief Selects an endpoint. The caller records the request with noteSent(). */
@@ -216,6 +223,9 @@
      */
     Duration noteEnd(std::string_view id, u64 startTimeMs, const RequestCost &remaining, Outcome outcome, TimePoint now);
 
+    /** @brief Records for how long an answered prompt took a slot of an engine. */
+    void noteRunTime(std::string_view service, Duration time);
+
     /** @brief Records that a prompt of this entry or another one loads a part into an engine's memory. */
     void notePart(u64 endpoint, u64 part, u64 tokens);
 
@@ -276,6 +286,7 @@
         u64 prefill = 0;
         Duration delay{};
         Duration score{}; ///< delay plus penalties; lower is better
+        bool isOpen = true; ///< false if other entries should use the engine until their next reports
         u64 rank = 0; ///< orders candidates whose scores are in the same band; lower is better
     };
 
@@ -290,8 +301,10 @@
     [[nodiscard]] NewestWeightsResult newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates,
                                                     const SelectionRequest &request, TimePoint now) const;
     [[nodiscard]] Candidate makeCandidate(Endpoint &endpoint, u64 memory, const SelectionRequest &request, TimePoint now) const;
+    void closeEngines(std::vector<Candidate> &candidates, const SelectionRequest &request, TimePoint now) const;
     [[nodiscard]] Duration delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const;
     [[nodiscard]] Duration referenceDelay(u64 tokens) const;
+    [[nodiscard]] Duration slotDelay(const Endpoint &endpoint) const;
     [[nodiscard]] const ServiceLimits &limitsOf(const std::string &service) const;
     [[nodiscard]] Duration eject(Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool canServeFetch(const Endpoint &endpoint, TimePoint now) const;
@@ -300,11 +313,13 @@
 
     Policy m_policy;
     ColdAdmission m_coldAdmission;
+    PlacementTurns m_turns;
     Endpoints m_endpoints;
     std::unordered_map<u64, Endpoint *> m_byHash;
     std::set<std::string, std::less<>> m_evacuatedZones;
     std::set<std::string, std::less<>> m_returningZones;
     std::map<std::string, ServiceLimits, std::less<>> m_serviceLimits;
+    std::map<std::string, Duration, std::less<>> m_runTimes; ///< moving average of the time in a slot, by service
     PeerLoads m_peers;
     std::unordered_set<u64> m_loading;
     placement::LeastLoadedPolicy m_leastLoaded;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -21,6 +21,8 @@
 constexpr double SlowdownSmoothing = 0.08;
 constexpr Duration SlowdownHalfLife = std::chrono::seconds(4);
 constexpr double MinSlowdown = 0.3;
+/** Smoothing factor of the moving average of the time in a slot. */
+constexpr double RunTimeSmoothing = 0.05;
 constexpr double MaxSlowdown = 20;
 /** How long reports of other entries are valid. */
 constexpr Duration PeerReportLifetime = std::chrono::milliseconds(1500);
@@ -72,8 +74,9 @@
     return NewestWeightsNames.at(static_cast<std::size_t>(newest));
 }
 
-EndpointTable::EndpointTable(const Policy &policy)
+EndpointTable::EndpointTable(const Policy &policy, u64 own)
     : m_policy(policy)
+    , m_turns(own)
     , m_peers(PeerReportLifetime)
 {
 }
@@ -141,6 +144,11 @@
     return m_coldAdmission;
 }
 
+PlacementTurns &EndpointTable::turns()
+{
+    return m_turns;
+}
+
 const Policy &EndpointTable::policy() const
 {
     return m_policy;
@@ -201,11 +209,15 @@
             }
         }
     }
-    // Among engines with about the same delay, the prompt's affinity hash alone decides, so that all entries choose the same one.
+    closeEngines(candidates, request, now);
+    // Engines that are closed to this entry come last, in the order of the hash. Among engines with about the same delay, the prompt's
+    // affinity hash alone decides, so that all entries choose the same one.
     std::sort(candidates.begin(), candidates.end(), [this](const Candidate &left, const Candidate &right) {
-        const auto leftBand = left.score / m_policy.delayTolerance;
-        const auto rightBand = right.score / m_policy.delayTolerance;
-        return std::tie(leftBand, left.rank) < std::tie(rightBand, right.rank);
+        const bool isLeftClosed = !left.isOpen;
+        const bool isRightClosed = !right.isOpen;
+        const auto leftBand = left.isOpen ? left.score / m_policy.delayTolerance : 0;
+        const auto rightBand = right.isOpen ? right.score / m_policy.delayTolerance : 0;
+        return std::tie(isLeftClosed, leftBand, left.rank) < std::tie(isRightClosed, rightBand, right.rank);
     });
     Selection selection;
     selection.reason = isAnyEligible ? SelectionFailure::NoRoom : SelectionFailure::NoEndpoint;
@@ -220,6 +232,7 @@
             const auto &chosen = candidate.endpoint->registration;
             const RequestCost cost{candidate.memory, candidate.prefill};
             const auto newest = newestWeights(candidate, candidates, request, now);
+            m_turns.noteArrival(fromMilliseconds(static_cast<double>(candidate.prefill) * m_policy.delayPerTokenMs), now);
             return {chosen.id, SelectionFailure::None, cost, candidate.delay, chosen.startTimeMs, newest};
         }
     }
@@ -265,9 +278,49 @@
     return candidate;
 }
 
+// Compares the engines without what the prompt finds there, as the prompts of the other entries find their parts elsewhere.
+void EndpointTable::closeEngines(std::vector<Candidate> &candidates, const SelectionRequest &request, TimePoint now) const
+{
+    std::vector<EngineRoom> rooms;
+    for (const auto &candidate : candidates) {
+        const auto &endpoint = *candidate.endpoint;
+        EngineRoom room;
+        room.engine = endpoint.hash;
+        room.delay = expectedDelay(endpoint, 0, now) + (hasOlderWeights(endpoint, request) ? m_policy.oldWeightsPenalty : Duration::zero());
+        const u64 slots = endpoint.registration.slots;
+        room.freeSlots = slots - std::min<u64>(slots, loadAt(endpoint).running);
+        room.slack = request.target - candidate.delay;
+        rooms.push_back(room);
+    }
+    const auto open = m_turns.openEngines(std::move(rooms), m_policy.delayTolerance, now);
+    for (auto &candidate : candidates) {
+        candidate.isOpen = open.count(candidate.endpoint->hash) > 0;
+    }
+}
+
 Duration EndpointTable::expectedDelay(const Endpoint &endpoint, u64 tokens, TimePoint now) const
 {
-    return delayAt(endpoint, loadAt(endpoint).pending + tokens, now);
+    return delayAt(endpoint, loadAt(endpoint).pending + tokens, now) + slotDelay(endpoint);
+}
+
+// An engine runs only as many prompts at once as it has slots. Where slots are few, they run out while there is still memory, above all
+// where answers are long. Each prompt in front of a new one then has to wait for one of the running ones to end.
+Duration EndpointTable::slotDelay(const Endpoint &endpoint) const
+{
+    const u64 slots = std::max<u32>(1, endpoint.registration.slots);
+    const u64 running = loadAt(endpoint).running;
+    if (running < slots) {
+        return Duration::zero();
+    }
+    const auto runTime = m_runTimes.find(endpoint.registration.service);
+    const auto timeInSlot = runTime == m_runTimes.end() ? m_policy.initialRunTime : runTime->second;
+    return timeInSlot * static_cast<i64>(running - slots + 1) / static_cast<i64>(slots);
+}
+
+void EndpointTable::noteRunTime(std::string_view service, Duration time)
+{
+    auto &average = m_runTimes.try_emplace(std::string(service), m_policy.initialRunTime).first->second;
+    average += fromMilliseconds(RunTimeSmoothing * toMilliseconds(time - average));
 }
 
 Duration EndpointTable::delayAt(const Endpoint &endpoint, u64 tokens, TimePoint now) const
