--- a/lib/libburdock/include/burdock/cache/fetch_cost_estimator.hpp
+++ b/lib/libburdock/include/burdock/cache/fetch_cost_estimator.hpp
@@ -18,8 +18,9 @@
     /** Prefill time from which a fetch has this weight. Of shorter ones, more is due to the variation of the engine's own delay. */
     Duration fullWeightPrefill = std::chrono::milliseconds(80);
     Duration halfLife = std::chrono::seconds(2); ///< time in which an estimate decays halfway to the default
-    double maxWorthwhilePercent = 250; ///< above it, parts are prefilled instead of fetched
-    double fullUsePercent = 150; ///< up to it, all parts are fetched; the share that is fetched falls from here to the maximum
+    double maxWorthwhilePercent = 250; ///< above it, a store counts as slow
+    double fullUsePercent = 200; ///< up to it, all parts are fetched
+    double noUsePercent = 500; ///< from it on, none are; in between, the share falls evenly
 };
 
 /** @brief Fetches from one store that an entry observed. */
--- a/lib/libburdock/source/cache/fetch_cost_estimator.cpp
+++ b/lib/libburdock/source/cache/fetch_cost_estimator.cpp
@@ -59,7 +59,7 @@
 bool FetchCostEstimator::mayFetch(std::string_view store, u64 random, TimePoint now) const
 {
     const double percent = percentOfPrefill(store, now);
-    const double share = (m_policy.maxWorthwhilePercent - percent) / (m_policy.maxWorthwhilePercent - m_policy.fullUsePercent);
+    const double share = (m_policy.noUsePercent - percent) / (m_policy.noUsePercent - m_policy.fullUsePercent);
     return static_cast<double>(random % RandomSteps) < std::min(1.0, share) * static_cast<double>(RandomSteps);
 }
 
