--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -118,7 +118,7 @@
         , m_readinessServer(dependencies.context, settings.readinessAddress, http::ServerLimits{}, m_readinessHandler)
         , m_metricsServer(dependencies.context, settings.metricsAddress, http::ServerLimits{}, m_metricsHandler)
     {
-        m_state.endpoints.coldAdmission().setLimit({std::max(1.0, settings.coldFactor), settings.coldSlack});
+        m_state.endpoints.coldAdmission().setLimit({settings.coldFactor, settings.coldSlack});
         m_watchers.emplace_back(
             std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Configuration, ConfigurationWait, configurationHandlers()));
         m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Endpoints, EndpointWait, endpointHandlers()));
--- a/lib/libburdock/include/burdock/endpoints/cold_admission.hpp
+++ b/lib/libburdock/include/burdock/endpoints/cold_admission.hpp
@@ -9,8 +9,7 @@
 
 namespace burdock::endpoints {
 
-/** @brief Requests that a cold endpoint may get in any second, summed over all entries: the rate of its service times factor, plus slack.
- */
+/** @brief Limit of the requests in any second to one cold endpoint, over all entries: the rate of its service times factor, plus slack. */
 struct ColdLimit
 {
     double factor = 1;
@@ -43,9 +42,6 @@
     /** @brief Sets the names of all entries, and of this one. Without this one on the list, it gets no requests. */
     void setEntries(std::string_view own, const std::vector<std::string> &entries);
 
-    /** @brief Whether the list of entries is known. */
-    [[nodiscard]] bool hasEntries() const;
-
     /**
      * @brief Takes one request from the quota of this entry; returns false if none is left in this period.
      * @param quota     state of the endpoint that the caller keeps
--- a/lib/libburdock/include/burdock/hash/digest.hpp
+++ b/lib/libburdock/include/burdock/hash/digest.hpp
@@ -26,6 +26,14 @@
 /** @brief Fast non-cryptographic 64-bit hash (XXH3) for tables and scores; must not be relied on to isolate customers from each other. */
 [[nodiscard]] u64 hash64(std::string_view text, u64 seed = 0);
 
+/** @brief Mixes the bits of a number (the finalizer of SplitMix64), to derive pseudo-random numbers from hashes that are at hand. */
+[[nodiscard]] constexpr u64 mix64(u64 value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
 [[nodiscard]] std::string toHex(std::string_view bytes);
 [[nodiscard]] std::string_view asBytes(const Digest128 &digest);
 [[nodiscard]] std::string_view asBytes(const Digest256 &digest);
--- a/lib/libburdock/source/endpoints/cold_admission.cpp
+++ b/lib/libburdock/source/endpoints/cold_admission.cpp
@@ -11,14 +11,6 @@
 /** A span of one period touches two of them. The rest of the limit covers a quarter of the entries that the others do not know yet. */
 constexpr double SharePerPeriod = 0.4;
 
-// The finalizer of SplitMix64.
-u64 mix(u64 value)
-{
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31U);
-}
-
 } // namespace
 
 void ColdAdmission::setLimit(const ColdLimit &limit)
@@ -40,11 +32,6 @@
     }
 }
 
-bool ColdAdmission::hasEntries() const
-{
-    return m_isListed;
-}
-
 bool ColdAdmission::tryTake(ColdQuota &quota, u64 endpoint, double perSecond, Duration timeOfDay) const
 {
     if (!m_isListed) {
@@ -73,10 +60,10 @@
 {
     const auto entries = static_cast<u32>(m_others.size() + 1);
     const u32 remainder = requests % entries;
-    const u64 seed = mix(endpoint + mix(period));
-    const u64 own = mix(seed ^ m_own);
+    const u64 seed = hash::mix64(endpoint + hash::mix64(period));
+    const u64 own = hash::mix64(seed ^ m_own);
     const auto isAhead = [seed, own](u64 other) {
-        return mix(seed ^ other) > own;
+        return hash::mix64(seed ^ other) > own;
     };
     const bool getsRemainder = remainder > 0 && std::count_if(m_others.begin(), m_others.end(), isAhead) < static_cast<i64>(remainder);
     return requests / entries + (getsRemainder ? 1 : 0);
--- a/lib/libburdock/source/endpoints/placement_turns.cpp
+++ b/lib/libburdock/source/endpoints/placement_turns.cpp
@@ -1,5 +1,7 @@
 #include <burdock/endpoints/placement_turns.hpp>
 
+#include <burdock/hash/digest.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -19,14 +21,6 @@
 constexpr double ReportAgeFactor = 1.5;
 constexpr u64 HashSteps = 1U << 16U;
 
-// The finalizer of SplitMix64.
-u64 mix(u64 value)
-{
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31U);
-}
-
 } // namespace
 
 PlacementTurns::PlacementTurns(u64 own)
@@ -76,7 +70,7 @@
 bool PlacementTurns::isOpen(u64 engine, double share, TimePoint now) const
 {
     const auto period = static_cast<u64>(now.time_since_epoch().count() / std::max<i64>(1, m_reportPeriod.count()));
-    const u64 hashed = mix(engine ^ mix(m_own ^ mix(period)));
+    const u64 hashed = hash::mix64(engine ^ hash::mix64(m_own ^ hash::mix64(period)));
     return static_cast<double>(hashed % HashSteps) < share * static_cast<double>(HashSteps);
 }
 
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -46,7 +46,7 @@
     settings.maxStaleWeightTime = fromMilliseconds(document.weights_ms());
     // A pause must not become shorter, unlike the limits above, which round down.
     settings.minOrderInterval = fromMilliseconds(document.order_pause_ms()) + Duration(1);
-    settings.coldFactor = document.cold_factor();
+    settings.coldFactor = document.cold_factor() > 0 ? document.cold_factor() : settings.coldFactor;
     settings.coldSlack = document.cold_slack();
     return settings;
 }
--- a/tests/unit/cold_admission_test.cpp
+++ b/tests/unit/cold_admission_test.cpp
@@ -179,7 +179,6 @@
     ColdQuota quota;
     CHECK_FALSE(admission.tryTake(quota, 1, ColdPerSecond, 1h));
     admission.setEntries("entry-0", {"entry-1"});
-    CHECK_FALSE(admission.hasEntries());
     CHECK_FALSE(admission.tryTake(quota, 1, ColdPerSecond, 1h));
     admission.setEntries("entry-0", {"entry-1", "entry-0"});
     u32 sent = 0;
