Log how an answer was framed and whether a stream stopped inside an event

`answered` and `attempt_failed` get the fields `framing` and `inside_event`. Without them the logs can't distinguish an answer that ended with its connection from a framed one whose end the gateway made up. Nothing else changes: events are counted for all streams, and passed on as before.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -40,6 +40,11 @@
     return static_cast<u64>(std::count_if(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); }));
 }
 
+std::string_view nameOf(const std::optional<run::BodyFraming> &framing)
+{
+    return framing ? toString(*framing) : std::string_view("none");
+}
+
 /** @brief Formats the shared parts of a prompt for the log: hash:tokens:disposition, with +save if the part is to be saved. */
 std::string formatParts(const cache::PartPlan &plan, const std::vector<cache::PromptPart> &parts, std::string_view salt)
 {
@@ -331,6 +336,8 @@
                                      {"endpoint", id},
                                      {"outcome", toString(attempt.outcome)},
                                      {"status", u64{attempt.response.status}},
+                                     {"framing", nameOf(attempt.framing)},
+                                     {"inside_event", m_sseSplitter.isInsideEvent()},
                                      {"kept_connection", m_isReusedConnection},
                                      {"caller_gone", m_isCallerDisconnected},
                                      {"begun", u64{m_history.begun}},
@@ -359,6 +366,7 @@
         co_return interruptionOutcome(m_startDeadline);
     }
     attempt.response = m_dependencies.codec.responseForCaller(m_connection->head());
+    attempt.framing = m_connection->framing();
     noteResponse(id, responseMetadata);
     const u16 status = attempt.response.status;
     if (isSuccess(status) && !responseMetadata.hasSignature && !responseMetadata.isDeclined) {
@@ -478,9 +486,10 @@
         }
         m_state.endpoints.noteHeard(id, m_dependencies.clock.now());
         noteFirstEvent(id);
-        std::string bytes = m_route->isResumable ? m_sseSplitter.append(chunk.data) : chunk.data;
+        const auto events = m_sseSplitter.append(chunk.data);
+        std::string bytes = m_route->isResumable ? events : chunk.data;
         if (chunk.isEnd && m_route->isResumable) {
-            bytes += m_sseSplitter.takeIncompleteEvent();
+            bytes += m_sseSplitter.incompleteEvent();
         }
         if (!bytes.empty()) {
             const bool isDelivered = co_await m_reply.write(bytes);
@@ -561,7 +570,7 @@
     if (m_isStreamStarted) {
         // An incomplete stream is closed without its end marker, so that the caller can't mistake it for a complete one.
         if (attempt.outcome == Outcome::Answered) {
-            noteAnswered();
+            noteAnswered(attempt);
         } else {
             countRequest("broken_off");
             m_dependencies.logger.event(
@@ -572,7 +581,7 @@
     }
     if (step == NextStep::Deliver) {
         if (isSuccess(attempt.response.status)) {
-            noteAnswered();
+            noteAnswered(attempt);
         } else {
             countRequest("endpoint_error");
         }
@@ -594,12 +603,14 @@
     co_await reject(rejection);
 }
 
-void RequestForwarder::noteAnswered()
+void RequestForwarder::noteAnswered(const Attempt &attempt)
 {
     countRequest("answered");
     m_dependencies.logger.event(LogLevel::Info, "answered",
                                 {{"id", m_requestMetadata.attemptId},
                                  {"attempts", u64{m_history.begun + m_history.declined}},
+                                 {"framing", nameOf(attempt.framing)},
+                                 {"inside_event", m_sseSplitter.isInsideEvent()},
                                  {"first_byte_ms", toMilliseconds(m_firstByteAt.value_or(m_arrivedAt) - m_arrivedAt)},
                                  {"sent_ms", toMilliseconds(m_sentAt - m_arrivedAt)},
                                  {"first_event_ms", toMilliseconds(m_firstEventAt.value_or(m_arrivedAt) - m_arrivedAt)},
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -27,6 +27,7 @@
     {
         endpoints::Outcome outcome = endpoints::Outcome::Abandoned;
         runtime::http::Response response; ///< complete, unless the response is streamed
+        std::optional<run::BodyFraming> framing; ///< set once the head of the response has been read
     };
 
     /** @brief An error response by the gateway itself. */
@@ -61,7 +62,7 @@
     void returnToPool(const std::string &id, const ResponseMetadata &responseMetadata);
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] Duration elapsed() const;
-    void noteAnswered();
+    void noteAnswered(const Attempt &attempt);
     void countRequest(std::string_view outcome);
     void countPlacement(const ForwardingOptions &options);
 
--- a/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/run/body_framing.hpp>
 #include <burdock/runtime/http/message.hpp>
 #include <burdock/types.hpp>
 
@@ -62,6 +63,9 @@
     /** @brief Status and headers of the response, without the body. */
     [[nodiscard]] const Response &head() const;
 
+    /** @brief How the end of the response body is marked; valid once the head has been read. */
+    [[nodiscard]] run::BodyFraming framing() const;
+
     /** @brief Whether the body has been read completely. */
     [[nodiscard]] bool isResponseComplete() const;
 
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -122,6 +122,11 @@
         return m_head;
     }
 
+    [[nodiscard]] run::BodyFraming framing() const
+    {
+        return m_framing;
+    }
+
     [[nodiscard]] bool isResponseComplete() const
     {
         return m_parser && m_parser->is_done();
@@ -169,6 +174,9 @@
     void copyHead()
     {
         const auto &message = m_parser->get();
+        m_framing = m_parser->need_eof() ? run::BodyFraming::UntilClose
+            : m_parser->chunked()        ? run::BodyFraming::Chunked
+                                         : run::BodyFraming::ContentLength;
         m_head.status = static_cast<u16>(message.result_int());
         m_head.headers.clear();
         for (const auto &field : message) {
@@ -184,6 +192,7 @@
     bool m_isSent = false;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     Response m_head;
+    run::BodyFraming m_framing = run::BodyFraming::ContentLength;
 };
 
 Connection::Connection(const asio::any_io_executor &executor, const Address &address, Reuse reuse)
@@ -226,6 +235,11 @@
     return m_impl->head();
 }
 
+run::BodyFraming Connection::framing() const
+{
+    return m_impl->framing();
+}
+
 bool Connection::isResponseComplete() const
 {
     return m_impl->isResponseComplete();
--- a/lib/libburdock/include/burdock/run/sse_splitter.hpp
+++ b/lib/libburdock/include/burdock/run/sse_splitter.hpp
@@ -20,6 +20,12 @@
     /** @brief Removes and returns the bytes of an event that is not complete yet. */
     [[nodiscard]] std::string takeIncompleteEvent();
 
+    /** @brief The bytes received of an event that is not complete yet. */
+    [[nodiscard]] const std::string &incompleteEvent() const;
+
+    /** @brief Whether the bytes so far end inside an event. */
+    [[nodiscard]] bool isInsideEvent() const;
+
     /** @brief The last id among the complete events; empty if there was none. */
     [[nodiscard]] const std::string &lastId() const;
 
--- a/lib/libburdock/source/run/sse_splitter.cpp
+++ b/lib/libburdock/source/run/sse_splitter.cpp
@@ -47,6 +47,16 @@
     return std::exchange(m_incompleteEvent, {});
 }
 
+const std::string &SseSplitter::incompleteEvent() const
+{
+    return m_incompleteEvent;
+}
+
+bool SseSplitter::isInsideEvent() const
+{
+    return m_incompleteEvent.find_first_not_of("\r\n") != std::string::npos;
+}
+
 const std::string &SseSplitter::lastId() const
 {
     return m_lastId;
