Reproduce answers that end with their connection and are taken as complete

The stand-in replica learns answers with neither a length nor chunks, and to reset its connection; services of the product's own interface can be served by it.

--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -21,9 +21,6 @@
 
 namespace {
 
-constexpr const char *PromptSize = "10,4";
-constexpr const char *PromptParts = "aa:6,bb:4";
-
 ConnectionAction respondDone(const ReceivedRequest &request, ReplicaConnection &connection)
 {
     connection.write(completeResponse(request, 200, "done " + request.header("X-Attempt-Id")));
@@ -40,25 +37,6 @@
     return ConnectionAction::Keep;
 }
 
-GatewayCall prompt(const std::string &path, const std::string &attempt)
-{
-    GatewayCall call;
-    call.path = path;
-    call.attempt = attempt;
-    call.extraHeaders = {{"X-Model-Id", "m"}, {"X-Token-Usage", PromptSize}, {"X-Prompt-Prefix", PromptParts}};
-    return call;
-}
-
-// Configures the gateway, registers the replicas as r1, r2 and so on, and waits until the gateway is ready.
-void setUpService(GatewayDeployment &gateway, const std::string &service, const std::vector<const Replica *> &replicas)
-{
-    gateway.configure(3);
-    for (std::size_t i = 0; i < replicas.size(); ++i) {
-        gateway.registerReplica("r" + std::to_string(i + 1), service, replicas[i]->address());
-    }
-    gateway.awaitReady();
-}
-
 bool isAnswered(const runtime::http::Exchange &exchange)
 {
     return exchange.progress == runtime::http::Progress::Answered;
@@ -90,7 +68,7 @@
     CHECK(onceRequest.header("X-Hold-Kv").empty());
     CHECK(std::stoi(onceRequest.header("X-Deadline-Ms")) <= 3000);
 
-    const auto streamResponse = gateway.call(prompt("/prompts/1", "s1"));
+    const auto streamResponse = gateway.call(promptCall("/prompts/1", "s1"));
     CHECK(isAnswered(streamResponse));
     CHECK(streamResponse.response.body.find("id: 3") != std::string::npos);
     const auto promptRequest = engine.received().front();
@@ -103,7 +81,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     GatewayCall call;
     call.key = "unknown";
     CHECK(gateway.call(call).response.status == 401);
@@ -124,7 +102,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     CHECK(gateway.call({}).response.status == 200);
     gateway.configure(7, {"key-new"});
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 401; }));
@@ -140,7 +118,7 @@
 {
     GatewayDeployment gateway(R"({"revocation_ms": 2500})");
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     gateway.store().setMode(ObjectStoreMode::Down);
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 503; }));
     const auto refused = gateway.call({});
@@ -159,7 +137,7 @@
 {
     GatewayDeployment gateway(R"({"revocation_ms": 4500})");
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     REQUIRE(gateway.call({}).response.status == 200);
     gateway.store().put("config", "main", {{"version", "nine"}});
     CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 503; }));
@@ -176,7 +154,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     gateway.store().put("config", "main", {{"version", "nine"}});
     gateway.store().put("servers", "ghost", {{"service", 7}, {"address", "127.0.0.1:1"}, {"slots", -1}});
     gateway.store().put("versions", "m", boost::json::array{1, 2});
@@ -203,7 +181,7 @@
         connection.write(previousResponse);
         return ConnectionAction::Keep;
     });
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     for (const std::string attempt : {"r1", "r2", "r3"}) {
         GatewayCall call;
         call.path = "/read/1";
@@ -221,7 +199,7 @@
     };
     Replica first(closeConnection);
     Replica second(closeConnection);
-    setUpService(gateway, "plain", {&first, &second});
+    gateway.setUpService("plain", {&first, &second});
     CHECK(gateway.call({}).response.status == 502);
     CHECK(first.received().size() + second.received().size() == 1);
 }
@@ -234,7 +212,7 @@
         return ConnectionAction::Keep;
     });
     Replica healthy(respondDone);
-    setUpService(gateway, "plain", {&busy, &healthy});
+    gateway.setUpService("plain", {&busy, &healthy});
     for (u32 i = 0; i < 8; ++i) {
         GatewayCall call;
         call.attempt = "n" + std::to_string(i);
@@ -252,7 +230,7 @@
     };
     Replica first(closeConnection);
     Replica second(closeConnection);
-    setUpService(gateway, "plain", {&first, &second});
+    gateway.setUpService("plain", {&first, &second});
     const auto awaitEntries = [&gateway](u32 count) {
         const auto expected = "burdock_entries " + std::to_string(count) + "\n";
         return GatewayDeployment::waitFor([&] { return gateway.metrics().find(expected) != std::string::npos; });
@@ -294,10 +272,10 @@
     gateway.registerReplica("e1", "engines", first.address());
     gateway.registerReplica("e2", "engines", second.address());
     gateway.awaitReady();
-    const auto answer = gateway.call(prompt("/resumable/1", "s1"));
+    const auto answer = gateway.call(promptCall("/resumable/1", "s1"));
     CHECK(isAnswered(answer));
     CHECK(answer.response.body == "id: 1\ndata: first\n\nid: 2\ndata: second\n\n");
-    const auto broken = gateway.call(prompt("/prompts/1", "s2"));
+    const auto broken = gateway.call(promptCall("/prompts/1", "s2"));
     CHECK(broken.progress == runtime::http::Progress::MayBeSent);
 }
 
@@ -316,8 +294,8 @@
     };
     Replica first(script);
     Replica second(script);
-    setUpService(gateway, "engines", {&first, &second});
-    auto rawResponse = std::async(std::launch::async, [&] { return gateway.callRaw(prompt("/resumable/1", "s1")); });
+    gateway.setUpService("engines", {&first, &second});
+    auto rawResponse = std::async(std::launch::async, [&] { return gateway.callRaw(promptCall("/resumable/1", "s1")); });
     REQUIRE(GatewayDeployment::waitFor([&] { return runs == 1; }));
     gateway.store().setMode(ObjectStoreMode::Down);
     REQUIRE(GatewayDeployment::waitFor([&] { return gateway.readiness() == 503; }));
@@ -340,7 +318,7 @@
         return ConnectionAction::Close;
     });
     Replica other(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     GatewayCall read;
     read.path = "/read/1";
     auto answer = std::async(std::launch::async, [&] { return gateway.call(read); });
@@ -364,9 +342,9 @@
         isClosed = connection.waitForClose(std::chrono::seconds(3));
         return ConnectionAction::Close;
     });
-    setUpService(gateway, "engines", {&engine});
+    gateway.setUpService("engines", {&engine});
     // Waits until the engine has started: if it has not been scheduled yet, it notices the close only once it starts.
-    gateway.callAndDisconnectWhen(prompt("/prompts/1", "s1"), [&hasBegun] { return hasBegun.load(); });
+    gateway.callAndDisconnectWhen(promptCall("/prompts/1", "s1"), [&hasBegun] { return hasBegun.load(); });
     const auto disconnectTime = std::chrono::steady_clock::now();
     REQUIRE(hasBegun);
     CHECK(GatewayDeployment::waitFor([&] { return isClosed.load(); }));
@@ -380,7 +358,7 @@
         static_cast<void>(connection.waitForClose(std::chrono::seconds(8)));
         return ConnectionAction::Close;
     });
-    setUpService(gateway, "plain", {&silent});
+    gateway.setUpService("plain", {&silent});
     const auto startTime = std::chrono::steady_clock::now();
     CHECK(gateway.call({}).response.status == 504);
     CHECK(std::chrono::steady_clock::now() - startTime < std::chrono::milliseconds(3500));
@@ -391,7 +369,7 @@
     GatewayDeployment gateway;
     Replica leaving(respondDone);
     Replica staying(respondDone);
-    setUpService(gateway, "plain", {&leaving, &staying});
+    gateway.setUpService("plain", {&leaving, &staying});
     gateway.registerReplica("r1", "plain", leaving.address(), true);
     CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("draining":true)") != std::string::npos; }));
     const auto before = leaving.received().size();
@@ -410,7 +388,7 @@
 {
     GatewayDeployment gateway;
     Replica leaving(respondDone);
-    setUpService(gateway, "plain", {&leaving});
+    gateway.setUpService("plain", {&leaving});
     // Registering another replica makes the endpoint watch start again just before the connections go silent.
     gateway.registerReplica("r2", "engines", leaving.address());
     REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("endpoint":"r2")") != std::string::npos; }));
@@ -433,7 +411,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(request.target == "/read/slow" ? 1500 : 5));
         return respondDone(request, connection);
     });
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     GatewayCall slow;
     slow.path = "/read/slow";
     auto pendingCall = std::async(std::launch::async, [&] { return gateway.call(slow); });
@@ -481,7 +459,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     gateway.process().signal(SIGHUP);
     CHECK(GatewayDeployment::waitFor([&] { return gateway.log().find(R"("event":"reload")") != std::string::npos; }));
     CHECK(gateway.call({}).response.status == 200);
@@ -493,7 +471,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     // Leaves an idle connection to the endpoint, so that the next request could be sent immediately.
     CHECK(gateway.call({}).response.status == 200);
     gateway.process().signal(SIGSTOP);
@@ -508,7 +486,7 @@
 {
     GatewayDeployment gateway(R"({"revocation_ms": 2500})");
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     REQUIRE(gateway.call({}).response.status == 200);
     gateway.process().signal(SIGSTOP);
     std::this_thread::sleep_for(std::chrono::milliseconds(2600)); // long enough to have missed a revocation
@@ -546,7 +524,7 @@
         }
         return ConnectionAction::Keep;
     });
-    setUpService(gateway, "engines", {&engine});
+    gateway.setUpService("engines", {&engine});
     gateway.store().setMode(ObjectStoreMode::DropsWriteResponses);
     gateway.store().put("versions", "m", {{"model", "m"}, {"version", 2}});
     CHECK(GatewayDeployment::waitFor([&] { return gateway.store().count("burdock-duties") == 1; }));
@@ -567,7 +545,7 @@
 {
     GatewayDeployment gateway;
     Replica plain(respondDone);
-    setUpService(gateway, "plain", {&plain});
+    gateway.setUpService("plain", {&plain});
     CHECK(gateway.call({}).response.status == 200);
     const auto metrics = gateway.metrics();
     CHECK(metrics.find(R"(burdock_requests_total{kind="once_only",outcome="answered"} 1)") != std::string::npos);
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -50,8 +50,12 @@
         addEndpoint("model-" + std::to_string(i), zoneName(i % options.zones), "models", m_engines.back()->address(), true);
     }
     for (u32 i = 0; i < options.services; ++i) {
-        m_services.push_back(std::make_unique<standins::Service>(m_pool.context(), "127.0.0.1:0"));
-        addEndpoint("print-" + std::to_string(i), zoneName(i % options.zones), "printers", m_services.back()->address(), false);
+        const bool hasAddress = i < options.serviceAddresses.size();
+        if (!hasAddress) {
+            m_services.push_back(std::make_unique<standins::Service>(m_pool.context(), "127.0.0.1:0"));
+        }
+        const auto address = hasAddress ? options.serviceAddresses[i] : m_services.back()->address();
+        addEndpoint("print-" + std::to_string(i), zoneName(i % options.zones), "printers", address, false);
     }
     for (u32 i = 0; i < options.entries; ++i) {
         addEntry(i);
--- a/tests/integration/support/deployment.hpp
+++ b/tests/integration/support/deployment.hpp
@@ -35,6 +35,7 @@
     u32 entries = 2;
     u32 engines = 2; ///< assigned to the zones round-robin
     u32 services = 1;
+    std::vector<std::string> serviceAddresses; ///< back ends of the services; a stand-in is started for each service beyond the list
     u32 stores = 0;
     u32 zones = 2;
     u32 heartbeatMs = 150;
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -30,6 +30,15 @@
 
 } // namespace
 
+GatewayCall promptCall(const std::string &path, const std::string &attempt)
+{
+    GatewayCall call;
+    call.path = path;
+    call.attempt = attempt;
+    call.extraHeaders = {{"X-Model-Id", "m"}, {"X-Token-Usage", "10,4"}, {"X-Prompt-Prefix", PromptParts}};
+    return call;
+}
+
 GatewayDeployment::GatewayDeployment(const std::string &settingsOverrides)
     : m_pool(PoolThreads)
     , m_store(m_pool.context(), freeAddress())
@@ -73,6 +82,15 @@
     m_store.put("servers", id, replicaObject(registration));
 }
 
+void GatewayDeployment::setUpService(const std::string &service, const std::vector<const standins::Replica *> &replicas)
+{
+    configure(3);
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+        registerReplica("r" + std::to_string(i + 1), service, replicas[i]->address());
+    }
+    awaitReady();
+}
+
 void GatewayDeployment::awaitReady()
 {
     if (!waitFor([this] { return readiness() == 200; })) {
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -25,6 +25,12 @@
     runtime::http::Headers extraHeaders;
 };
 
+/** @brief Parts of the prompt of promptCall(). */
+inline const std::string PromptParts = "aa:6,bb:4";
+
+/** @brief Returns a call with a prompt of ten tokens for the model `m`. */
+[[nodiscard]] GatewayCall promptCall(const std::string &path, const std::string &attempt);
+
 /** @brief One gateway as a real process on loopback, with a stand-in for the platform's object store. */
 class GatewayDeployment
 {
@@ -45,6 +51,9 @@
     /** @brief Registers a replica of the service `plain` or `engines`. */
     void registerReplica(const std::string &id, const std::string &service, const std::string &address, bool isDraining = false);
 
+    /** @brief Configures the gateway, registers the replicas as r1, r2 and so on, and waits until the gateway is ready. */
+    void setUpService(const std::string &service, const std::vector<const standins::Replica *> &replicas);
+
     /** @brief Waits until the gateway reports that it is ready; throws std::runtime_error if it does not within ten seconds. */
     void awaitReady();
 
--- a/tests/standins/include/standins/replica.hpp
+++ b/tests/standins/include/standins/replica.hpp
@@ -44,6 +44,7 @@
 enum class ConnectionAction : u8 {
     Keep,
     Close,
+    Reset,
 };
 
 /** @brief Responds to one request; called on the thread of the connection. */
@@ -83,9 +84,18 @@
 [[nodiscard]] std::string completeResponse(const ReceivedRequest &request, u16 status, const std::string &body,
                                            const std::string &extraHeaders = {});
 
+/** @brief Returns a signed response with neither a length nor chunks; its body ends with the connection. */
+[[nodiscard]] std::string unframedResponse(const ReceivedRequest &request, u16 status, const std::string &body);
+
 /** @brief Returns the signed head of an event stream for the attempt of the request. */
 [[nodiscard]] std::string streamHead(const ReceivedRequest &request);
 
+/** @brief Returns the signed head of an event stream that ends with its connection. */
+[[nodiscard]] std::string unframedStreamHead(const ReceivedRequest &request);
+
+/** @brief Returns one event. */
+[[nodiscard]] std::string eventText(u32 id, const std::string &data);
+
 /** @brief Returns one event as an HTTP chunk. */
 [[nodiscard]] std::string eventChunk(u32 id, const std::string &data);
 
--- a/tests/standins/source/replica.cpp
+++ b/tests/standins/source/replica.cpp
@@ -166,7 +166,12 @@
             const std::lock_guard lock(m_mutex);
             m_received.push_back(request);
         }
-        if (m_script(request, connection) == ConnectionAction::Close) {
+        const auto action = m_script(request, connection);
+        if (action == ConnectionAction::Reset) {
+            const linger resetOnClose{1, 0};
+            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+        }
+        if (action != ConnectionAction::Keep) {
             break;
         }
     }
@@ -181,6 +186,16 @@
                        request.header("X-Attempt-Id"), extraHeaders, body.size(), body);
 }
 
+std::string unframedResponse(const ReceivedRequest &request, u16 status, const std::string &body)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nX-Attempt-Id: {}\r\nX-Server-Seal: seal\r\n\r\n{}", status, request.header("X-Attempt-Id"), body);
+}
+
+std::string unframedStreamHead(const ReceivedRequest &request)
+{
+    return unframedResponse(request, 200, "");
+}
+
 std::string streamHead(const ReceivedRequest &request)
 {
     return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\n"
@@ -188,9 +203,14 @@
                        request.header("X-Attempt-Id"));
 }
 
+std::string eventText(u32 id, const std::string &data)
+{
+    return fmt::format("id: {}\ndata: {}\n\n", id, data);
+}
+
 std::string eventChunk(u32 id, const std::string &data)
 {
-    const auto event = fmt::format("id: {}\ndata: {}\n\n", id, data);
+    const auto event = eventText(id, data);
     return fmt::format("{:x}\r\n{}\r\n", event.size(), event);
 }
 
