Don't deliver a stream as complete that ends inside an event

Callers got 200 and a stream that was framed as complete, without its last events: the engine had failed, its answer had neither a length nor chunks, and the end of the connection is the regular end of such a body. The gateway ended the caller's chunked body as after any complete answer.

Now the events decide, not the body's framing alone: a stream that ends inside an event is broken, whatever its framing, and so is one without a length or chunks that ends before its first event. Broken streams go the usual way: another endpoint where the route allows, else the caller's connection is closed without the last chunk. All streams are passed on event by event, so no caller gets half an event.

SseSplitter accepts all line ends, as a stream that never has an event by its count would be broken now. The unit test that read back the bytes of the incomplete event now checks that they are dropped when the next endpoint continues.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -487,17 +487,16 @@
         m_state.endpoints.noteHeard(id, m_dependencies.clock.now());
         noteFirstEvent(id);
         const auto events = m_sseSplitter.append(chunk.data);
-        std::string bytes = m_route->isResumable ? events : chunk.data;
-        if (chunk.isEnd && m_route->isResumable) {
-            bytes += m_sseSplitter.incompleteEvent();
-        }
-        if (!bytes.empty()) {
-            const bool isDelivered = co_await m_reply.write(bytes);
+        if (!events.empty()) {
+            const bool isDelivered = co_await m_reply.write(events);
             if (!isDelivered) {
                 m_isCallerDisconnected = true;
                 co_return Outcome::Abandoned;
             }
         }
+        if (chunk.isEnd && !m_sseSplitter.isCompleteAt(m_connection->framing())) {
+            co_return Outcome::Broken;
+        }
         if (chunk.isEnd) {
             const bool isDelivered = co_await m_reply.end();
             co_return isDelivered ? Outcome::Answered : Outcome::Abandoned;
@@ -513,8 +512,7 @@
     options.customer = m_customer == nullptr ? "" : m_customer->name;
     options.priority = m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
     options.isPrompt = m_route->isPrompt;
-    // An incomplete event is dropped along with the endpoint that broke off in the middle of it.
-    static_cast<void>(m_sseSplitter.takeIncompleteEvent());
+    m_sseSplitter.beginRun();
     options.lastEventId = m_sseSplitter.lastId();
     if (m_route->isPrompt) {
         m_planner->fillOptions(endpoint, options, m_dependencies.clock.now());
--- a/lib/libburdock/include/burdock/run/sse_splitter.hpp
+++ b/lib/libburdock/include/burdock/run/sse_splitter.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <burdock/run/body_framing.hpp>
+
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -14,26 +17,31 @@
 class SseSplitter
 {
 public:
+    /** @brief Starts with the stream of the next endpoint; the bytes of an incomplete event are dropped. */
+    void beginRun();
+
     /** @brief Appends received bytes; returns the events that they complete. */
     [[nodiscard]] std::string append(std::string_view bytes);
 
-    /** @brief Removes and returns the bytes of an event that is not complete yet. */
-    [[nodiscard]] std::string takeIncompleteEvent();
-
-    /** @brief The bytes received of an event that is not complete yet. */
-    [[nodiscard]] const std::string &incompleteEvent() const;
-
     /** @brief Whether the bytes so far end inside an event. */
     [[nodiscard]] bool isInsideEvent() const;
 
+    /** @brief Whether the end of the body can be the end of the stream, rather than a failure of the endpoint. */
+    [[nodiscard]] bool isCompleteAt(BodyFraming framing) const;
+
     /** @brief The last id among the complete events; empty if there was none. */
     [[nodiscard]] const std::string &lastId() const;
 
 private:
+    [[nodiscard]] std::size_t scan(std::size_t from);
     void updateLastId(std::string_view events);
 
     std::string m_incompleteEvent;
     std::string m_lastId;
+    bool m_isLineEmpty = true; ///< no byte of the current line has been received
+    bool m_isAfterCr = false; ///< the last byte was CR; an LF that follows belongs to the same line end
+    bool m_isEventEnd = false; ///< the last line end completed an event
+    bool m_hasEvents = false; ///< since beginRun()
 };
 
 } // namespace burdock::run
--- a/lib/libburdock/source/run/sse_splitter.cpp
+++ b/lib/libburdock/source/run/sse_splitter.cpp
@@ -1,6 +1,5 @@
 #include <burdock/run/sse_splitter.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace burdock::run {
@@ -8,23 +7,14 @@
 namespace {
 
 constexpr std::string_view IdField = "id:";
-
-// Returns the position after the last blank line, which ends an event.
-std::size_t endOfCompleteEvents(std::string_view bytes)
-{
-    const auto lfBreak = bytes.rfind("\n\n");
-    const auto crlfBreak = bytes.rfind("\r\n\r\n");
-    const std::size_t lfEnd = lfBreak == std::string_view::npos ? 0 : lfBreak + 2;
-    const std::size_t crlfEnd = crlfBreak == std::string_view::npos ? 0 : crlfBreak + 4;
-    return std::max(lfEnd, crlfEnd);
-}
+constexpr std::string_view LineEnds = "\r\n";
 
 std::string_view trimmed(std::string_view text)
 {
-    while (!text.empty() && (text.front() == ' ')) {
+    while (!text.empty() && text.front() == ' ') {
         text.remove_prefix(1);
     }
-    while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) {
+    while (!text.empty() && text.back() == ' ') {
         text.remove_suffix(1);
     }
     return text;
@@ -32,40 +22,69 @@
 
 } // namespace
 
+void SseSplitter::beginRun()
+{
+    m_incompleteEvent.clear();
+    m_isLineEmpty = true;
+    m_isAfterCr = false;
+    m_isEventEnd = false;
+    m_hasEvents = false;
+}
+
 std::string SseSplitter::append(std::string_view bytes)
 {
+    const auto scanned = m_incompleteEvent.size();
     m_incompleteEvent += bytes;
-    const auto end = endOfCompleteEvents(m_incompleteEvent);
+    const auto end = scan(scanned);
     std::string complete = m_incompleteEvent.substr(0, end);
     m_incompleteEvent.erase(0, end);
+    m_hasEvents = m_hasEvents || complete.find_first_not_of(LineEnds) != std::string::npos;
     updateLastId(complete);
     return complete;
 }
 
-std::string SseSplitter::takeIncompleteEvent()
+bool SseSplitter::isInsideEvent() const
 {
-    return std::exchange(m_incompleteEvent, {});
+    return m_incompleteEvent.find_first_not_of(LineEnds) != std::string::npos;
 }
 
-const std::string &SseSplitter::incompleteEvent() const
+// Where only the end of the connection ends the body, an endpoint that failed before its first event looks like one that had none.
+bool SseSplitter::isCompleteAt(BodyFraming framing) const
 {
-    return m_incompleteEvent;
+    return !isInsideEvent() && (m_hasEvents || framing != BodyFraming::UntilClose);
 }
 
-bool SseSplitter::isInsideEvent() const
+const std::string &SseSplitter::lastId() const
 {
-    return m_incompleteEvent.find_first_not_of("\r\n") != std::string::npos;
+    return m_lastId;
 }
 
-const std::string &SseSplitter::lastId() const
+// Returns the position after the last blank line, which ends an event. Lines end with LF, CR or CR LF.
+std::size_t SseSplitter::scan(std::size_t from)
 {
-    return m_lastId;
+    std::size_t end = 0;
+    for (std::size_t i = from; i < m_incompleteEvent.size(); ++i) {
+        const char byte = m_incompleteEvent[i];
+        const bool isSecondHalf = byte == '\n' && m_isAfterCr;
+        m_isAfterCr = byte == '\r';
+        if (byte != '\n' && byte != '\r') {
+            m_isLineEmpty = false;
+            continue;
+        }
+        // The LF of a CR LF that ended an event belongs to that event.
+        m_isEventEnd = isSecondHalf ? m_isEventEnd : m_isLineEmpty;
+        m_isLineEmpty = true;
+        if (m_isEventEnd) {
+            end = i + 1;
+        }
+    }
+    return end;
 }
 
 void SseSplitter::updateLastId(std::string_view events)
 {
     while (!events.empty()) {
-        const auto end = events.find('\n');
+        const auto end = events.find_first_of(LineEnds);
         const auto line = events.substr(0, end);
         if (line.substr(0, IdField.size()) == IdField) {
             m_lastId = trimmed(line.substr(IdField.size()));
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -326,6 +326,41 @@
         }
         CHECK(passed == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
         CHECK(events.lastId() == "2");
-        CHECK(events.takeIncompleteEvent() == "id: 3\ndata: torn");
+        CHECK(events.isInsideEvent());
+        events.beginRun();
+        CHECK(events.append("id: 3\ndata: whole\n\n") == "id: 3\ndata: whole\n\n");
+        CHECK(events.lastId() == "3");
+    }
+}
+
+TEST_CASE("events may end with any combination of line ends")
+{
+    for (const std::string blankLine : {"\n\n", "\r\r", "\r\n\r\n", "\n\r\n", "\r\n\n"}) {
+        const std::string event = "id: 1\ndata: a" + blankLine;
+        for (std::size_t split = 1; split < event.size(); ++split) {
+            run::SseSplitter events;
+            const auto passed = events.append(event.substr(0, split));
+            CHECK(passed + events.append(event.substr(split)) == event);
+            CHECK_FALSE(events.isInsideEvent());
+            CHECK(events.lastId() == "1");
+        }
+    }
+}
+
+// Guards against a stream that an endpoint broke off and that is taken for complete.
+TEST_CASE("a stream is complete only after a whole event, and without a length or chunks only after a first one")
+{
+    using run::BodyFraming;
+    for (const auto framing : {BodyFraming::ContentLength, BodyFraming::Chunked, BodyFraming::UntilClose}) {
+        run::SseSplitter events;
+        CHECK(events.isCompleteAt(framing) == (framing != BodyFraming::UntilClose));
+        for (const char byte : std::string("id: 1\ndata: a\n")) {
+            static_cast<void>(events.append(std::string(1, byte)));
+            CHECK_FALSE(events.isCompleteAt(framing));
+        }
+        static_cast<void>(events.append("\n"));
+        CHECK(events.isCompleteAt(framing));
+        events.beginRun();
+        CHECK(events.isCompleteAt(framing) == (framing != BodyFraming::UntilClose));
     }
 }
