Don't record a plain service's event stream as complete that ends inside an event

Callers of the product's own interface got a service's event stream as complete although the service had failed inside an event, and a call that may not be repeated was recorded with it, so that each retry got the same half. The endpoint process took the end of the connection for the end of the body. The run is now broken like one whose connection was reset: it may have run.

--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -45,6 +45,9 @@
     /** @brief Status and headers of the response, without the body. */
     [[nodiscard]] const Response &head() const;
 
+    /** @brief How the end of the response body is marked. */
+    [[nodiscard]] run::BodyFraming framing() const;
+
     /** @brief Reads the next chunk of the body. */
     [[nodiscard]] boost::asio::awaitable<BodyChunk> read();
 
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -85,6 +85,11 @@
     return m_connection->head();
 }
 
+run::BodyFraming Call::framing() const
+{
+    return m_connection->framing();
+}
+
 asio::awaitable<BodyChunk> Call::read()
 {
     return m_connection->read(m_timeout);
--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -1,5 +1,7 @@
 #include <burdock/serving/endpoint/service_runner.hpp>
 
+#include <burdock/run/sse_splitter.hpp>
+
 namespace burdock::serving {
 
 namespace {
@@ -8,6 +10,7 @@
 using runtime::http::Progress;
 
 constexpr Duration RetryAfter = std::chrono::seconds(1);
+constexpr std::string_view EventStreamType = "text/event-stream";
 
 BackEndResult refusedResult(RefusalReason reason)
 {
@@ -118,11 +121,17 @@
     head.set_status(record.status);
     head.set_content_type(record.contentType);
     response.sendHead(head);
+    const bool isEventStream = record.contentType.starts_with(EventStreamType);
+    run::SseSplitter events;
     while (true) {
         const auto chunk = co_await call.read();
         response.sendData(chunk.data);
         record.body += chunk.data;
-        if (chunk.isBroken) {
+        if (isEventStream) {
+            static_cast<void>(events.append(chunk.data));
+        }
+        const bool isCutOff = chunk.isEnd && isEventStream && !events.isCompleteAt(call.framing());
+        if (chunk.isBroken || isCutOff) {
             co_return brokenResult(true, RunOutcome::EndpointRestarted);
         }
         if (chunk.isEnd) {
