Don't store half a block of the KV cache, nor take half an object of the store for the whole

An engine that fails while it exports a block without a length or chunks ends the connection, which is the regular end of such a body: the endpoint process stored what it had under a checksum of its own, and later prompts would have run on it. An object of the platform's store that was cut in the same way could be decoded as a shorter one. Not seen by a caller; found by looking for the cause of cut streams elsewhere. Such bodies have no end of their own, unlike JSON, so only framed ones are taken now.

--- a/lib/libburdock-clients/source/http_engine.cpp
+++ b/lib/libburdock-clients/source/http_engine.cpp
@@ -208,7 +208,7 @@
     http::Request request;
     request.target = blockPath(key);
     auto exchange = co_await http::exchange(m_address, request, m_ioTimeout);
-    if (exchange.progress != http::Progress::Answered || exchange.response.status != Ok) {
+    if (!exchange.isProvablyComplete() || exchange.response.status != Ok) {
         co_return std::nullopt;
     }
     co_return std::move(exchange.response.body);
--- a/lib/libburdock-clients/source/http_object_store.cpp
+++ b/lib/libburdock-clients/source/http_object_store.cpp
@@ -43,6 +43,9 @@
     }
     switch (exchange.response.status) {
     case Ok:
+        if (!exchange.isProvablyComplete()) {
+            break;
+        }
         result.status = StoreResult::Found;
         result.version = versionOf(exchange.response);
         result.value = std::move(exchange.response.body);
--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -19,6 +19,10 @@
 {
     Progress progress = Progress::NotSent;
     Response response; ///< complete if progress is Answered
+    run::BodyFraming framing = run::BodyFraming::ContentLength; ///< of the response
+
+    /** @brief Whether the response is complete, and its framing shows that its body is. */
+    [[nodiscard]] bool isProvablyComplete() const;
 };
 
 /**
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -18,6 +18,7 @@
         co_return result;
     }
     result.response = connection.head();
+    result.framing = connection.framing();
     while (true) {
         const auto chunk = co_await connection.read(timeout);
         result.response.body += chunk.data;
@@ -33,6 +34,11 @@
 
 } // namespace
 
+bool Exchange::isProvablyComplete() const
+{
+    return progress == Progress::Answered && framing != run::BodyFraming::UntilClose;
+}
+
 Call::Call(const Address &address, Duration ioTimeout)
     : m_address(address)
     , m_timeout(ioTimeout)
