--- a/soak/back_end.cpp
+++ b/soak/back_end.cpp
@@ -18,6 +18,7 @@
 constexpr auto PromptPrefillTime = std::chrono::milliseconds(15);
 constexpr auto EventInterval = std::chrono::milliseconds(5);
 constexpr int SlowFactor = 12;
+constexpr std::size_t UnframedOneIn = 3;
 constexpr u16 Ok = 200;
 constexpr u16 Accepted = 202;
 constexpr u16 Conflict = 409;
@@ -156,14 +157,28 @@
         connection.write(mode == EndpointMode::Truncating ? answer.substr(0, answer.size() / 2) : answer);
         return mode == EndpointMode::Truncating ? ConnectionAction::Close : ConnectionAction::Keep;
     }
-    connection.write(standins::streamHead(request));
+    return stream(request, connection, mode);
+}
+
+// Some streams have neither a length nor chunks and end with their connection, which also ends when the engine fails inside an event.
+ConnectionAction BackEnd::stream(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection, EndpointMode mode)
+{
+    const auto attempt = request.header("X-Attempt-Id");
+    const bool isUnframed = std::hash<std::string>()(attempt) % UnframedOneIn == 0;
+    const int slowdown = mode == EndpointMode::Slow ? SlowFactor : 1;
+    connection.write(isUnframed ? standins::unframedStreamHead(request) : standins::streamHead(request));
     for (u32 event = 1; event <= EventsPerPrompt; ++event) {
+        const auto text = standins::eventText(event, attempt);
         if (mode == EndpointMode::Truncating && event > EventsPerPrompt / 2) {
+            connection.write(isUnframed ? text.substr(0, text.size() / 2) : "");
             return ConnectionAction::Close;
         }
-        connection.write(standins::eventChunk(event, attempt));
+        connection.write(isUnframed ? text : standins::eventChunk(event, attempt));
         std::this_thread::sleep_for(EventInterval * slowdown);
     }
+    if (isUnframed) {
+        return ConnectionAction::Close;
+    }
     connection.write(standins::StreamEnd);
     return ConnectionAction::Keep;
 }
--- a/soak/back_end.hpp
+++ b/soak/back_end.hpp
@@ -54,6 +54,8 @@
 private:
     [[nodiscard]] standins::ConnectionAction serve(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection);
     [[nodiscard]] standins::ConnectionAction run(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection);
+    [[nodiscard]] standins::ConnectionAction stream(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection,
+                                                    EndpointMode mode);
     [[nodiscard]] standins::ConnectionAction handleWeightOrder(const standins::ReceivedRequest &request,
                                                                standins::ReplicaConnection &connection);
     void finishLoadIfDue();
--- a/tests/standins/source/fault_proxy.cpp
+++ b/tests/standins/source/fault_proxy.cpp
@@ -33,7 +33,10 @@
 
     void close()
     {
+        // A child process that was started meanwhile holds copies of the sockets, so closing alone would not end the connections.
         boost::system::error_code ignored;
+        caller.shutdown(Tcp::socket::shutdown_both, ignored);
+        server.shutdown(Tcp::socket::shutdown_both, ignored);
         caller.close(ignored);
         server.close(ignored);
     }
