--- a/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
@@ -26,6 +26,7 @@
     std::optional<u64> expectedOutputTokens; ///< the caller's estimate
     std::vector<cache::PromptPart> parts;
     std::string lastEventId; ///< last event that the caller received; a resumed stream continues after it
+    std::string resumedAttemptId; ///< attempt of the caller that received the first event of a resumed stream; empty for a new one
 };
 
 /** @brief What the gateway adds to a caller's request when it forwards it to an endpoint. */
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -367,6 +367,7 @@
                                          {"address", registration->address},
                                          {"zone", registration->zone},
                                          {"service", registration->service},
+                                         {"software", registration->softwareVersion},
                                          {"draining", registration->isDraining},
                                          {"cold_ms", toMilliseconds(registration->remainingColdTime)},
                                          {"born_ms", registration->startTimeMs},
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -26,6 +26,7 @@
     std::string service;
     std::string address; ///< IP:port
     std::string zone;
+    std::string softwareVersion; ///< of the endpoint's program, not of its weights; versions have no order
     u32 slots = 1;
     bool isDraining = false;
     Duration remainingColdTime{}; ///< remaining warm-up time, in which it can take only little work
--- a/tests/unit/http_protocol_codec_test.cpp
+++ b/tests/unit/http_protocol_codec_test.cpp
@@ -37,6 +37,11 @@
     REQUIRE(metadata.parts.size() == 3);
     CHECK(metadata.parts[1].id == "91");
     CHECK(metadata.parts[1].tokens == 410);
+    auto resuming = promptRequest().headers;
+    resuming.emplace_back("Last-Event-Id", "7");
+    resuming.emplace_back("Resumes", "a0");
+    CHECK(HttpProtocolCodec().readRequest(resuming).lastEventId == "7");
+    CHECK(HttpProtocolCodec().readRequest(resuming).resumedAttemptId == "a0");
 }
 
 // Guards against a caller whose headers make a replica run something other than what was checked.
