--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -52,6 +52,7 @@
 // Watches of the stand-in may still be pending on the pool's threads, so the threads are joined before the stand-in is destroyed.
 GatewayDeployment::~GatewayDeployment()
 {
+    m_furtherGateway.reset();
     m_gateway.process().signal(SIGKILL);
     static_cast<void>(m_gateway.process().waitForExit(WaitTimeout));
     m_pool.stop();
@@ -82,6 +83,28 @@
     m_store.put("servers", id, replicaObject(registration));
 }
 
+void GatewayDeployment::registerEngine(const std::string &id, const std::string &address, const std::string &softwareVersion)
+{
+    ReplicaRegistration registration;
+    registration.service = "engines";
+    registration.address = address;
+    registration.softwareVersion = softwareVersion;
+    m_store.put("servers", id, replicaObject(registration));
+}
+
+GatewayProcess &GatewayDeployment::addGateway()
+{
+    m_furtherGateway = std::make_unique<GatewayProcess>("vm-2", "zone-a", m_store.address());
+    m_furtherGateway->start();
+    const auto knowsOther = [this](const GatewayProcess &gateway) {
+        return metricsOf(gateway).find("burdock_entries 2\n") != std::string::npos;
+    };
+    if (!waitFor([&] { return readinessOf(*m_furtherGateway) == 200 && knowsOther(m_gateway) && knowsOther(*m_furtherGateway); })) {
+        throw std::runtime_error("the further gateway did not become ready: " + m_furtherGateway->log());
+    }
+    return *m_furtherGateway;
+}
+
 void GatewayDeployment::setUpService(const std::string &service, const std::vector<const standins::Replica *> &replicas)
 {
     configure(3);
@@ -103,6 +126,11 @@
     return exchange(m_gateway.callerAddress(), toRequest(call));
 }
 
+http::Exchange GatewayDeployment::call(const GatewayCall &call, const GatewayProcess &gateway)
+{
+    return exchange(gateway.callerAddress(), toRequest(call));
+}
+
 std::string GatewayDeployment::callRaw(const GatewayCall &call)
 {
     const auto address = http::parseAddress(m_gateway.callerAddress());
@@ -148,18 +176,28 @@
 }
 
 u16 GatewayDeployment::readiness()
+{
+    return readinessOf(m_gateway);
+}
+
+u16 GatewayDeployment::readinessOf(const GatewayProcess &gateway)
 {
     http::Request request;
     request.target = "/readiness";
-    const auto answer = exchange(m_gateway.readinessAddress(), request);
+    const auto answer = exchange(gateway.readinessAddress(), request);
     return answer.progress == http::Progress::Answered ? answer.response.status : 0;
 }
 
 std::string GatewayDeployment::metrics()
+{
+    return metricsOf(m_gateway);
+}
+
+std::string GatewayDeployment::metricsOf(const GatewayProcess &gateway)
 {
     http::Request request;
     request.target = "/metrics";
-    return exchange(m_gateway.metricsAddress(), request).response.body;
+    return exchange(gateway.metricsAddress(), request).response.body;
 }
 
 std::string GatewayDeployment::log() const
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -8,6 +8,7 @@
 #include <support/gateway_process.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace support {
@@ -54,11 +55,20 @@
     /** @brief Configures the gateway, registers the replicas as r1, r2 and so on, and waits until the gateway is ready. */
     void setUpService(const std::string &service, const std::vector<const standins::Replica *> &replicas);
 
+    /** @brief Registers a replica of the service `engines` whose software has this version. */
+    void registerEngine(const std::string &id, const std::string &address, const std::string &softwareVersion);
+
+    /** @brief Starts a further gateway with the same store and waits until both gateways know each other and are ready. */
+    GatewayProcess &addGateway();
+
     /** @brief Waits until the gateway reports that it is ready; throws std::runtime_error if it does not within ten seconds. */
     void awaitReady();
 
     [[nodiscard]] runtime::http::Exchange call(const GatewayCall &call);
 
+    /** @brief Makes a call through a further gateway. */
+    [[nodiscard]] runtime::http::Exchange call(const GatewayCall &call, const GatewayProcess &gateway);
+
     /** @brief Makes a call and returns all bytes received until the connection is closed. */
     [[nodiscard]] std::string callRaw(const GatewayCall &call);
 
@@ -79,6 +89,8 @@
     [[nodiscard]] static bool waitFor(const std::function<bool()> &condition);
 
 private:
+    [[nodiscard]] u16 readinessOf(const GatewayProcess &gateway);
+    [[nodiscard]] std::string metricsOf(const GatewayProcess &gateway);
     [[nodiscard]] runtime::http::Request toRequest(const GatewayCall &call) const;
     [[nodiscard]] runtime::http::Exchange exchange(const std::string &address, const runtime::http::Request &request);
 
@@ -86,6 +98,7 @@
     standins::ObjectStore m_store;
     standins::FaultProxy m_storeProxy;
     GatewayProcess m_gateway;
+    std::unique_ptr<GatewayProcess> m_furtherGateway;
 };
 
 } // namespace support
--- a/tests/integration/support/platform_objects.cpp
+++ b/tests/integration/support/platform_objects.cpp
@@ -35,9 +35,9 @@
 
 json::value replicaObject(const ReplicaRegistration &registration)
 {
-    return json::parse(fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{}",)"
+    return json::parse(fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":8,"state":"{}",)"
                                    R"("coldLeftMs":0,"born":{},"models":[{{"name":"m","version":{}}}]}})",
-                                   registration.service, registration.address, registration.zone,
+                                   registration.service, registration.address, registration.zone, registration.softwareVersion,
                                    registration.isDraining ? "draining" : "in_service", registration.startTimeMs, registration.weights));
 }
 
--- a/tests/integration/support/platform_objects.hpp
+++ b/tests/integration/support/platform_objects.hpp
@@ -16,6 +16,7 @@
     std::string service; ///< `plain` or `engines`
     std::string address;
     std::string zone = "zone-a";
+    std::string softwareVersion = "v1";
     bool isDraining = false;
     u64 weights = 1; ///< weight version of the model `m`
     u64 startTimeMs = 1;
