Continue a stream only at the software version that began it

Endpoints don't check this, and the gateway knew no versions. Within one answer it resumed at any endpoint; when a caller took up its stream, the gateway it reached couldn't know where the first one had begun it.

Now a stream keeps the version of the endpoint that sent its first event, and continues nowhere else. Before that event is passed on, the gateway tells three others, which follow by hash from the attempt's id; a gateway that gets a stream to take up computes the same three and asks those that it needs. The record thus outlives the gateway, the loss of two others, and of datagrams. The decisions are pure: run::StreamOrigins, softwareToContinueWith, endpoints::SoftwareHistory, membership::responsibleMembers. Without a record a stream continues only if all that may have one have answered and no endpoint had another version for as long as the route lets a stream last; where the caller doesn't name the attempt, only while one version is there. Else it is refused at once, truthfully as not run.

The socket among gateways is a class of its own now, as two kinds of messages use it.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -111,13 +111,16 @@
         , m_settings(settings)
         , m_state(settings.name)
         , m_rolloutController(m_dependencies, m_settings, m_state)
-        , m_loadExchange(m_dependencies, m_settings, m_state)
+        , m_peerSocket(dependencies.context, settings.loadAddress)
+        , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
+        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
         , m_callerServer(dependencies.context, settings.callerAddress, callerLimits({}), *this)
         , m_readinessServer(dependencies.context, settings.readinessAddress, http::ServerLimits{}, m_readinessHandler)
         , m_metricsServer(dependencies.context, settings.metricsAddress, http::ServerLimits{}, m_metricsHandler)
     {
+        m_state.bootId = dependencies.random.word();
         m_state.endpoints.coldAdmission().setLimit({settings.coldFactor, settings.coldSlack});
         m_watchers.emplace_back(
             std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Configuration, ConfigurationWait, configurationHandlers()));
@@ -152,7 +155,7 @@
 
     boost::asio::awaitable<void> handle(const http::Request &request, http::Reply &reply) override
     {
-        RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_pool, request, reply);
+        RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_pool, m_origins, request, reply);
         co_await forwarder.run();
     }
 
@@ -190,7 +193,7 @@
 
     [[nodiscard]] bool isReady() const
     {
-        const bool hasLists = m_state.routes && m_state.hasEndpointList && m_state.hasEvacuationList && m_state.hasWeightList;
+        const bool hasLists = m_state.routes && m_state.endpointsKnownSince && m_state.hasEvacuationList && m_state.hasWeightList;
         return hasLists && !m_state.isDraining && m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings);
     }
 
@@ -334,8 +337,9 @@
                 ids.insert(item.name);
                 applyRegistration(item);
             }
-            m_state.endpoints.keepOnly(ids);
-            m_state.hasEndpointList = true;
+            const auto now = m_dependencies.clock.now();
+            m_state.endpoints.keepOnly(ids, now);
+            m_state.endpointsKnownSince = m_state.endpointsKnownSince.value_or(now);
         };
         const auto applyChanges = [this](const ObjectChanges &changes) {
             for (const auto &object : changes.changed) {
@@ -343,7 +347,7 @@
             }
             for (const auto &id : changes.removed) {
                 m_dependencies.logger.event(LogLevel::Info, "endpoint_gone", {{"endpoint", id}, {"revision", changes.revision}});
-                m_state.endpoints.remove(id);
+                m_state.endpoints.remove(id, m_dependencies.clock.now());
                 m_pool.discard(id);
             }
         };
@@ -356,7 +360,7 @@
         if (!registration) {
             m_dependencies.logger.event(LogLevel::Warning, "endpoint_unreadable",
                                         {{"endpoint", object.name}, {"revision", object.revision}});
-            m_state.endpoints.remove(object.name);
+            m_state.endpoints.remove(object.name, m_dependencies.clock.now());
             return;
         }
         const auto *known = m_state.endpoints.find(registration->id);
@@ -550,15 +554,15 @@
     void applyEntryList(const ObjectList &list)
     {
         m_state.entryNames.clear();
-        std::set<std::string> peers;
+        std::map<std::string, std::string, std::less<>> peers;
         for (const auto &item : list.items) {
             m_state.entryNames.push_back(item.name);
             const auto *spec = item.spec.if_object();
             if (spec != nullptr && item.name != m_settings.name) {
-                peers.insert(clients::textOf(*spec, LoadAddressField));
+                peers[item.name] = clients::textOf(*spec, LoadAddressField);
             }
         }
-        m_loadExchange.setPeers(peers);
+        m_peerSocket.setPeers(peers);
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
         m_state.endpoints.turns().setEntries(list.items.size(), endpoints::LoadReporter::period(peers.size()));
@@ -594,6 +598,8 @@
     GatewayState m_state;
     ConnectionPool m_pool;
     WeightRolloutController m_rolloutController;
+    PeerSocket m_peerSocket;
+    OriginExchange m_origins;
     LoadExchange m_loadExchange;
     std::set<std::string, std::less<>> m_evacuatedZones;
     std::multiset<std::string, std::less<>> m_returningZones; ///< once per return after which its endpoints haven't been listed yet
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -14,6 +14,9 @@
 /** How long requests that crashed endpoints are remembered, and how many of them. */
 constexpr Duration SuspectRetention = std::chrono::minutes(2);
 constexpr std::size_t SuspectCapacity = 4096;
+/** How long streams are remembered, which is longer than callers wait for one, and how many of them. */
+constexpr Duration OriginRetention = std::chrono::minutes(1);
+constexpr std::size_t OriginCapacity = 65536;
 /** Share of the retries allowed over all entries that is used; the rest covers entries that join before all others know of them. */
 constexpr double RetryBudgetShare = 0.7;
 /** Maximum age of the last confirmation of the configuration, in percent of the time within which a revocation must take effect. */
@@ -38,6 +41,7 @@
     , retirement(cache::RetirementPolicy{})
     , fetchCosts(cache::FetchCostPolicy{})
     , quarantine(SuspectRetention, SuspectCapacity)
+    , streamOrigins(OriginRetention, OriginCapacity)
 {
 }
 
@@ -73,6 +77,12 @@
     return now - configurationAsOf < settings.maxRevocationDelay * MaxKeyAgePercent / 100;
 }
 
+std::optional<u64> GatewayState::soleSoftware(std::string_view service, Duration before, TimePoint now) const
+{
+    const bool isKnown = endpointsKnownSince && *endpointsKnownSince <= now - before;
+    return isKnown ? endpoints.softwareHistory().sole(service, now - before) : std::nullopt;
+}
+
 std::optional<u64> GatewayState::endpointClockMs(TimePoint time) const
 {
     if (!endpointClockOffsetMs) {
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include <burdock/retry/quarantine.hpp>
 #include <burdock/retry/retry_budget.hpp>
 #include <burdock/routing/route_table.hpp>
+#include <burdock/run/stream_origins.hpp>
 #include <burdock/weights/announced_weights.hpp>
 
 #include <functional>
@@ -51,6 +52,9 @@
     /** @brief Returns until when requests may start on a version of a model's weights; nothing if no newer one was announced. */
     [[nodiscard]] std::optional<TimePoint> weightExpiry(std::string_view model, u64 version, const GatewaySettings &settings) const;
 
+    /** @brief The software of all endpoints of a service in that time before now; nothing if unknown or if there was more than one. */
+    [[nodiscard]] std::optional<u64> soleSoftware(std::string_view service, Duration before, TimePoint now) const;
+
     /** @brief Converts a time to ms on the endpoints' clock; nothing if that clock is unknown. */
     [[nodiscard]] std::optional<u64> endpointClockMs(TimePoint time) const;
 
@@ -72,13 +76,15 @@
     std::optional<i64> endpointClockOffsetMs;
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
     retry::Quarantine quarantine;
+    run::StreamOrigins streamOrigins;
+    u64 bootId = 0; ///< different after each start of this process
     std::vector<std::string> entryNames; ///< of the registered entries
     u32 entryCount = 0; ///< zero while unknown
     std::vector<OutgoingStoreEvents> outgoingStoreEvents; ///< sent with the next message to the other entries
     std::vector<PlacedParts> outgoingPlacements; ///< sent with the next message to the other entries
     std::map<std::string, std::function<void(const CacheEvents &)>> storeListeners; ///< by store; called with events from other entries
     u32 activeRequests = 0;
-    bool hasEndpointList = false; ///< a list of endpoints was received
+    std::optional<TimePoint> endpointsKnownSince; ///< when the first list of endpoints was received
     bool hasEvacuationList = false; ///< the list of evacuated zones was received
     bool isDraining = false;
     TimePoint acceptUntil{}; ///< while draining: later requests are rejected, as they may not finish in time
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -3,31 +3,20 @@
 #include <burdock/runtime/sleep.hpp>
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace burdock::gateway {
 
 namespace {
 
 namespace asio = boost::asio;
-using Udp = asio::ip::udp;
 
-constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr Duration IdlePeriod = std::chrono::milliseconds(400);
-constexpr std::size_t MaxMessageBytes = 60 * 1024;
 /** How long a crash is repeated in each snapshot message, in case some are lost, and the maximum number of requests per message. */
 constexpr Duration SuspectRepeatTime = std::chrono::milliseconds(800);
 constexpr std::size_t MaxSuspects = 200;
 /** Longer ages are treated as this one. */
 constexpr u64 MaxAgeUs = 3'600'000'000;
 
-Udp::endpoint toEndpoint(const runtime::http::Address &address)
-{
-    return {asio::ip::make_address(address.ip), address.port};
-}
-
 void addStoreEvents(schema::EntryLoad &message, const OutgoingStoreEvents &outgoing)
 {
     auto *out = message.add_store_events();
@@ -47,56 +36,38 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state)
+LoadExchange::LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
+                           PeerSocket &socket, OriginExchange &origins)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_state(state)
-    , m_socket(dependencies.context, toEndpoint(settings.loadAddress))
-    , m_bootId(dependencies.random.word())
+    , m_socket(socket)
+    , m_origins(origins)
     , m_startedAt(dependencies.clock.now())
 {
 }
 
-void LoadExchange::setPeers(const std::set<std::string> &addresses)
-{
-    m_peers.clear();
-    for (const auto &text : addresses) {
-        boost::system::error_code error;
-        const auto address = runtime::http::parseAddress(text);
-        const auto ip = asio::ip::make_address(address.ip, error);
-        if (!error && address.port != 0) {
-            m_peers.emplace_back(ip, address.port);
-        }
-    }
-}
-
 asio::awaitable<void> LoadExchange::send()
 {
     while (true) {
         // Messages also carry other knowledge of this entry, so an idle entry keeps sending.
         const bool isBusy = m_state.activeRequests > 0 || needsAnnouncementTimes();
-        const auto period = endpoints::LoadReporter::period(m_peers.size());
+        const auto period = endpoints::LoadReporter::period(m_socket.peerCount());
         co_await runtime::sleepFor(isBusy ? period : std::max(IdlePeriod, period));
         const std::string message = nextMessage();
-        for (const auto &peer : m_peers) {
-            // A datagram that doesn't fit into the send buffer is lost like any other; the next message replaces it.
-            boost::system::error_code ignored;
-            m_socket.send_to(asio::buffer(message), peer, 0, ignored);
-        }
+        m_socket.sendToAll(message);
     }
 }
 
 asio::awaitable<void> LoadExchange::receive()
 {
-    std::string buffer(MaxMessageBytes, '\0');
     while (true) {
-        Udp::endpoint sender;
-        const auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(buffer), sender, Awaitable);
-        if (error == asio::error::operation_aborted) {
+        const auto datagram = co_await m_socket.receive();
+        if (datagram.isClosed) {
             co_return;
         }
-        if (!error) {
-            handleMessage(std::string_view(buffer.data(), size), sender);
+        if (!datagram.bytes.empty()) {
+            handleMessage(datagram.bytes, datagram.sender);
         }
     }
 }
@@ -124,7 +95,7 @@
 {
     schema::EntryLoad message;
     message.set_entry(m_settings.name);
-    message.set_boot_id(m_bootId);
+    message.set_boot_id(m_state.bootId);
     message.set_sequence(++m_sequence);
     message.set_keys_current(m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings));
     const auto unresponsive = m_state.endpoints.unresponsive(m_dependencies.clock.now());
@@ -179,7 +150,7 @@
 // long as they are, for entries that start later.
 void LoadExchange::addSuspects(schema::EntryLoad &message) const
 {
-    const auto recentAge = 2 * endpoints::LoadReporter::period(m_peers.size());
+    const auto recentAge = 2 * endpoints::LoadReporter::period(m_socket.peerCount());
     for (const auto &record : m_state.quarantine.records(m_dependencies.clock.now())) {
         const bool hasRoom = message.suspects_size() < static_cast<int>(MaxSuspects);
         const bool isRepeated = record.age <= SuspectRepeatTime || record.crashes >= retry::TrialPolicy{}.crashThreshold;
@@ -208,11 +179,11 @@
     });
 }
 
-void LoadExchange::answerAnnouncementQuestion(const schema::EntryLoad &question, const Udp::endpoint &askingEntry)
+void LoadExchange::answerAnnouncementQuestion(const schema::EntryLoad &question, const PeerSocket::Endpoint &askingEntry)
 {
     schema::EntryLoad message;
     message.set_entry(m_settings.name);
-    message.set_boot_id(m_bootId);
+    message.set_boot_id(m_state.bootId);
     auto *answer = message.mutable_naming_answer();
     answer->set_asker_boot_id(question.boot_id());
     answer->set_naming_question(question.naming_question());
@@ -228,8 +199,7 @@
             }
         }
     }
-    boost::system::error_code ignored; // the asking entry repeats its question
-    m_socket.send_to(asio::buffer(message.SerializeAsString()), askingEntry, 0, ignored);
+    m_socket.sendTo(askingEntry, message.SerializeAsString());
 }
 
 // The ages in an answer count from the question, as the answer was written later. Counted from its receipt, an answer that waited in the
@@ -238,7 +208,7 @@
 {
     const TimePoint asked(Duration(static_cast<i64>(answer.naming_question())));
     const auto now = m_dependencies.clock.now();
-    const bool isOwnQuestion = answer.asker_boot_id() == m_bootId && asked >= m_startedAt && asked <= now;
+    const bool isOwnQuestion = answer.asker_boot_id() == m_state.bootId && asked >= m_startedAt && asked <= now;
     if (!isOwnQuestion) {
         return;
     }
@@ -262,13 +232,17 @@
     }
 }
 
-void LoadExchange::handleMessage(std::string_view datagram, const Udp::endpoint &sender)
+void LoadExchange::handleMessage(std::string_view datagram, const PeerSocket::Endpoint &sender)
 {
     schema::EntryLoad message;
     if (!message.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())) || message.entry() == m_settings.name) {
         m_dependencies.metrics.count("burdock_loads_unreadable_total");
         return;
     }
+    if (OriginExchange::isOriginMessage(message)) {
+        m_origins.handle(message, sender);
+        return;
+    }
     if (message.has_naming_answer()) {
         applyAnnouncementAnswer(message.entry(), message.naming_answer());
         return;
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -1,13 +1,9 @@
 #pragma once
 
-#include "gateway_state.hpp"
+#include "origin_exchange.hpp"
 
 #include <burdock/endpoints/load_reporter.hpp>
-#include <burdock/link.pb.h>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/udp.hpp>
-#include <set>
 #include <vector>
 
 namespace burdock::gateway {
@@ -20,11 +16,9 @@
 class LoadExchange
 {
 public:
-    /** @throws boost::system::system_error if the UDP address can't be bound */
-    LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state);
-
-    /** @brief Sets the addresses of the other entries, as IP:port; invalid ones are skipped. */
-    void setPeers(const std::set<std::string> &addresses);
+    /** @param origins handles the messages about streams */
+    LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, PeerSocket &socket,
+                 OriginExchange &origins);
 
     /** @brief Sends load messages to all peers until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> send();
@@ -35,18 +29,17 @@
 private:
     [[nodiscard]] std::string nextMessage();
     void addSuspects(schema::EntryLoad &message) const;
-    void handleMessage(std::string_view datagram, const boost::asio::ip::udp::endpoint &sender);
+    void handleMessage(std::string_view datagram, const PeerSocket::Endpoint &sender);
     [[nodiscard]] bool needsAnnouncementTimes() const;
-    void answerAnnouncementQuestion(const schema::EntryLoad &question, const boost::asio::ip::udp::endpoint &askingEntry);
+    void answerAnnouncementQuestion(const schema::EntryLoad &question, const PeerSocket::Endpoint &askingEntry);
     void applyAnnouncementAnswer(const std::string &sender, const schema::NamingAnswer &answer);
     void applyStoreEvents(const schema::StoreEvents &message);
 
     const GatewayDependencies &m_dependencies;
     const GatewaySettings &m_settings;
     GatewayState &m_state;
-    boost::asio::ip::udp::socket m_socket;
-    std::vector<boost::asio::ip::udp::endpoint> m_peers;
-    u64 m_bootId;
+    PeerSocket &m_socket;
+    OriginExchange &m_origins;
     TimePoint m_startedAt;
     u64 m_sequence = 0;
     endpoints::LoadReporter m_loadReporter;
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -59,11 +59,12 @@
 } // namespace
 
 RequestForwarder::RequestForwarder(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                                   ConnectionPool &pool, const http::Request &request, http::Reply &reply)
+                                   ConnectionPool &pool, OriginExchange &origins, const http::Request &request, http::Reply &reply)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_state(state)
     , m_pool(pool)
+    , m_origins(origins)
     , m_request(request)
     , m_reply(reply)
 {
@@ -86,10 +87,55 @@
             m_connection->close();
         }
     });
-    co_await tryEndpoints();
+    const bool isOriginKnown = co_await findOrigin();
+    if (isOriginKnown) {
+        co_await tryEndpoints();
+    } else {
+        m_state.quarantine.returnTrial(m_fingerprint, retry::TrialPolicy{}, m_dependencies.clock.now());
+        const Rejection rejection{503, "stream_origin_unknown", {}};
+        co_await reject(rejection);
+    }
     --m_state.activeRequests;
 }
 
+bool RequestForwarder::isResumption() const
+{
+    return m_route->isResumable && (!m_requestMetadata.lastEventId.empty() || !m_requestMetadata.resumedAttemptId.empty());
+}
+
+// Endpoints don't check with which software a stream began that they continue, and what two versions write doesn't fit together. So a
+// stream that its caller takes up must not continue anywhere while that isn't known.
+boost::asio::awaitable<bool> RequestForwarder::findOrigin()
+{
+    if (!isResumption()) {
+        co_return true;
+    }
+    run::OriginKnowledge known;
+    known.isNamed = !m_requestMetadata.resumedAttemptId.empty();
+    if (known.isNamed) {
+        const auto search = co_await m_origins.find(hash::hash64(m_requestMetadata.resumedAttemptId));
+        known.recorded = search.software;
+        known.haveAllAnswered = search.haveAllAnswered;
+    }
+    const auto now = m_dependencies.clock.now();
+    // A gateway that is cut off from the platform doesn't learn of new endpoints.
+    const bool isUpToDate = m_state.areKeysCurrent(now, m_settings);
+    known.soleNow = m_state.soleSoftware(m_service, Duration::zero(), now);
+    known.soleAllAlong = isUpToDate ? m_state.soleSoftware(m_service, m_route->timeout, now) : std::nullopt;
+    m_streamSoftware = run::softwareToContinueWith(known);
+    co_return m_streamSoftware.has_value();
+}
+
+// Other gateways must know the origin before the caller can take up the stream, so it is published before the first event is passed on.
+void RequestForwarder::noteOrigin()
+{
+    if (m_streamSoftware || !m_route->isResumable) {
+        return;
+    }
+    m_streamSoftware = m_endpointSoftware;
+    m_origins.publish(hash::hash64(m_requestMetadata.attemptId), m_endpointSoftware);
+}
+
 std::optional<RequestForwarder::Rejection> RequestForwarder::validate()
 {
     if (m_state.isDraining && m_arrivedAt > m_state.acceptUntil) {
@@ -254,6 +300,7 @@
         };
     }
     selectionRequest.tried = m_triedEndpoints;
+    selectionRequest.software = m_streamSoftware;
     return selectionRequest;
 }
 
@@ -302,6 +349,7 @@
     attempt.response.status = 0;
     const auto *endpoint = m_state.endpoints.find(id);
     m_startDeadline = startDeadline(*endpoint);
+    m_endpointSoftware = endpoint->software;
     const auto request = buildRequest(*endpoint);
     m_sentAt = m_dependencies.clock.now();
     m_isPrefillPending = m_route->isPrompt;
@@ -488,6 +536,7 @@
         noteFirstEvent(id);
         const auto events = m_sseSplitter.append(chunk.data);
         if (!events.empty()) {
+            noteOrigin();
             const bool isDelivered = co_await m_reply.write(events);
             if (!isDelivered) {
                 m_isCallerDisconnected = true;
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
-#include "gateway_state.hpp"
+#include "origin_exchange.hpp"
 #include "prompt_planner.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
@@ -17,7 +17,7 @@
 {
 public:
     RequestForwarder(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, ConnectionPool &pool,
-                     const runtime::http::Request &request, runtime::http::Reply &reply);
+                     OriginExchange &origins, const runtime::http::Request &request, runtime::http::Reply &reply);
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
@@ -42,6 +42,9 @@
     [[nodiscard]] std::optional<Rejection> checkApiKey();
     [[nodiscard]] std::optional<Rejection> checkListsReceived() const;
     [[nodiscard]] Rejection staleKeysRejection();
+    [[nodiscard]] bool isResumption() const;
+    [[nodiscard]] boost::asio::awaitable<bool> findOrigin();
+    void noteOrigin();
     [[nodiscard]] boost::asio::awaitable<void> tryEndpoints();
     [[nodiscard]] boost::asio::awaitable<void> stopTrying(const Rejection &rejection, const Attempt &lastAttempt);
     [[nodiscard]] endpoints::SelectionRequest makeSelectionRequest() const;
@@ -70,6 +73,7 @@
     const GatewaySettings &m_settings;
     GatewayState &m_state;
     ConnectionPool &m_pool;
+    OriginExchange &m_origins;
     const runtime::http::Request &m_request;
     runtime::http::Reply &m_reply;
 
@@ -94,6 +98,8 @@
     bool m_isCallerDisconnected = false; ///< the caller closed the connection
     bool m_isStreamStarted = false; ///< the head of a stream was sent to the caller
     run::SseSplitter m_sseSplitter;
+    u64 m_endpointSoftware = 0; ///< Endpoint::software of the current attempt, as of when the request was sent
+    std::optional<u64> m_streamSoftware; ///< Endpoint::software with which the stream began; it must not continue with any other
     std::optional<TimePoint> m_firstByteAt;
     std::optional<TimePoint> m_firstEventAt;
 };
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -4,6 +4,7 @@
 #include <burdock/endpoints/cold_admission.hpp>
 #include <burdock/endpoints/peer_loads.hpp>
 #include <burdock/endpoints/placement_turns.hpp>
+#include <burdock/endpoints/software_history.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/types.hpp>
 
@@ -109,6 +110,7 @@
     Duration target{}; ///< target time to the first event; zero for no limit
     Duration timeOfDay{}; ///< wall-clock time, by which entries take turns at cold endpoints
     std::set<std::string, std::less<>> tried; ///< ids of endpoints that must not be selected again
+    std::optional<u64> software; ///< if set, only endpoints with this Endpoint::software are selected
 };
 
 /** @brief Why no endpoint was selected. */
@@ -154,6 +156,7 @@
 {
     Registration registration;
     u64 hash = 0; ///< hash of the id
+    u64 software = 0; ///< hash of service and software version
     Load ownLoad; ///< load caused by this entry
     TimePoint lastHeard{};
     std::optional<TimePoint> waitingSince; ///< start of the current silence while requests are in progress
@@ -180,10 +183,10 @@
     /** @brief Adds or updates an endpoint; discards the state of an earlier instance with the same id. */
     void setRegistration(const Registration &registration, TimePoint now);
     /** @brief Removes an endpoint once it has no more requests in progress; it gets no new ones. */
-    void remove(std::string_view id);
+    void remove(std::string_view id, TimePoint now);
 
     /** @brief Removes all endpoints whose id is not in the complete list `ids`, like remove(). */
-    void keepOnly(const std::set<std::string, std::less<>> &ids);
+    void keepOnly(const std::set<std::string, std::less<>> &ids, TimePoint now);
 
     void setEvacuatedZones(std::set<std::string, std::less<>> zones);
 
@@ -205,6 +208,9 @@
 
     [[nodiscard]] const Policy &policy() const;
 
+    /** @brief Which Endpoint::software the registered endpoints have and had. */
+    [[nodiscard]] const SoftwareHistory &softwareHistory() const;
+
     /** @brief Selects an endpoint. The caller records the request with noteSent(). */
     [[nodiscard]] Selection choose(const SelectionRequest &request, TimePoint now);
 
@@ -316,6 +322,7 @@
     ColdAdmission m_coldAdmission;
     PlacementTurns m_turns;
     Endpoints m_endpoints;
+    SoftwareHistory m_softwareHistory;
     std::unordered_map<u64, Endpoint *> m_byHash;
     std::set<std::string, std::less<>> m_evacuatedZones;
     std::set<std::string, std::less<>> m_returningZones;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -98,6 +98,8 @@
         known = std::max(known, version);
     }
     endpoint.hash = hash::hash64(registration.id);
+    endpoint.software = hash::hash64(registration.softwareVersion, hash::hash64(registration.service));
+    m_softwareHistory.set(registration.id, registration.service, endpoint.software, now);
     m_byHash[endpoint.hash] = &endpoint;
     endpoint.isDeregistered = false;
     if (registration.remainingColdTime > Duration::zero()) {
@@ -105,8 +107,9 @@
     }
 }
 
-void EndpointTable::remove(std::string_view id)
+void EndpointTable::remove(std::string_view id, TimePoint now)
 {
+    m_softwareHistory.remove(id, now);
     const auto found = m_endpoints.find(id);
     if (found != m_endpoints.end()) {
         found->second.isDeregistered = true;
@@ -114,10 +117,13 @@
     }
 }
 
-void EndpointTable::keepOnly(const std::set<std::string, std::less<>> &ids)
+void EndpointTable::keepOnly(const std::set<std::string, std::less<>> &ids, TimePoint now)
 {
     for (auto &[id, endpoint] : m_endpoints) {
-        endpoint.isDeregistered = endpoint.isDeregistered || ids.count(id) == 0;
+        if (ids.count(id) == 0) {
+            endpoint.isDeregistered = true;
+            m_softwareHistory.remove(id, now);
+        }
     }
     for (auto endpoint = m_endpoints.begin(); endpoint != m_endpoints.end();) {
         eraseIfUnused(endpoint++);
@@ -154,6 +160,11 @@
     return m_policy;
 }
 
+const SoftwareHistory &EndpointTable::softwareHistory() const
+{
+    return m_softwareHistory;
+}
+
 Selection EndpointTable::choose(const SelectionRequest &request, TimePoint now)
 {
     return request.memory == 0 ? choosePlain(request, now) : choosePrompt(request, now);
@@ -538,6 +549,9 @@
     if (registration.service != request.service || registration.isDraining || endpoint.isDeregistered) {
         return false;
     }
+    if (request.software && endpoint.software != *request.software) {
+        return false;
+    }
     if (m_evacuatedZones.count(registration.zone) > 0 || request.tried.count(registration.id) > 0) {
         return false;
     }
--- a/tests/integration/stream_versions_test.cpp
+++ b/tests/integration/stream_versions_test.cpp
@@ -81,10 +81,11 @@
     return "s" + std::to_string(number);
 }
 
-/** @brief A call with a prompt that shares no parts with those of the other streams, so that each has a preferred engine of its own. */
+/** @brief A call whose body and prompt differ from those of the other streams: equal ones count as one that crashes engines. */
 GatewayCall streamCall(const std::string &attempt, u32 number)
 {
     auto call = promptCall("/resumable/1", attempt);
+    call.body = std::to_string(number);
     call.extraHeaders.back().second = fmt::format("{0:x}:6,{0:x}0:4", number + 1);
     return call;
 }
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -529,7 +529,7 @@
     auto draining = engine(0);
     draining.isDraining = true;
     table.setRegistration(draining, at(0ms));
-    table.remove("engine-2");
+    table.remove("engine-2", at(0ms));
     for (u64 i = 0; i < 20; ++i) {
         CHECK(table.choose(plainRequest(i), at(0ms)).id == "engine-1");
     }
@@ -545,3 +545,29 @@
     CHECK((table.choose(plainRequest(1), at(200ms)).reason == SelectionFailure::NoEndpoint));
     CHECK((table.choose(plainRequest(1), at(260ms)).reason == SelectionFailure::None));
 }
+
+// Guards against sending the rest of a stream to an endpoint with other software than the one that began it, the best of all as it may be.
+TEST_CASE("a request that needs certain software goes to an endpoint that has it, or to none")
+{
+    auto table = makeTable(3);
+    auto updated = engine(0);
+    updated.softwareVersion = "v2";
+    table.setRegistration(updated, at(0ms));
+    const u64 oldSoftware = table.find("engine-1")->software;
+    const u64 newSoftware = table.find("engine-0")->software;
+    REQUIRE(oldSoftware != newSoftware);
+    CHECK(table.find("engine-2")->software == oldSoftware);
+    for (u64 i = 0; i < 20; ++i) {
+        auto request = plainRequest(i);
+        request.software = newSoftware;
+        CHECK(table.choose(request, at(0ms)).id == "engine-0");
+        request.software = oldSoftware;
+        CHECK(table.choose(request, at(0ms)).id != "engine-0");
+    }
+    table.remove("engine-0", at(1s));
+    auto request = plainRequest(1);
+    request.software = newSoftware;
+    CHECK((table.choose(request, at(1s)).reason == SelectionFailure::NoEndpoint));
+    CHECK(table.softwareHistory().sole(request.service, at(1s)) == std::nullopt);
+    CHECK(table.softwareHistory().sole(request.service, at(2s)) == oldSoftware);
+}
