Admit the rest of a stream where a new prompt would be refused

Under overload, new prompts fill all engines up to the limits of delay and memory, and take each gap at once. A stream that may continue only at the engines with its software, say two of twelve, finds a gap there far less often than a new prompt finds one anywhere: at 110, 130 and 200 % of the capacity, with one arrival in twenty such a stream, 45, 17 and 20 % go on where delay binds (new prompts: 94, 81, 52 % begin), and 27, 18 and 11 % where memory does (93, 79, 52 %). The callers of these streams lose what they have, or begin again.

The rest of a stream now has twice the target time, and 115 % of the memory: 100 % go on at all three loads where delay binds (new 91, 77, 48 %), and 92, 90 and 80 % where memory does (90, 76, 49 %). Test: a pure simulation of that load, which failed before at all six points.

--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -77,6 +77,9 @@
     Duration delayTolerance = std::chrono::milliseconds(30);
     /** Maximum expected delay at which a prompt is admitted, in percent of the target time to its first event. */
     u32 admissionPercent = 100;
+    /** The same limits for the rest of a stream, which only engines with its software can take and which new prompts would keep out. */
+    u32 continuationMemoryLimitPercent = 115;
+    u32 continuationAdmissionPercent = 200;
     /** Time within which nearly all prompts start: a percentage of the expected delay, plus a constant that the estimate does not cover. */
     u32 startDelayPercent = 200;
     Duration startDelaySlack = std::chrono::milliseconds(350);
@@ -301,7 +304,7 @@
     [[nodiscard]] bool hasExpiredWeights(const Endpoint &endpoint, const SelectionRequest &request, TimePoint start) const;
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isUnresponsiveToPeers(const Endpoint &endpoint, TimePoint now) const;
-    [[nodiscard]] bool hasMemory(const Endpoint &endpoint, u64 needed) const;
+    [[nodiscard]] bool hasMemory(const Endpoint &endpoint, u64 needed, u32 limitPercent) const;
     [[nodiscard]] bool tryAdmit(Endpoint &endpoint, Duration timeOfDay, TimePoint now);
     [[nodiscard]] Selection choosePlain(const SelectionRequest &request, TimePoint now);
     [[nodiscard]] Selection choosePrompt(const SelectionRequest &request, TimePoint now);
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -205,11 +205,14 @@
 {
     std::vector<Candidate> candidates;
     bool isAnyEligible = false;
+    const bool isContinuation = request.software.has_value();
+    const u32 memoryPercent = isContinuation ? m_policy.continuationMemoryLimitPercent : m_policy.memoryLimitPercent;
+    const u32 delayPercent = isContinuation ? m_policy.continuationAdmissionPercent : m_policy.admissionPercent;
     for (auto &[id, endpoint] : m_endpoints) {
         if (isEligible(endpoint, request, now)) {
             isAnyEligible = true;
             const u64 memory = requiredMemory(endpoint, request);
-            if (!hasMemory(endpoint, memory)) {
+            if (!hasMemory(endpoint, memory, memoryPercent)) {
                 continue;
             }
             const auto candidate = makeCandidate(endpoint, memory, request, now);
@@ -232,7 +235,7 @@
     });
     Selection selection;
     selection.reason = isAnyEligible ? SelectionFailure::NoRoom : SelectionFailure::NoEndpoint;
-    const auto maxDelay = request.target * m_policy.admissionPercent / 100;
+    const auto maxDelay = request.target * delayPercent / 100;
     for (const auto &candidate : candidates) {
         if (request.target > Duration::zero() && candidate.delay > maxDelay) {
             selection.reason = SelectionFailure::TooSlow;
@@ -588,9 +591,9 @@
         && m_peers.unresponsiveReportCount(endpoint.hash) >= m_policy.unresponsiveQuorum;
 }
 
-bool EndpointTable::hasMemory(const Endpoint &endpoint, u64 needed) const
+bool EndpointTable::hasMemory(const Endpoint &endpoint, u64 needed, u32 limitPercent) const
 {
-    const u64 memory = limitsOf(endpoint.registration.service).cacheTokens * m_policy.memoryLimitPercent / 100;
+    const u64 memory = limitsOf(endpoint.registration.service).cacheTokens * limitPercent / 100;
     const u64 taken = loadAt(endpoint).memory;
     // A prompt larger than the whole memory is admitted to an idle engine; otherwise it could never run.
     return memory == 0 || taken == 0 || taken + needed <= memory;
