Don't take a stream for unknown everywhere while the list of gateways hasn't come yet

A gateway without that list asks nobody, and counted this as all having answered. Found in review; a restarted gateway refused such streams anyhow for as long as it had not followed the endpoints for the route's timeout.

--- a/lib/libburdock-gateway/source/origin_exchange.cpp
+++ b/lib/libburdock-gateway/source/origin_exchange.cpp
@@ -51,7 +51,8 @@
     result.software = m_state.streamOrigins.find(stream);
     auto others = responsibleOthers(stream);
     if (result.software || others.empty()) {
-        result.haveAllAnswered = true;
+        // Until the list of entries has been received, nobody is known who could be asked.
+        result.haveAllAnswered = m_state.entryCount > 0;
         co_return result;
     }
     const auto executor = co_await asio::this_coro::executor;
