Check in the soak that streams keep to one software version and all their events

Engines of the soak have one of two versions, and callers take broken streams up through any gateway. Proxies reset what they break now, and started processes inherit no descriptor, which replaces the shutdown before closing.

--- a/soak/back_end.cpp
+++ b/soak/back_end.cpp
@@ -26,17 +26,19 @@
 constexpr u16 ServerError = 500;
 constexpr u16 Unavailable = 503;
 constexpr const char *PoisonPath = "/read/poison";
+constexpr const char *ResumablePath = "/resumable/";
 constexpr const char *NotExecutedHeader = "X-Not-Executed: 1\r\n";
 
 } // namespace
 
 BackEnd::BackEnd(boost::asio::io_context &workers, standins::ObjectStore &store, GuaranteeChecker &checker, std::string id,
-                 std::string service, std::string zone)
+                 std::string service, std::string zone, std::string softwareVersion)
     : m_store(store)
     , m_checker(checker)
     , m_id(std::move(id))
     , m_service(std::move(service))
     , m_zone(std::move(zone))
+    , m_softwareVersion(std::move(softwareVersion))
     , m_replica(std::make_unique<standins::Replica>([this](const auto &request, auto &connection) { return serve(request, connection); }))
     , m_proxy(std::make_unique<standins::FaultProxy>(workers, m_replica->address()))
 {
@@ -70,6 +72,7 @@
     registration.service = m_service;
     registration.address = m_proxy->address();
     registration.zone = m_zone;
+    registration.softwareVersion = m_softwareVersion;
     registration.isDraining = m_isDraining;
     registration.weights = weightVersion();
     m_store.put("servers", m_id, support::replicaObject(registration));
@@ -166,14 +169,17 @@
     const auto attempt = request.header("X-Attempt-Id");
     const bool isUnframed = std::hash<std::string>()(attempt) % UnframedOneIn == 0;
     const int slowdown = mode == EndpointMode::Slow ? SlowFactor : 1;
+    const bool isResumable = request.target.starts_with(ResumablePath);
+    const auto &data = isResumable ? m_softwareVersion : attempt;
+    const auto lastEvent = request.header("Last-Event-Id");
     connection.write(isUnframed ? standins::unframedStreamHead(request) : standins::streamHead(request));
-    for (u32 event = 1; event <= EventsPerPrompt; ++event) {
-        const auto text = standins::eventText(event, attempt);
+    for (u32 event = 1 + (lastEvent.empty() ? 0 : static_cast<u32>(std::stoul(lastEvent))); event <= EventsPerPrompt; ++event) {
+        const auto text = standins::eventText(event, data);
         if (mode == EndpointMode::Truncating && event > EventsPerPrompt / 2) {
             connection.write(isUnframed ? text.substr(0, text.size() / 2) : "");
             return ConnectionAction::Close;
         }
-        connection.write(isUnframed ? text : standins::eventChunk(event, attempt));
+        connection.write(isUnframed ? text : standins::eventChunk(event, data));
         std::this_thread::sleep_for(EventInterval * slowdown);
     }
     if (isUnframed) {
--- a/soak/back_end.hpp
+++ b/soak/back_end.hpp
@@ -34,7 +34,7 @@
 {
 public:
     BackEnd(boost::asio::io_context &workers, standins::ObjectStore &store, GuaranteeChecker &checker, std::string id, std::string service,
-            std::string zone);
+            std::string zone, std::string softwareVersion);
 
     [[nodiscard]] const std::string &id() const;
     [[nodiscard]] standins::FaultProxy &proxy();
@@ -68,6 +68,7 @@
     std::string m_id;
     std::string m_service;
     std::string m_zone;
+    std::string m_softwareVersion;
     std::atomic<EndpointMode> m_mode{EndpointMode::Healthy};
     std::atomic<bool> m_isDraining{false};
     std::mutex m_mutex; ///< guards the members up to m_loadFinishTime
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -16,14 +16,31 @@
 constexpr Duration ResponseTimeout = std::chrono::milliseconds(4000);
 constexpr Duration AbandonTimeout = std::chrono::milliseconds(12);
 constexpr u32 MaxPauseMs = 25;
+constexpr u16 StatusOk = 200;
 constexpr u32 AbandonOneIn = 12;
 constexpr u32 SwitchGatewayOneIn = 20;
 constexpr u32 PoisonOneIn = 40;
 /** Number of most recent rotating keys in use: the current one and those that were revoked before it. */
 constexpr std::size_t RotatingKeyCount = 3;
 constexpr u32 KeyChoiceRange = 12;
-constexpr std::array<const char *, 4> Paths{"/once/x", "/read/x", "/prompts/x", "/read/poison"};
-constexpr u32 RegularKindCount = 3;
+constexpr std::array<const char *, 5> Paths{"/once/x", "/read/x", "/prompts/x", "/resumable/x", "/read/poison"};
+constexpr u32 RegularKindCount = 4;
+constexpr std::string_view EventEnd = "\n\n";
+
+std::string completeEvents(const std::string &body)
+{
+    const auto end = body.rfind(EventEnd);
+    return end == std::string::npos ? std::string() : body.substr(0, end + EventEnd.size());
+}
+
+u32 countEvents(std::string_view events)
+{
+    u32 count = 0;
+    for (auto end = events.find(EventEnd); end != std::string_view::npos; end = events.find(EventEnd, end + 1)) {
+        ++count;
+    }
+    return count;
+}
 
 } // namespace
 
@@ -72,6 +89,21 @@
 }
 
 boost::asio::awaitable<CallOutcome> Caller::call(u32 gateway, CallKind kind, const std::string &key)
+{
+    const StreamStart none;
+    const auto outcome = co_await call(gateway, kind, key, none);
+    StreamStart start;
+    start.attempt = fmt::format("c{}-{}", m_number, m_callCount);
+    start.events = completeEvents(outcome.body);
+    start.lastEvent = countEvents(start.events);
+    if (kind == CallKind::ResumablePrompt && !outcome.isComplete && start.lastEvent > 0) {
+        const u32 other = randomBelow(static_cast<u32>(m_gateways.size()));
+        co_return co_await call(other, kind, key, start);
+    }
+    co_return outcome;
+}
+
+boost::asio::awaitable<CallOutcome> Caller::call(u32 gateway, CallKind kind, const std::string &key, const StreamStart &start)
 {
     if (m_currentGateway != gateway) {
         m_connection.reset();
@@ -93,7 +125,11 @@
     request.method = kind == CallKind::Read || kind == CallKind::Poison ? "GET" : "POST";
     request.target = Paths.at(static_cast<std::size_t>(kind));
     request.headers = {{"Host", "desk.example"}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "3000"}, {"Authorization", "Token " + key}};
-    if (kind == CallKind::Prompt) {
+    if (start.lastEvent > 0) {
+        request.headers.emplace_back("Resumes", start.attempt);
+        request.headers.emplace_back("Last-Event-Id", std::to_string(start.lastEvent));
+    }
+    if (kind == CallKind::Prompt || kind == CallKind::ResumablePrompt) {
         request.headers.emplace_back("X-Model-Id", "m");
         request.headers.emplace_back("X-Token-Usage", "40,6");
         request.headers.emplace_back("X-Prompt-Prefix", fmt::format("{:x}:30,{:x}:10", randomBelow(16) + 1, 100 + m_number));
@@ -101,6 +137,9 @@
     const u32 incarnation = m_gateways[gateway]->incarnation;
     m_checker.noteSent(attempt, {kind, gateway, incarnation, m_gateways[gateway]->startedAt, key, now()});
     outcome = co_await sendRequest(request);
+    if (start.lastEvent > 0 && outcome.status == StatusOk) {
+        outcome.body.insert(0, start.events);
+    }
     m_checker.noteOutcome(attempt, outcome);
     co_return outcome;
 }
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -48,6 +48,15 @@
     [[nodiscard]] boost::asio::awaitable<CallOutcome> call(u32 gateway, CallKind kind, const std::string &key);
 
 private:
+    /** @brief Events of a stream that broke off, which a call continues. */
+    struct StreamStart
+    {
+        std::string attempt; ///< that began the stream
+        std::string events; ///< complete ones
+        u32 lastEvent = 0;
+    };
+
+    [[nodiscard]] boost::asio::awaitable<CallOutcome> call(u32 gateway, CallKind kind, const std::string &key, const StreamStart &start);
     [[nodiscard]] boost::asio::awaitable<CallOutcome> sendRequest(const runtime::http::Request &request);
     [[nodiscard]] boost::asio::awaitable<void> readBody(CallOutcome &outcome);
     [[nodiscard]] u32 randomBelow(u32 limit);
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -198,8 +198,9 @@
 BackEnd &Deployment::addEndpoint(bool isEngine, const std::string &zone)
 {
     const auto service = isEngine ? std::string("engines") : std::string("plain");
+    const std::string softwareVersion = m_endpointCount % 2 == 0 ? "v1" : "v2";
     const auto id = fmt::format("{}-{}", service, m_endpointCount++);
-    m_endpoints.push_back(std::make_unique<BackEnd>(m_pool.context(), m_store, m_checker, id, service, zone));
+    m_endpoints.push_back(std::make_unique<BackEnd>(m_pool.context(), m_store, m_checker, id, service, zone, softwareVersion));
     m_endpoints.back()->publishRegistration();
     return *m_endpoints.back();
 }
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> KindNames{"once", "read", "prompt", "poison"};
+constexpr std::array<std::string_view, 5> KindNames{"once", "read", "prompt", "resumable prompt", "poison"};
 constexpr u16 Ok = 200;
 constexpr u16 Unauthorized = 401;
 constexpr u16 NotFound = 404;
@@ -222,6 +222,10 @@
 void GuaranteeChecker::checkResponse(const std::string &id, const Attempt &attempt)
 {
     const auto &outcome = *attempt.outcome;
+    if (attempt.sent.kind == CallKind::ResumablePrompt) {
+        checkResumableStream(id, outcome);
+        return;
+    }
     if (outcome.status != Ok || !outcome.isComplete || outcome.isAbandoned) {
         return;
     }
@@ -242,6 +246,26 @@
     }
 }
 
+// The data of each event is the software version of the endpoint that wrote it. The body includes the events from before a break.
+void GuaranteeChecker::checkResumableStream(const std::string &id, const CallOutcome &outcome)
+{
+    if (outcome.status != Ok || outcome.isAbandoned) {
+        return;
+    }
+    const auto isStreamOf = [&outcome](const std::string &software) {
+        std::string events;
+        for (u32 event = 1; event <= EventsPerPrompt; ++event) {
+            events += fmt::format("id: {}\ndata: {}\n\n", event, software);
+        }
+        return outcome.isComplete ? outcome.body == events : events.starts_with(outcome.body);
+    };
+    if (!isStreamOf("v1") && !isStreamOf("v2")) {
+        addViolation("a stream has all its events in order, from endpoints with one software version",
+                     fmt::format("{} received '{}', complete: {}", id, outcome.body.substr(0, 200), outcome.isComplete));
+    }
+    m_counts["streams complete"] += outcome.isComplete ? 1 : 0;
+}
+
 void GuaranteeChecker::checkNotRunRefusal(const std::string &id, const Attempt &attempt)
 {
     if (attempt.sent.kind == CallKind::AtMostOnce && attempt.outcome && isNotRunStatus(attempt.outcome->status)
--- a/soak/guarantee_checker.hpp
+++ b/soak/guarantee_checker.hpp
@@ -11,6 +11,7 @@
     AtMostOnce,
     Read,
     Prompt,
+    ResumablePrompt, ///< a prompt whose stream its caller takes up once if it breaks off
     Poison, ///< a read that crashes each endpoint that executes it
 };
 
@@ -134,6 +135,7 @@
     void checkEndpoint(const Attempt &attempt, const CallExecution &call);
     void checkWeights(const Attempt &attempt, const CallExecution &call);
     void checkResponse(const std::string &id, const Attempt &attempt);
+    void checkResumableStream(const std::string &id, const CallOutcome &outcome);
     void checkNotRunRefusal(const std::string &id, const Attempt &attempt);
     void checkLostCall(const std::string &id, const Attempt &attempt);
     void checkUnknownKey(const std::string &id, const Attempt &attempt);
--- a/tests/integration/support/child_process.cpp
+++ b/tests/integration/support/child_process.cpp
@@ -29,6 +29,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection that this process closes stays open while a child holds a copy of its socket.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int status = posix_spawn(&m_pid, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (status != 0) {
--- a/tests/standins/source/fault_proxy.cpp
+++ b/tests/standins/source/fault_proxy.cpp
@@ -33,14 +33,20 @@
 
     void close()
     {
-        // A child process that was started meanwhile holds copies of the sockets, so closing alone would not end the connections.
         boost::system::error_code ignored;
-        caller.shutdown(Tcp::socket::shutdown_both, ignored);
-        server.shutdown(Tcp::socket::shutdown_both, ignored);
         caller.close(ignored);
         server.close(ignored);
     }
 
+    // Closes like a connection that breaks on the way: without the regular end that marks a body without a length as complete.
+    void reset()
+    {
+        boost::system::error_code ignored;
+        caller.set_option(asio::socket_base::linger(true, 0), ignored);
+        server.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     [[nodiscard]] bool hasCallerLeft()
     {
         char byte = 0;
@@ -256,7 +262,11 @@
             while (isResponse && connection->number <= self->lastHeldResponse) {
                 co_await runtime::sleepFor(HoldPollInterval);
             }
-            if (error || (isResponse && self->isDroppingResponses)) {
+            if (isResponse && (self->isDroppingResponses || (error && error != asio::error::eof))) {
+                connection->reset();
+                co_return;
+            }
+            if (error) {
                 connection->close();
                 co_return;
             }
@@ -271,7 +281,7 @@
             const auto [writeError, written] = co_await asio::async_write(to, asio::buffer(buffer.data(), forwardedBytes), Awaitable);
             connection->responseBytes += isResponse ? forwardedBytes : 0;
             if (writeError || forwardedBytes < size) {
-                connection->close();
+                connection->reset();
                 co_return;
             }
         }
@@ -303,7 +313,7 @@
 
 void FaultProxy::closeConnections()
 {
-    m_impl->forEach([](const std::shared_ptr<Connection> &connection) { connection->close(); });
+    m_impl->forEach([](const std::shared_ptr<Connection> &connection) { connection->reset(); });
 }
 
 void FaultProxy::stallConnections()
