--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -388,6 +388,8 @@
                                      {"inside_event", m_sseSplitter.isInsideEvent()},
                                      {"kept_connection", m_isReusedConnection},
                                      {"caller_gone", m_isCallerDisconnected},
+                                     {"fingerprint", m_fingerprint},
+                                     {"crashes", u64{m_state.quarantine.crashes(m_fingerprint, now)}},
                                      {"begun", u64{m_history.begun}},
                                      {"declined", u64{m_history.declined}},
                                      {"waited_ms", toMilliseconds(elapsed())}});
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -112,6 +112,38 @@
     }
 }
 
+// Guards against a message of conversations that crashes one engine after the other because no two of the conversations are alike.
+TEST_CASE(
+    "conversations with a message that crashes engines are refused across all entries, and others with their other messages are served")
+{
+    auto options = engineOptions(4);
+    options.entries = 2;
+    Deployment deployment(options);
+    deployment.start();
+    const auto conversation = [](const std::string &document, u32 number) {
+        PromptCall call;
+        call.messages = {"common instructions", document, "question " + std::to_string(number)};
+        return call;
+    };
+    const auto crashes = [&deployment] {
+        u32 total = 0;
+        for (u32 i = 0; i < 4; ++i) {
+            total += deployment.engine(i).crashes();
+        }
+        return total;
+    };
+    for (u32 i = 0; i < 40; ++i) {
+        CHECK_FALSE(sendAndWait(deployment, i % 2, conversation("POISON", i)).isComplete);
+    }
+    MESSAGE("crashes: " << crashes());
+    CHECK(crashes() <= 8); // five, and three that may follow
+    u32 served = 0;
+    for (u32 i = 0; i < 20; ++i) {
+        served += sendAndWait(deployment, i % 2, conversation("sound", i)).isComplete ? 1 : 0;
+    }
+    CHECK(served == 20);
+}
+
 // Half of the endpoints are down and every request is retried on another. Without a retry budget, the other half is overloaded by twice
 // its load.
 TEST_CASE("while half of the endpoints are down, attempts stay within 1.2 times the requests")
--- a/tests/integration/support/caller.cpp
+++ b/tests/integration/support/caller.cpp
@@ -30,6 +30,32 @@
     return error || !value.is_object() ? json::object() : value.get_object();
 }
 
+std::string bodyOf(const PromptCall &call)
+{
+    json::object body{{"model", "m"}, {"max_tokens", call.tokens}, {"stream", call.isStreamed}};
+    json::array messages;
+    for (const auto &message : call.messages) {
+        messages.push_back(json::object{{"role", "user"}, {"content", message}});
+    }
+    if (messages.empty()) {
+        body["prompt"] = call.prompt;
+    } else {
+        body["messages"] = std::move(messages);
+    }
+    return json::serialize(body);
+}
+
+/** @brief Text of one choice, of a completion or of a conversation; empty if it has none. */
+std::string textOf(const json::value &choice)
+{
+    const auto &fields = choice.as_object();
+    const auto *text = fields.if_contains("text");
+    if (text == nullptr && fields.contains("delta")) {
+        text = fields.at("delta").as_object().if_contains("content");
+    }
+    return text == nullptr ? std::string() : std::string(text->as_string());
+}
+
 void readUsage(const json::object &document, CallResult &result)
 {
     const auto *usage = document.if_contains("usage");
@@ -63,7 +89,7 @@
         readUsage(document, result);
         readProblem(document, result);
         if (const auto *choices = document.if_contains("choices")) {
-            result.text += std::string(choices->at(0).at("text").as_string());
+            result.text += textOf(choices->at(0));
         }
     }
 }
@@ -77,9 +103,8 @@
         return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - startTime);
     };
     auto request = makeRequest(call.customer, call.deadlineMs);
-    request.target = "/v1/completions";
-    request.body
-        = json::serialize(json::object{{"model", "m"}, {"prompt", call.prompt}, {"max_tokens", call.tokens}, {"stream", call.isStreamed}});
+    request.target = call.messages.empty() ? "/v1/completions" : "/v1/chat/completions";
+    request.body = bodyOf(call);
     http::Call connection(http::parseAddress(entry), IoTimeout);
     CallResult result;
     result.progress = co_await connection.send(request);
--- a/tests/integration/support/caller.hpp
+++ b/tests/integration/support/caller.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace support {
 
@@ -28,6 +29,7 @@
 struct PromptCall
 {
     std::string prompt = "Draft: ";
+    std::vector<std::string> messages; ///< if not empty, sent as a conversation in place of the prompt
     u32 tokens = 20;
     bool isStreamed = true;
     std::string customer = "desk";
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -4,6 +4,7 @@
 #include <support/ports.hpp>
 #include <support/wait_until.hpp>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -52,7 +53,7 @@
 // Watches of the stand-in may still be pending on the pool's threads, so the threads are joined before the stand-in is destroyed.
 GatewayDeployment::~GatewayDeployment()
 {
-    m_furtherGateway.reset();
+    m_furtherGateways.clear();
     m_gateway.process().signal(SIGKILL);
     static_cast<void>(m_gateway.process().waitForExit(WaitTimeout));
     m_pool.stop();
@@ -94,15 +95,21 @@
 
 GatewayProcess &GatewayDeployment::addGateway()
 {
-    m_furtherGateway = std::make_unique<GatewayProcess>("vm-2", "zone-a", m_store.address());
-    m_furtherGateway->start();
-    const auto knowsOther = [this](const GatewayProcess &gateway) {
-        return metricsOf(gateway).find("burdock_entries 2\n") != std::string::npos;
+    const auto name = "vm-" + std::to_string(m_furtherGateways.size() + 2);
+    auto &added = *m_furtherGateways.emplace_back(std::make_unique<GatewayProcess>(name, "zone-a", m_store.address()));
+    added.start();
+    const auto expected = "burdock_entries " + std::to_string(m_furtherGateways.size() + 1) + "\n";
+    const auto knowsAll = [this, &expected](const GatewayProcess &gateway) {
+        return metricsOf(gateway).find(expected) != std::string::npos;
     };
-    if (!waitFor([&] { return readinessOf(*m_furtherGateway) == 200 && knowsOther(m_gateway) && knowsOther(*m_furtherGateway); })) {
-        throw std::runtime_error("the further gateway did not become ready: " + m_furtherGateway->log());
+    const auto doOthersKnowAll = [this, &knowsAll] {
+        return std::all_of(m_furtherGateways.begin(), m_furtherGateways.end(),
+                           [&knowsAll](const auto &gateway) { return knowsAll(*gateway); });
+    };
+    if (!waitFor([&] { return readinessOf(added) == 200 && knowsAll(m_gateway) && doOthersKnowAll(); })) {
+        throw std::runtime_error("the further gateway did not become ready: " + added.log());
     }
-    return *m_furtherGateway;
+    return added;
 }
 
 void GatewayDeployment::setUpService(const std::string &service, const std::vector<const standins::Replica *> &replicas)
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace support {
 
@@ -58,7 +59,7 @@
     /** @brief Registers a replica of the service `engines` whose software has this version. */
     void registerEngine(const std::string &id, const std::string &address, const std::string &softwareVersion);
 
-    /** @brief Starts a further gateway with the same store and waits until both gateways know each other and are ready. */
+    /** @brief Starts a further gateway with the same store and waits until all gateways know each other and it is ready. */
     GatewayProcess &addGateway();
 
     /** @brief Waits until the gateway reports that it is ready; throws std::runtime_error if it does not within ten seconds. */
@@ -98,7 +99,7 @@
     standins::ObjectStore m_store;
     standins::FaultProxy m_storeProxy;
     GatewayProcess m_gateway;
-    std::unique_ptr<GatewayProcess> m_furtherGateway;
+    std::vector<std::unique_ptr<GatewayProcess>> m_furtherGateways;
 };
 
 } // namespace support
