Refuse prompts with a part that crashes engines

Crashes were remembered by path, customer and body. No two of these requests were alike, so each record had one crash.

retry::CrashAttribution, which replaces the quarantine in the gateway, blames features of requests: the whole content, and each part of the prompt but the last. The cause of crashes is in each of them, and no request with it succeeds later. A crash that a more likely feature explains isn't blamed on others, so popular parts that share the engines stay served; features with the same crashes are told apart by one request at a time that has some of them. The quarantine took the maximum of the gateways' counts, so crashes that each of them saw alone didn't add up; crashes are now identified by endpoint and time. A success clears a feature of earlier crashes only, where the quarantine never suspected a request again that had succeeded once.

--- /dev/null
+++ b/lib/libburdock-gateway/source/crash_guard.cpp
@@ -0,0 +1,72 @@
+#include "crash_guard.hpp"
+
+#include <burdock/hash/digest.hpp>
+
+#include <algorithm>
+
+namespace burdock::gateway {
+
+namespace {
+
+using endpoints::Outcome;
+
+/** Keeps the hashes of parts apart from those of requests. */
+constexpr u64 PartSeed = 0x70617274;
+
+} // namespace
+
+CrashGuard::CrashGuard(retry::CrashAttribution &crashes, u64 requestHash, const std::vector<cache::PromptPart> &parts)
+    : m_crashes(crashes)
+    , m_parts(parts)
+    , m_features{requestHash}
+{
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        m_features.push_back(hash::hash64(parts[i].id, PartSeed));
+    }
+}
+
+bool CrashGuard::tryBegin(TimePoint now)
+{
+    return m_crashes.tryBegin(m_features, now) != retry::RunPermission::Refused;
+}
+
+bool CrashGuard::mayTryElsewhere(TimePoint now)
+{
+    return m_crashes.blamed(m_features, now).empty();
+}
+
+void CrashGuard::noteNotSent(TimePoint now)
+{
+    m_crashes.returnPermission(m_features, now);
+}
+
+void CrashGuard::noteEnd(const RunEnd &end, TimePoint now)
+{
+    if (end.outcome == Outcome::Broken) {
+        m_crashes.noteCrash(hash::hash64(end.endpoint), m_features, end.begunAt, now);
+        return;
+    }
+    if (end.outcome == Outcome::Answered && end.isSuccess) {
+        m_crashes.noteSuccess(m_features, end.begunAt.value_or(end.sentAt), now);
+        return;
+    }
+    m_crashes.returnPermission(m_features, now);
+}
+
+Duration CrashGuard::timeUntilTrial(TimePoint now)
+{
+    return m_crashes.timeUntilTrial(m_features, now);
+}
+
+std::string CrashGuard::blamed(TimePoint now)
+{
+    std::string names;
+    for (const u64 feature : m_crashes.blamed(m_features, now)) {
+        const auto position = static_cast<std::size_t>(std::find(m_features.begin(), m_features.end(), feature) - m_features.begin());
+        names += names.empty() ? "" : ",";
+        names += position == 0 ? "request" : m_parts[position - 1].id;
+    }
+    return names;
+}
+
+} // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -208,6 +208,7 @@
     {
         m_dependencies.metrics.set("burdock_requests_under_way", m_state.activeRequests);
         m_dependencies.metrics.set("burdock_entries", m_state.entryCount);
+        m_dependencies.metrics.set("burdock_crash_causes", static_cast<double>(m_state.crashes.causeCount(m_dependencies.clock.now())));
         if (m_state.routes) {
             m_dependencies.metrics.set("burdock_configuration_version", static_cast<double>(m_state.routes->configuration().version));
             const auto age = m_dependencies.clock.now() - m_state.configurationAsOf;
@@ -506,10 +507,19 @@
             co_await runtime::sleepFor(HousekeepingPeriod);
             m_pool.closeExpired(m_dependencies.clock.now());
             m_state.endpoints.peers().expire(m_dependencies.clock.now());
+            logCrashCauses();
             m_dependencies.logger.flush();
         }
     }
 
+    void logCrashCauses()
+    {
+        const auto count = m_state.crashes.causeCount(m_dependencies.clock.now());
+        if (std::exchange(m_loggedCrashCauses, count) != count) {
+            m_dependencies.logger.event(LogLevel::Warning, "crash_causes", {{"count", u64{count}}});
+        }
+    }
+
     boost::asio::awaitable<void> logStoreCalls()
     {
         while (true) {
@@ -565,6 +575,7 @@
         m_peerSocket.setPeers(peers);
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
+        m_state.crashes.setMembers(m_settings.name, m_state.entryNames);
         m_state.endpoints.turns().setEntries(list.items.size(), endpoints::LoadReporter::period(peers.size()));
     }
 
@@ -604,6 +615,7 @@
     std::set<std::string, std::less<>> m_evacuatedZones;
     std::multiset<std::string, std::less<>> m_returningZones; ///< once per return after which its endpoints haven't been listed yet
     bool m_isNewestConfigurationReadable = false;
+    std::size_t m_loggedCrashCauses = 0;
     std::set<std::string> m_followedStores;
     std::vector<std::unique_ptr<ObjectWatcher>> m_watchers;
     PathHandler m_readinessHandler;
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -11,9 +11,6 @@
 
 /** Delay after which a save that no event has confirmed is tried again. */
 constexpr Duration SaveRetryDelay = std::chrono::seconds(4);
-/** How long requests that crashed endpoints are remembered, and how many of them. */
-constexpr Duration SuspectRetention = std::chrono::minutes(2);
-constexpr std::size_t SuspectCapacity = 4096;
 /** How long streams are remembered, which is longer than callers wait for one, and how many of them. */
 constexpr Duration OriginRetention = std::chrono::minutes(1);
 constexpr std::size_t OriginCapacity = 65536;
@@ -40,7 +37,7 @@
     , parts(SaveRetryDelay)
     , retirement(cache::RetirementPolicy{})
     , fetchCosts(cache::FetchCostPolicy{})
-    , quarantine(SuspectRetention, SuspectCapacity)
+    , crashes(retry::CrashAttributionPolicy{})
     , streamOrigins(OriginRetention, OriginCapacity)
 {
 }
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -4,7 +4,7 @@
 #include <burdock/cache/part_retirement.hpp>
 #include <burdock/cache/store_freshness.hpp>
 #include <burdock/gateway/gateway.hpp>
-#include <burdock/retry/quarantine.hpp>
+#include <burdock/retry/crash_attribution.hpp>
 #include <burdock/retry/retry_budget.hpp>
 #include <burdock/routing/route_table.hpp>
 #include <burdock/run/stream_origins.hpp>
@@ -75,7 +75,7 @@
     /** Lower bound, in ms, of how far the endpoints' clock is ahead of this process's, so that deadlines on it are not too late. */
     std::optional<i64> endpointClockOffsetMs;
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
-    retry::Quarantine quarantine;
+    retry::CrashAttribution crashes;
     run::StreamOrigins streamOrigins;
     u64 bootId = 0; ///< different after each start of this process
     std::vector<std::string> entryNames; ///< of the registered entries
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "load_exchange.hpp"
 
 #include <burdock/runtime/sleep.hpp>
+#include <burdock/schema/crash_features.hpp>
 
 #include <algorithm>
 
@@ -11,9 +12,9 @@
 namespace asio = boost::asio;
 
 constexpr Duration IdlePeriod = std::chrono::milliseconds(400);
-/** How long a crash is repeated in each snapshot message, in case some are lost, and the maximum number of requests per message. */
-constexpr Duration SuspectRepeatTime = std::chrono::milliseconds(800);
-constexpr std::size_t MaxSuspects = 200;
+/** How long a crash is repeated in each snapshot message, in case some are lost, and the maximum number of features per message. */
+constexpr Duration CrashRepeatTime = std::chrono::milliseconds(800);
+constexpr int MaxCrashFeatures = 200;
 /** Longer ages are treated as this one. */
 constexpr u64 MaxAgeUs = 3'600'000'000;
 
@@ -122,7 +123,7 @@
         m_sentLoading = loading;
         m_sentUnresponsive = unresponsive;
     }
-    addSuspects(message);
+    addCrashFeatures(message);
     for (const auto &placed : m_state.outgoingPlacements) {
         auto *out = message.add_placed();
         out->set_endpoint(placed.endpoint);
@@ -145,22 +146,23 @@
     return message.SerializeAsString();
 }
 
-// Without this, a request that crashes endpoints could crash a few through each entry in turn, so that crashes grow with the number of
-// entries. Each crash is sent at once, as callers retry later than the next message. Requests that are already rejected are repeated as
-// long as they are, for entries that start later.
-void LoadExchange::addSuspects(schema::EntryLoad &message) const
+// Crashes are sent at once and repeated in case a message is lost, as callers retry later than the next message. Blamed features are
+// repeated in each snapshot, for entries that start later.
+void LoadExchange::addCrashFeatures(schema::EntryLoad &message)
 {
-    const auto recentAge = 2 * endpoints::LoadReporter::period(m_socket.peerCount());
-    for (const auto &record : m_state.quarantine.records(m_dependencies.clock.now())) {
-        const bool hasRoom = message.suspects_size() < static_cast<int>(MaxSuspects);
-        const bool isRepeated = record.age <= SuspectRepeatTime || record.crashes >= retry::TrialPolicy{}.crashThreshold;
-        if (hasRoom && (record.age <= recentAge || (isRepeated && !message.changes_only()))) {
-            auto *suspect = message.add_suspects();
-            suspect->set_fingerprint(record.fingerprint);
-            suspect->set_crashes(record.crashes);
-            suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
+    const auto now = m_dependencies.clock.now();
+    const auto recentTime = 2 * endpoints::LoadReporter::period(m_socket.peerCount());
+    const auto add = [&message](const std::vector<retry::FeatureRecord> &records) {
+        for (const auto &record : records) {
+            if (message.crash_features_size() < MaxCrashFeatures) {
+                *message.add_crash_features() = schema::toMessage(record);
+            }
         }
+    };
+    if (!message.changes_only()) {
+        add(m_state.crashes.blamedRecords(now));
     }
+    add(m_state.crashes.observationsSince(now - (message.changes_only() ? recentTime : std::max(recentTime, CrashRepeatTime)), now));
 }
 
 bool LoadExchange::needsAnnouncementTimes() const
@@ -277,9 +279,8 @@
             m_state.endpoints.notePart(placed.endpoint(), placed.parts(i), placed.tokens(i));
         }
     }
-    for (const auto &suspect : message.suspects()) {
-        const retry::SuspectRecord record{suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms())};
-        m_state.quarantine.merge(record, m_dependencies.clock.now());
+    for (const auto &feature : message.crash_features()) {
+        m_state.crashes.merge(schema::toRecord(feature), m_dependencies.clock.now());
     }
     for (const auto &id : m_state.endpoints.applyReport(message.entry(), std::move(report), m_dependencies.clock.now())) {
         m_dependencies.logger.event(runtime::LogLevel::Info, "endpoint_silent_elsewhere", {{"endpoint", id}, {"told_by", message.entry()}});
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -28,7 +28,7 @@
 
 private:
     [[nodiscard]] std::string nextMessage();
-    void addSuspects(schema::EntryLoad &message) const;
+    void addCrashFeatures(schema::EntryLoad &message);
     void handleMessage(std::string_view datagram, const PeerSocket::Endpoint &sender);
     [[nodiscard]] bool needsAnnouncementTimes() const;
     void answerAnnouncementQuestion(const schema::EntryLoad &question, const PeerSocket::Endpoint &askingEntry);
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -91,7 +91,7 @@
     if (isOriginKnown) {
         co_await tryEndpoints();
     } else {
-        m_state.quarantine.returnTrial(m_fingerprint, retry::TrialPolicy{}, m_dependencies.clock.now());
+        m_crashGuard->noteNotSent(m_dependencies.clock.now());
         const Rejection rejection{503, "stream_origin_unknown", {}};
         co_await reject(rejection);
     }
@@ -173,9 +173,10 @@
     const endpoints::DeclaredSize size{m_requestMetadata.promptTokens, m_requestMetadata.outputTokens,
                                        m_requestMetadata.expectedOutputTokens};
     m_memoryTokens = m_route->isPrompt ? endpoints::promptMemory(size) : 0;
-    m_fingerprint = hash::hash64(m_request.target, hash::hash64(customer, hash::hash64(m_request.body)));
-    if (!m_state.quarantine.tryBegin(m_fingerprint, retry::TrialPolicy{}, m_arrivedAt)) {
-        return Rejection{503, "crashes_endpoints", {}};
+    const u64 requestHash = hash::hash64(m_request.target, hash::hash64(customer, hash::hash64(m_request.body)));
+    m_crashGuard.emplace(m_state.crashes, requestHash, m_requestMetadata.parts);
+    if (!m_crashGuard->tryBegin(m_arrivedAt)) {
+        return Rejection{503, "crashes_endpoints", m_crashGuard->timeUntilTrial(m_arrivedAt)};
     }
     m_history.kind = m_route->kind;
     m_history.isResumable = m_route->isResumable;
@@ -240,6 +241,7 @@
         // endpoints work for nobody after a suspension or a burst. The close arrives behind the request, so the connection shows it.
         if (m_reply.isCallerDisconnected()) {
             m_isCallerDisconnected = true;
+            m_crashGuard->noteNotSent(m_dependencies.clock.now());
             co_await finish(NextStep::Refuse, lastAttempt);
             co_return;
         }
@@ -247,8 +249,7 @@
         lastAttempt = co_await attempt(m_selection.id);
         m_history.hasTimeLeft = timeLeft() > MinAttemptTime && !m_isCallerDisconnected;
         auto step = retry::nextStep(m_history, lastAttempt.outcome);
-        const bool isSuspect = m_state.quarantine.crashes(m_fingerprint, m_dependencies.clock.now()) >= retry::TrialPolicy{}.crashThreshold;
-        if (step == NextStep::TryElsewhere && isSuspect) {
+        if (step == NextStep::TryElsewhere && !m_crashGuard->mayTryElsewhere(m_dependencies.clock.now())) {
             step = retry::finalStep(m_history, lastAttempt.outcome);
         }
         if (step == NextStep::TryElsewhere && !m_state.retryBudget(m_service, m_settings).trySpend()) {
@@ -266,6 +267,9 @@
 // A rejection states that the request has not run, and can't be sent once a response has started.
 boost::asio::awaitable<void> RequestForwarder::stopTrying(const Rejection &rejection, const Attempt &lastAttempt)
 {
+    if (m_history.begun == 0) {
+        m_crashGuard->noteNotSent(m_dependencies.clock.now());
+    }
     const auto step = m_history.begun + m_history.declined == 0 ? NextStep::Refuse : retry::finalStep(m_history, lastAttempt.outcome);
     if (step == NextStep::Refuse) {
         co_await reject(rejection);
@@ -365,20 +369,17 @@
     }
     const bool wasNotRun = attempt.outcome == Outcome::Declined || attempt.outcome == Outcome::Unreachable;
     ++(wasNotRun ? m_history.declined : m_history.begun);
-    if (attempt.outcome == Outcome::Answered) {
-        m_state.quarantine.noteSuccess(m_fingerprint);
-        if (m_route->isPrompt) {
-            m_state.endpoints.noteRunTime(m_service, now - m_sentAt);
-        }
-    }
-    if (attempt.outcome == Outcome::Abandoned || attempt.outcome == Outcome::Expired || wasNotRun) {
-        m_state.quarantine.returnTrial(m_fingerprint, retry::TrialPolicy{}, now);
+    if (attempt.outcome == Outcome::Answered && m_route->isPrompt) {
+        m_state.endpoints.noteRunTime(m_service, now - m_sentAt);
     }
+    const bool hasBegun = m_route->isPrompt && !m_isPrefillPending;
+    m_crashGuard->noteEnd({id, attempt.outcome, isSuccess(attempt.response.status), m_sentAt, hasBegun ? m_firstEventAt : std::nullopt},
+                          now);
     if (attempt.outcome == Outcome::Broken) {
-        m_state.quarantine.noteCrash(m_fingerprint, now);
         m_pool.discard(id);
     }
     if (attempt.outcome != Outcome::Answered) {
+        const auto blamed = m_crashGuard->blamed(now);
         m_dependencies.logger.event(LogLevel::Info, "attempt_failed",
                                     {{"id", m_requestMetadata.attemptId},
                                      {"endpoint", id},
@@ -388,8 +389,7 @@
                                      {"inside_event", m_sseSplitter.isInsideEvent()},
                                      {"kept_connection", m_isReusedConnection},
                                      {"caller_gone", m_isCallerDisconnected},
-                                     {"fingerprint", m_fingerprint},
-                                     {"crashes", u64{m_state.quarantine.crashes(m_fingerprint, now)}},
+                                     {"blamed", std::string_view(blamed)},
                                      {"begun", u64{m_history.begun}},
                                      {"declined", u64{m_history.declined}},
                                      {"waited_ms", toMilliseconds(elapsed())}});
@@ -481,6 +481,9 @@
         }
         responseMetadata = m_dependencies.codec.readResponse(m_connection->head());
         if (responseMetadata.attemptId == m_requestMetadata.attemptId) {
+            if (!responseMetadata.isWrongEndpoint) {
+                m_state.crashes.noteAlive(hash::hash64(id), m_dependencies.clock.now());
+            }
             co_return true;
         }
         m_dependencies.logger.event(LogLevel::Warning, "foreign_answer",
@@ -505,7 +508,7 @@
         if (chunk.isBroken) {
             co_return false;
         }
-        m_state.endpoints.noteHeard(id, m_dependencies.clock.now());
+        noteHeard(id);
         body += chunk.data;
         if (chunk.isEnd) {
             co_return true;
@@ -534,7 +537,7 @@
         if (chunk.isBroken) {
             co_return interruptionOutcome(until);
         }
-        m_state.endpoints.noteHeard(id, m_dependencies.clock.now());
+        noteHeard(id);
         noteFirstEvent(id);
         const auto events = m_sseSplitter.append(chunk.data);
         if (!events.empty()) {
@@ -673,12 +676,14 @@
 boost::asio::awaitable<void> RequestForwarder::reject(const Rejection &rejection)
 {
     countRequest(rejection.reason);
+    const auto blamed = m_crashGuard ? m_crashGuard->blamed(m_dependencies.clock.now()) : std::string();
     m_dependencies.logger.event(LogLevel::Warning, "refused",
                                 {{"id", m_requestMetadata.attemptId},
                                  {"route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name)},
                                  {"status", u64{rejection.status}},
                                  {"reason", rejection.reason},
                                  {"service", m_service},
+                                 {"blamed", std::string_view(blamed)},
                                  {"memory", m_memoryTokens},
                                  {"expected_ms", toMilliseconds(m_selection.expectedDelay)},
                                  {"begun", u64{m_history.begun}},
@@ -692,6 +697,13 @@
     co_await m_reply.send(response);
 }
 
+void RequestForwarder::noteHeard(const std::string &id)
+{
+    const auto now = m_dependencies.clock.now();
+    m_state.endpoints.noteHeard(id, now);
+    m_state.crashes.noteAlive(hash::hash64(id), now);
+}
+
 void RequestForwarder::noteResponse(const std::string &id, const ResponseMetadata &responseMetadata)
 {
     if (responseMetadata.weightVersion && !m_requestMetadata.model.empty()) {
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
+#include "crash_guard.hpp"
 #include "origin_exchange.hpp"
 #include "prompt_planner.hpp"
 
@@ -61,6 +62,7 @@
     [[nodiscard]] runtime::http::Request buildRequest(const endpoints::Endpoint &endpoint);
     [[nodiscard]] boost::asio::awaitable<void> finish(retry::NextStep step, const Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<void> reject(const Rejection &rejection);
+    void noteHeard(const std::string &id);
     void noteResponse(const std::string &id, const ResponseMetadata &responseMetadata);
     void returnToPool(const std::string &id, const ResponseMetadata &responseMetadata);
     [[nodiscard]] Duration timeLeft() const;
@@ -90,7 +92,7 @@
     TimePoint m_sentAt{};
     TimePoint m_startDeadline{}; ///< of the current attempt: time by which the engine must have started the request
     bool m_isPrefillPending = false;
-    u64 m_fingerprint = 0; ///< identifies requests that crash endpoints
+    std::optional<CrashGuard> m_crashGuard; ///< set once the request has passed the first checks
     std::set<std::string, std::less<>> m_triedEndpoints;
     retry::AttemptHistory m_history;
     std::unique_ptr<runtime::http::Connection> m_connection;
--- /dev/null
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -0,0 +1,464 @@
+#include <burdock/retry/crash_attribution.hpp>
+
+#include <burdock/membership/rendezvous.hpp>
+
+#include <algorithm>
+
+namespace burdock::retry {
+
+namespace {
+
+/** Maximum number of crashes that are remembered of one feature, and how many of them are sent to processes that started later. */
+constexpr std::size_t MaxCrashesOfFeature = 64;
+constexpr std::size_t MaxCrashesInRecord = 8;
+/** Keeps the delay between trials from overflowing. */
+constexpr u32 MaxTrialDoublings = 10;
+/** A test that has no result for this long makes room for another. */
+constexpr Duration TestTimeout = std::chrono::seconds(5);
+/** How long successes are remembered at least, and the maximum number of features for which they are. */
+constexpr Duration SuccessPeriod = std::chrono::minutes(1);
+constexpr std::size_t MaxSucceeded = 20'000;
+constexpr Duration ForgetPeriod = std::chrono::seconds(1);
+
+bool contains(const CrashAttribution::Features &features, u64 feature)
+{
+    return std::find(features.begin(), features.end(), feature) != features.end();
+}
+
+std::size_t commonCount(const CrashAttribution::Features &left, const CrashAttribution::Features &right)
+{
+    return static_cast<std::size_t>(std::count_if(left.begin(), left.end(), [&right](u64 feature) { return contains(right, feature); }));
+}
+
+} // namespace
+
+CrashAttribution::CrashAttribution(const CrashAttributionPolicy &policy)
+    : m_policy(policy)
+{
+}
+
+void CrashAttribution::setMembers(std::string ownName, std::vector<std::string> members)
+{
+    m_ownName = std::move(ownName);
+    m_members = std::move(members);
+}
+
+RunPermission CrashAttribution::tryBegin(const Features &features, TimePoint now)
+{
+    auto permission = RunPermission::Free;
+    Features begun;
+    for (const auto &cause : causes(now)) {
+        const auto common = commonCount(cause, features);
+        if (common == 0) {
+            continue;
+        }
+        const bool isWhole = common == cause.size();
+        const bool isAllowed
+            = isWhole ? isTrialOwner(cause) && timeUntilTrialOf(cause, now) == Duration::zero() : !isTested(cause, features, now);
+        if (!isAllowed) {
+            return RunPermission::Refused;
+        }
+        permission = isWhole ? RunPermission::Trial : std::max(permission, RunPermission::Test);
+        std::copy_if(cause.begin(), cause.end(), std::back_inserter(begun), [&](u64 feature) { return contains(features, feature); });
+    }
+    for (const u64 blamedFeature : begun) {
+        auto &feature = m_features.at(blamedFeature);
+        (permission == RunPermission::Trial ? feature.trialAt : feature.testAt) = now;
+    }
+    return permission;
+}
+
+bool CrashAttribution::isRefused(const Features &features, TimePoint now)
+{
+    const auto &known = causes(now);
+    return std::any_of(known.begin(), known.end(),
+                       [&features](const Cause &cause) { return commonCount(cause, features) == cause.size(); });
+}
+
+CrashAttribution::Features CrashAttribution::blamed(const Features &features, TimePoint now)
+{
+    Features found;
+    for (const auto &cause : causes(now)) {
+        std::copy_if(cause.begin(), cause.end(), std::back_inserter(found), [&](u64 feature) { return contains(features, feature); });
+    }
+    return found;
+}
+
+Duration CrashAttribution::timeUntilTrial(const Features &features, TimePoint now)
+{
+    auto longest = Duration::zero();
+    for (const auto &cause : causes(now)) {
+        if (commonCount(cause, features) == cause.size()) {
+            longest = std::max(longest, timeUntilTrialOf(cause, now));
+        }
+    }
+    return longest;
+}
+
+void CrashAttribution::returnPermission(const Features &features, TimePoint now)
+{
+    for (const u64 id : blamed(features, now)) {
+        auto &feature = m_features.at(id);
+        feature.trialAt.reset();
+        feature.testAt.reset();
+    }
+}
+
+void CrashAttribution::noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now)
+{
+    forgetOld(now);
+    ++m_sequence;
+    const bool isEarly = !begun || now - *begun <= m_policy.earlyTime;
+    bool isNew = false;
+    for (const u64 feature : features) {
+        isNew = addSighting(feature, {endpoint, now, m_sequence, isEarly}) || isNew;
+    }
+    if (isNew) {
+        m_recentLosses.emplace_back(endpoint, now);
+    }
+    evict();
+}
+
+// Requests also break for reasons that end no other request of the endpoint. Data that was received before a crash may be read shortly
+// after it, and an endpoint that restarts may be back under its id some seconds later.
+void CrashAttribution::noteAlive(u64 endpoint, TimePoint now)
+{
+    while (!m_recentLosses.empty() && now - m_recentLosses.front().second > m_policy.maxAliveDelay) {
+        m_recentLosses.pop_front();
+    }
+    const auto isRefuted = [this, endpoint, now](TimePoint lostAt) {
+        return now - lostAt >= m_policy.minAliveDelay && now - lostAt <= m_policy.maxAliveDelay;
+    };
+    const auto loss = std::find_if(m_recentLosses.begin(), m_recentLosses.end(),
+                                   [&](const auto &recent) { return recent.first == endpoint && isRefuted(recent.second); });
+    if (loss == m_recentLosses.end()) {
+        return;
+    }
+    m_recentLosses.erase(loss);
+    for (auto &[id, feature] : m_features) {
+        std::erase_if(feature.crashes, [&](const Sighting &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
+    }
+    m_mustFindCauses = true;
+}
+
+void CrashAttribution::noteSuccess(const Features &features, TimePoint begun, TimePoint now)
+{
+    for (const u64 id : features) {
+        noteRecentSuccess(id, now);
+        const auto found = m_features.find(id);
+        if (found == m_features.end()) {
+            continue;
+        }
+        found->second.testAt.reset();
+        if (clear(found->second, begun)) {
+            found->second.clearSequence = ++m_sequence;
+        }
+    }
+}
+
+bool CrashAttribution::merge(const FeatureRecord &record, TimePoint now)
+{
+    forgetOld(now);
+    bool isNew = false;
+    for (const auto &crash : record.crashes) {
+        if (crash.age < m_policy.retention && addSighting(record.feature, {crash.endpoint, now - crash.age, 0, crash.isEarly})) {
+            m_recentLosses.emplace_back(crash.endpoint, now - crash.age);
+            isNew = true;
+        }
+    }
+    const auto found = m_features.find(record.feature);
+    if (record.clearedAge && found != m_features.end()) {
+        isNew = clear(found->second, now - *record.clearedAge) || isNew;
+    }
+    evict();
+    return isNew;
+}
+
+u64 CrashAttribution::sequence() const
+{
+    return m_sequence;
+}
+
+std::vector<FeatureRecord> CrashAttribution::observations(u64 after, TimePoint now) const
+{
+    std::vector<FeatureRecord> records;
+    for (const auto &[id, feature] : m_features) {
+        std::vector<Sighting> crashes;
+        std::copy_if(feature.crashes.begin(), feature.crashes.end(), std::back_inserter(crashes),
+                     [after](const Sighting &crash) { return crash.sequence > after; });
+        const bool isCleared = feature.clearedAt && feature.clearSequence > after;
+        if (crashes.empty() && !isCleared) {
+            continue;
+        }
+        records.push_back(toRecord(id, crashes, now));
+        if (isCleared) {
+            records.back().clearedAge = now - *feature.clearedAt;
+        }
+    }
+    return records;
+}
+
+std::vector<FeatureRecord> CrashAttribution::observationsSince(TimePoint time, TimePoint now) const
+{
+    std::vector<FeatureRecord> records;
+    for (const auto &[id, feature] : m_features) {
+        std::vector<Sighting> crashes;
+        std::copy_if(feature.crashes.begin(), feature.crashes.end(), std::back_inserter(crashes),
+                     [time](const Sighting &crash) { return crash.sequence > 0 && crash.at >= time; });
+        const bool isCleared = feature.clearSequence > 0 && feature.clearedAt && *feature.clearedAt >= time;
+        if (crashes.empty() && !isCleared) {
+            continue;
+        }
+        records.push_back(toRecord(id, crashes, now));
+        if (isCleared) {
+            records.back().clearedAge = now - *feature.clearedAt;
+        }
+    }
+    std::sort(records.begin(), records.end(), [this](const FeatureRecord &left, const FeatureRecord &right) {
+        const auto crashesOf = [this](const FeatureRecord &record) {
+            return m_features.at(record.feature).crashes.size();
+        };
+        return crashesOf(left) > crashesOf(right);
+    });
+    return records;
+}
+
+std::vector<FeatureRecord> CrashAttribution::blamedRecords(TimePoint now)
+{
+    std::vector<FeatureRecord> records;
+    for (const auto &cause : causes(now)) {
+        for (const u64 id : cause) {
+            const auto &crashes = m_features.at(id).crashes;
+            const auto count = static_cast<std::ptrdiff_t>(std::min(crashes.size(), MaxCrashesInRecord));
+            records.push_back(toRecord(id, {crashes.end() - count, crashes.end()}, now));
+        }
+    }
+    return records;
+}
+
+std::size_t CrashAttribution::causeCount(TimePoint now)
+{
+    return causes(now).size();
+}
+
+const std::vector<CrashAttribution::Cause> &CrashAttribution::causes(TimePoint now)
+{
+    forgetOld(now);
+    if (m_mustFindCauses) {
+        findCauses();
+        m_mustFindCauses = false;
+    }
+    return m_causes;
+}
+
+// Takes the most likely feature as the cause of all its crashes, and then the most likely one for the rest.
+void CrashAttribution::findCauses()
+{
+    m_causes.clear();
+    std::vector<u64> candidates;
+    for (const auto &[id, feature] : m_features) {
+        if (feature.crashes.size() >= thresholdOf(id)) {
+            candidates.push_back(id);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    CrashTimes explained;
+    while (true) {
+        std::vector<Sighting> most;
+        std::vector<std::pair<u64, std::vector<Sighting>>> unexplained;
+        for (const u64 id : candidates) {
+            auto crashes = without(m_features.at(id).crashes, explained);
+            if (crashes.size() < thresholdOf(id)) {
+                continue;
+            }
+            if (weightOf(crashes) > weightOf(most)) {
+                most = crashes;
+            }
+            unexplained.emplace_back(id, std::move(crashes));
+        }
+        if (most.empty()) {
+            return;
+        }
+        Cause cause;
+        for (const auto &[id, crashes] : unexplained) {
+            if (areEqual(crashes, most)) {
+                cause.push_back(id);
+            }
+        }
+        m_causes.push_back(std::move(cause));
+        for (const auto &crash : most) {
+            explained[crash.endpoint].push_back(crash.at);
+        }
+    }
+}
+
+bool CrashAttribution::areClose(TimePoint left, TimePoint right) const
+{
+    return std::max(left, right) - std::min(left, right) <= m_policy.sameCrashWindow;
+}
+
+bool CrashAttribution::isKnown(const CrashTimes &crashes, const Sighting &sighting) const
+{
+    const auto found = crashes.find(sighting.endpoint);
+    return found != crashes.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](TimePoint at) { return areClose(at, sighting.at); });
+}
+
+std::vector<CrashAttribution::Sighting> CrashAttribution::without(const std::vector<Sighting> &crashes, const CrashTimes &explained) const
+{
+    std::vector<Sighting> rest;
+    std::copy_if(crashes.begin(), crashes.end(), std::back_inserter(rest),
+                 [&](const Sighting &crash) { return !isKnown(explained, crash); });
+    return rest;
+}
+
+std::pair<std::size_t, std::size_t> CrashAttribution::weightOf(const std::vector<Sighting> &crashes)
+{
+    const auto early = std::count_if(crashes.begin(), crashes.end(), [](const Sighting &crash) { return crash.isEarly; });
+    return {static_cast<std::size_t>(early), crashes.size()};
+}
+
+bool CrashAttribution::areEqual(const std::vector<Sighting> &left, const std::vector<Sighting> &right) const
+{
+    CrashTimes times;
+    for (const auto &crash : left) {
+        times[crash.endpoint].push_back(crash.at);
+    }
+    return weightOf(left) == weightOf(right) && without(right, times).empty();
+}
+
+// A feature that many requests have succeeds between most crashes, but not while all of its requests take longer than the time between
+// crashes.
+u32 CrashAttribution::thresholdOf(u64 feature) const
+{
+    const bool hasSucceeded = m_succeeded.count(feature) > 0 || m_succeededBefore.count(feature) > 0;
+    return hasSucceeded ? m_policy.crashThresholdAfterSuccess : m_policy.crashThreshold;
+}
+
+// Requests with a blamed feature are refused, so a crash long after the previous one comes from a trial, here or in another process.
+Duration CrashAttribution::trialDelayOf(const Feature &feature) const
+{
+    u32 failedTrials = 0;
+    for (std::size_t i = m_policy.crashThreshold; i < feature.crashes.size(); ++i) {
+        const bool isTrial = feature.crashes[i].at - feature.crashes[i - 1].at >= m_policy.initialTrialDelay / 2;
+        failedTrials += isTrial ? 1 : 0;
+    }
+    return m_policy.initialTrialDelay * (1U << std::min(failedTrials, MaxTrialDoublings));
+}
+
+Duration CrashAttribution::timeUntilTrialOf(const Cause &cause, TimePoint now) const
+{
+    auto longest = Duration::zero();
+    for (const u64 id : cause) {
+        const auto &feature = m_features.at(id);
+        const auto last = std::max(feature.crashes.back().at, feature.trialAt.value_or(TimePoint{}));
+        longest = std::max(longest, last + trialDelayOf(feature) - now);
+    }
+    return longest;
+}
+
+bool CrashAttribution::isTrialOwner(const Cause &cause) const
+{
+    const auto owner = membership::responsibleMembers(cause.front(), m_members, 1);
+    return owner.empty() || owner.front() == m_ownName;
+}
+
+bool CrashAttribution::isTested(const Cause &cause, const Features &features, TimePoint now) const
+{
+    return std::any_of(cause.begin(), cause.end(), [&](u64 id) {
+        const auto &testAt = m_features.at(id).testAt;
+        return contains(features, id) && testAt && now - *testAt < TestTimeout;
+    });
+}
+
+FeatureRecord CrashAttribution::toRecord(u64 feature, const std::vector<Sighting> &crashes, TimePoint now) const
+{
+    FeatureRecord record;
+    record.feature = feature;
+    for (const auto &crash : crashes) {
+        record.crashes.push_back({crash.endpoint, std::max(Duration::zero(), now - crash.at), crash.isEarly});
+    }
+    return record;
+}
+
+bool CrashAttribution::addSighting(u64 feature, const Sighting &sighting)
+{
+    auto &entry = m_features[feature];
+    if (entry.clearedAt && sighting.at <= *entry.clearedAt) {
+        return false;
+    }
+    const auto seen = std::find_if(entry.crashes.begin(), entry.crashes.end(), [&](const Sighting &crash) {
+        return crash.endpoint == sighting.endpoint && areClose(crash.at, sighting.at);
+    });
+    if (seen != entry.crashes.end()) {
+        const bool isNews = sighting.isEarly && !seen->isEarly;
+        if (isNews) {
+            *seen = {seen->endpoint, seen->at, sighting.sequence, true};
+            m_mustFindCauses = true;
+        }
+        return isNews;
+    }
+    const auto position = std::upper_bound(entry.crashes.begin(), entry.crashes.end(), sighting,
+                                           [](const Sighting &left, const Sighting &right) { return left.at < right.at; });
+    entry.crashes.insert(position, sighting);
+    if (entry.crashes.size() > MaxCrashesOfFeature) {
+        entry.crashes.erase(entry.crashes.begin());
+    }
+    entry.testAt.reset();
+    m_mustFindCauses = true;
+    return true;
+}
+
+// The mark stays when no crash is left, so that a late report of an earlier crash doesn't count.
+bool CrashAttribution::clear(Feature &feature, TimePoint begun)
+{
+    const auto count = std::erase_if(feature.crashes, [begun](const Sighting &crash) { return crash.at <= begun; });
+    feature.clearedAt = std::max(begun, feature.clearedAt.value_or(begun));
+    m_mustFindCauses = m_mustFindCauses || count > 0;
+    return count > 0;
+}
+
+void CrashAttribution::noteRecentSuccess(u64 feature, TimePoint now)
+{
+    if (m_succeeded.size() >= MaxSucceeded || now - m_successesSince > SuccessPeriod) {
+        m_succeededBefore = std::move(m_succeeded);
+        m_succeeded.clear();
+        m_successesSince = now;
+    }
+    m_succeeded.insert(feature);
+}
+
+void CrashAttribution::forgetOld(TimePoint now)
+{
+    if (now - m_oldForgottenAt < ForgetPeriod) {
+        return;
+    }
+    m_oldForgottenAt = now;
+    const auto count = std::erase_if(m_features, [this, now](const auto &item) {
+        const auto &feature = item.second;
+        const auto last = feature.crashes.empty() ? feature.clearedAt.value_or(TimePoint{}) : feature.crashes.back().at;
+        return now - last > (feature.crashes.empty() ? SuccessPeriod : m_policy.retention);
+    });
+    m_mustFindCauses = m_mustFindCauses || count > 0;
+}
+
+void CrashAttribution::evict()
+{
+    if (m_features.size() <= m_policy.capacity) {
+        return;
+    }
+    std::vector<std::pair<std::pair<std::size_t, TimePoint>, u64>> order;
+    for (const auto &[id, feature] : m_features) {
+        const auto last = feature.crashes.empty() ? TimePoint{} : feature.crashes.back().at;
+        order.push_back({{feature.crashes.size(), last}, id});
+    }
+    std::sort(order.begin(), order.end());
+    // Some room is left, so that not every further crash sorts all features.
+    const auto excess = m_features.size() - m_policy.capacity + m_policy.capacity / 16;
+    for (std::size_t i = 0; i < std::min(excess, order.size()); ++i) {
+        m_features.erase(order[i].second);
+    }
+    m_mustFindCauses = true;
+}
+
+} // namespace burdock::retry
