Refuse prompts with a message or a beginning that crashes engines at the daemons' entries too

The same cause in the product's own interface: suspects were known by customer, model, adapter and the whole prompt. Entries describe a prompt by its messages but the last, or a completion by the text up to the end of each block; endpoint processes note them at an engine's new start and tell all entries, with what the peer hasn't acknowledged, as with suspects.

--- a/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/run_registry.hpp
@@ -62,7 +62,7 @@
                                                               const runtime::SpanContext &span);
     [[nodiscard]] bool isRefusedAsSuspect(const schema::RunRequest &request) const;
     [[nodiscard]] Refusal checkEligibility(const schema::RunRequest &request) const;
-    void noteOutcome(const schema::RunRequest &request, BackEndResult &result);
+    void noteOutcome(const schema::RunRequest &request, TimePoint startTime, BackEndResult &result);
     void refuse(ResponseStream &response, const Refusal &refusal);
     void sweep();
 
--- a/lib/libburdock-serving/include/burdock/serving/entry/prompt_api.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/prompt_api.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /** @brief The completion and chat completion APIs that common client libraries use. */
 namespace burdock::serving::prompt_api {
@@ -21,6 +22,7 @@
     ApiFormat format = ApiFormat::Completion;
     bool isStreamed = false;
     schema::PromptWork work; ///< model, adapter, prompt, max_tokens
+    std::vector<u64> messageHashes; ///< of the messages of a conversation but the last; empty for a completion
 };
 
 struct ParseResult
--- a/lib/libburdock-serving/include/burdock/serving/entry/run_coordinator.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_coordinator.hpp
@@ -57,6 +57,8 @@
                                                                 const runtime::SpanContext &parent);
     [[nodiscard]] boost::asio::awaitable<detail::AttemptResult>
     attempt(const RunSpec &spec, RunSink &sink, Progress &progress, const EndpointCandidate &candidate, const runtime::SpanContext &parent);
+    /** @brief Whether a request may run, given what its prompt has in common with those that crashed endpoints. */
+    [[nodiscard]] bool mayRunWithFeatures(const RunSpec &spec, Progress &progress);
     /** @brief The refusal of a request suspected of crashing endpoints; reason None if it may run, also as the one trial allowed. */
     [[nodiscard]] Refusal checkQuarantine(const RunSpec &spec, Progress &progress);
     /** @brief Records a failed attempt. Returns true if another attempt is allowed. */
--- a/lib/libburdock-serving/include/burdock/serving/entry/run_settings.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/entry/run_settings.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace burdock::serving {
 
@@ -17,6 +18,7 @@
     std::string customer; ///< name of the authenticated customer
     TimePoint deadline{};
     u64 fingerprint = 0;
+    std::vector<u64> features; ///< hashes of the parts of the prompt that other requests may share
     std::optional<schema::PromptWork> prompt; ///< without weight version and block keys, which depend on the settings and the endpoint
     std::optional<schema::ServiceWork> service; ///< without the `repeatable` flag, which depends on the settings
 };
--- a/lib/libburdock-serving/include/burdock/serving/suspect_table.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/suspect_table.hpp
@@ -11,7 +11,10 @@
 
 namespace burdock::serving {
 
-/** @brief Requests suspected of crashing endpoints, as known to this process, and the exchange of their records with peers. Thread-safe. */
+/**
+ * @brief Requests suspected of crashing endpoints, and what crashing requests have in common, as known to this process, and the exchange of
+ * these records with peers. Thread-safe.
+ */
 class SuspectTable
 {
 public:
@@ -42,6 +45,26 @@
     /** @brief Clears a request that ended successfully. */
     void noteSuccess(u64 fingerprint);
 
+    using Features = retry::CrashAttribution::Features;
+
+    /** @brief Whether a request with these features may be sent to a first endpoint; starts a test or trial if one is needed. */
+    [[nodiscard]] bool tryBegin(const Features &features);
+
+    /** @brief Whether a request with these features may be sent to a further endpoint. */
+    [[nodiscard]] bool mayTryElsewhere(const Features &features);
+
+    /** @brief Makes room for another test or trial, if the end of the run gave no evidence. */
+    void returnPermission(const Features &features);
+
+    /** @brief Time until a request with these features may be tried. */
+    [[nodiscard]] Duration timeUntilTrial(const Features &features);
+
+    /** @brief Records a crash of this process's endpoint while it was running a request that began at the given time. */
+    void noteCrash(const Features &features, TimePoint begun);
+
+    /** @brief Records that a request that began at the given time ended successfully. */
+    void noteSuccess(const Features &features, TimePoint begun);
+
     /** @brief Merges a record of another process. Takes the maximum of the counts, as the same crash is reported in several ways. */
     void noteCrashes(const retry::SuspectRecord &record);
 
@@ -67,6 +90,7 @@
 
     mutable runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex; // guards the members below
     retry::Quarantine m_quarantine;
+    retry::CrashAttribution m_attribution;
     std::unordered_map<std::string, retry::SuspectExchange> m_exchanges;
     u64 m_updateCount = 0;
 };
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -121,7 +121,7 @@
         const TimePoint startTime = m_process.clock.now();
         auto result = co_await m_runner.run(request, admission.epoch, response, deadline, span);
         const Duration serviceTime = m_process.clock.now() - startTime;
-        noteOutcome(request, result);
+        noteOutcome(request, startTime, result);
         m_gate.finishRun({result.outcome, serviceTime, isSuspect, startTime});
         if (result.isAdmissionInvalid()) {
             m_process.metrics.count("burdock_readmissions_total");
@@ -174,10 +174,15 @@
     return {};
 }
 
-void RunRegistry::noteOutcome(const schema::RunRequest &request, BackEndResult &result)
+void RunRegistry::noteOutcome(const schema::RunRequest &request, TimePoint startTime, BackEndResult &result)
 {
+    const SuspectTable::Features features(request.features().begin(), request.features().end());
     if (result.outcome == admission::RunOutcome::Success) {
         m_suspects.noteSuccess(request.fingerprint());
+        m_suspects.noteSuccess(features, startTime);
+    }
+    if (result.crash == retry::CrashEvidence::Restart) {
+        m_suspects.noteCrash(features, startTime);
     }
     if (result.crash) {
         const auto counted = m_suspects.noteCrash(request.fingerprint(), *result.crash);
--- a/lib/libburdock-serving/source/entry/caller_handler.cpp
+++ b/lib/libburdock-serving/source/entry/caller_handler.cpp
@@ -15,6 +15,8 @@
 constexpr Duration IdleCustomerExpiry = std::chrono::minutes(5);
 constexpr u32 MaxDeadlineMs = 3'600'000;
 constexpr std::size_t MaxIdempotencyKeyLength = 200;
+/** Longer prompts are told apart by their first blocks. */
+constexpr std::size_t MaxBlockFeatures = 32;
 constexpr std::string_view ServicesPrefix = "/services/";
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr u16 BadRequest = 400;
@@ -104,6 +106,22 @@
     bool m_hasData = false;
 };
 
+/** @brief Features by which prompts that crash engines are recognized: messages, or text up to the end of each block of a completion. */
+std::vector<u64> featuresOf(const prompt_api::PromptRequest &request, u32 blockBytes)
+{
+    if (request.format == prompt_api::ApiFormat::Chat) {
+        return request.messageHashes;
+    }
+    const std::string_view prompt = request.work.prompt();
+    std::vector<u64> features;
+    u64 prefix = 0;
+    for (std::size_t end = blockBytes; end < prompt.size() && features.size() < MaxBlockFeatures; end += blockBytes) {
+        prefix = hash::hash64(prompt.substr(end - blockBytes, blockBytes), prefix);
+        features.push_back(prefix);
+    }
+    return features;
+}
+
 u64 fingerprintOf(std::string_view customer, std::initializer_list<std::string_view> parts)
 {
     u64 fingerprint = hash::hash64(customer);
@@ -249,6 +267,7 @@
     spec.customer = context.customer->name();
     spec.deadline = deadlineOf(context);
     spec.fingerprint = fingerprintOf(spec.customer, {work.model(), work.adapter(), work.prompt()});
+    spec.features = featuresOf(*parsed.request, context.config->bundle().policy().block_bytes());
     spec.prompt = work;
 
     prompt_api::CompletionMetadata metadata;
--- a/lib/libburdock-serving/source/entry/prompt_api.cpp
+++ b/lib/libburdock-serving/source/entry/prompt_api.cpp
@@ -1,5 +1,7 @@
 #include <burdock/serving/entry/prompt_api.hpp>
 
+#include <burdock/hash/digest.hpp>
+
 #include <boost/json.hpp>
 
 namespace burdock::serving::prompt_api {
@@ -14,14 +16,20 @@
     return value == nullptr ? nullptr : value->if_string();
 }
 
+struct PromptText
+{
+    std::string text;
+    std::vector<u64> messageHashes; ///< of all messages but the last
+};
+
 // Builds the prompt text of a conversation. Each turn only appends text, so the cached prefix of earlier turns stays valid.
-std::optional<std::string> joinMessages(const json::object &body)
+std::optional<PromptText> joinMessages(const json::object &body)
 {
     const auto *messages = body.if_contains("messages");
     if (messages == nullptr || !messages->is_array() || messages->get_array().empty()) {
         return std::nullopt;
     }
-    std::string prompt;
+    PromptText prompt;
     for (const auto &message : messages->get_array()) {
         const auto *object = message.if_object();
         const auto *role = object == nullptr ? nullptr : stringField(*object, "role");
@@ -29,18 +37,20 @@
         if (role == nullptr || content == nullptr) {
             return std::nullopt;
         }
-        prompt.append("<|").append(*role).append("|>\n").append(*content).append("\n");
+        prompt.text.append("<|").append(*role).append("|>\n").append(*content).append("\n");
+        prompt.messageHashes.push_back(hash::hash64(*content, hash::hash64(*role)));
     }
+    prompt.messageHashes.pop_back();
     return prompt;
 }
 
-std::optional<std::string> promptOf(ApiFormat format, const json::object &body)
+std::optional<PromptText> promptOf(ApiFormat format, const json::object &body)
 {
     if (format == ApiFormat::Chat) {
         return joinMessages(body);
     }
     const auto *prompt = stringField(body, "prompt");
-    return prompt == nullptr ? std::nullopt : std::optional<std::string>(*prompt);
+    return prompt == nullptr ? std::nullopt : std::optional(PromptText{std::string(*prompt), {}});
 }
 
 json::object responseObject(const CompletionMetadata &metadata, std::string_view objectType)
@@ -90,7 +100,8 @@
     PromptRequest request;
     request.format = format;
     request.work.set_model(std::string(*model));
-    request.work.set_prompt(std::move(*prompt));
+    request.work.set_prompt(std::move(prompt->text));
+    request.messageHashes = std::move(prompt->messageHashes);
     if (const auto *stream = object.if_contains("stream")) {
         if (!stream->is_bool()) {
             return {std::nullopt, "stream must be true or false"};
--- a/lib/libburdock-serving/source/entry/run_coordinator.cpp
+++ b/lib/libburdock-serving/source/entry/run_coordinator.cpp
@@ -62,6 +62,7 @@
     bool isRepeatable = true; // under all settings so far
     bool isNextAttemptPaid = false; // the next attempt needs no retry, or one was already taken for it
     bool hasUsedFreeRecovery = false;
+    bool hasBegun = false; // what its prompt has in common with others doesn't keep it from running
     bool isTrial = false; // held as a suspect, with this run as the one trial allowed
 };
 
@@ -109,6 +110,9 @@
     if (progress.isTrial) {
         m_fleet.suspects().returnTrial(spec.fingerprint);
     }
+    if (result.status != RunStatus::Complete && !progress.mayHaveRun) {
+        m_fleet.suspects().returnPermission(spec.features);
+    }
     co_return result;
 }
 
@@ -149,6 +153,7 @@
         m_runs.remove(progress.runId);
         if (attemptResult.status == AttemptStatus::Complete) {
             m_fleet.suspects().noteSuccess(spec.fingerprint);
+            m_fleet.suspects().noteSuccess(spec.features, progress.sentAt);
             m_fleet.noteSuccess(progress.lastEndpoint);
             result.status = RunStatus::Complete;
             result.end = std::move(attemptResult.end);
@@ -179,6 +184,9 @@
     if (suspicion == retry::SuspectState::Quarantined) {
         return {RefusalReason::Quarantined, Duration::zero()};
     }
+    if (!mayRunWithFeatures(spec, progress)) {
+        return {RefusalReason::Quarantined, suspects.timeUntilTrial(spec.features)};
+    }
     if (suspicion != retry::SuspectState::Held) {
         return {};
     }
@@ -190,6 +198,16 @@
     return {RefusalReason::Quarantined, suspects.timeUntilTrial(spec.fingerprint)};
 }
 
+bool RunCoordinator::mayRunWithFeatures(const RunSpec &spec, Progress &progress)
+{
+    auto &suspects = m_fleet.suspects();
+    if (progress.mayHaveRun) {
+        return suspects.mayTryElsewhere(spec.features);
+    }
+    progress.hasBegun = progress.hasBegun || suspects.tryBegin(spec.features);
+    return progress.hasBegun;
+}
+
 bool RunCoordinator::handleFailedAttempt(const RunSpec &spec, Progress &progress, const AttemptResult &attemptResult)
 {
     if (attemptResult.status == AttemptStatus::NotSent || attemptResult.refusal.reason == RefusalReason::StaleConfig) {
@@ -316,6 +334,7 @@
     const auto suspicion = m_fleet.suspects().record(spec.fingerprint);
     request->set_suspect_crashes(suspicion.crashes);
     request->set_suspect_unproven(suspicion.unproven);
+    request->mutable_features()->Add(spec.features.begin(), spec.features.end());
     request->set_is_trial(progress.isTrial);
     request->set_deadline_ms(static_cast<u32>(toMilliseconds(spec.deadline - m_process.clock.now())));
     request->mutable_trace()->set_trace_id(span.traceId);
--- a/lib/libburdock-serving/source/link_messages.cpp
+++ b/lib/libburdock-serving/source/link_messages.cpp
@@ -1,5 +1,7 @@
 #include <burdock/serving/link_messages.hpp>
 
+#include <burdock/schema/crash_features.hpp>
+
 namespace burdock::serving {
 
 const schema::RunRef *runRefOf(const schema::LinkMessage &message)
@@ -65,7 +67,12 @@
         suspect->set_age_ms(static_cast<u32>(toMilliseconds(record.age)));
         suspect->set_unproven(record.unproven);
     }
+    for (const auto &record : update.features) {
+        *heartbeat.add_crash_features() = schema::toMessage(record);
+    }
     heartbeat.set_suspects_up_to(update.lastSequence);
+    heartbeat.set_crash_features_up_to(update.lastFeatureSequence);
+    heartbeat.set_crash_features_heard(update.acknowledgedFeatureSequence);
     heartbeat.set_suspects_heard(update.acknowledgedSequence);
     heartbeat.set_suspects_heard_boot_id(update.acknowledgedProcess);
 }
@@ -77,7 +84,12 @@
         update.records.push_back(
             {suspect.fingerprint(), suspect.crashes(), std::chrono::milliseconds(suspect.age_ms()), suspect.unproven()});
     }
+    for (const auto &feature : heartbeat.crash_features()) {
+        update.features.push_back(schema::toRecord(feature));
+    }
     update.lastSequence = heartbeat.suspects_up_to();
+    update.lastFeatureSequence = heartbeat.crash_features_up_to();
+    update.acknowledgedFeatureSequence = heartbeat.crash_features_heard();
     update.acknowledgedSequence = heartbeat.suspects_heard();
     update.acknowledgedProcess = heartbeat.suspects_heard_boot_id();
     return update;
--- a/lib/libburdock-serving/source/suspect_table.cpp
+++ b/lib/libburdock-serving/source/suspect_table.cpp
@@ -1,3 +1,4 @@
+#include <burdock/hash/digest.hpp>
 #include <burdock/serving/link_messages.hpp>
 #include <burdock/serving/suspect_table.hpp>
 
@@ -18,6 +19,7 @@
     : m_process(process)
     , m_minCrashesToShare(minCrashesToShare)
     , m_quarantine(SuspectLifetime, MaxSuspects)
+    , m_attribution(retry::CrashAttributionPolicy{})
 {
 }
 
@@ -75,6 +77,45 @@
     m_quarantine.noteSuccess(fingerprint);
 }
 
+bool SuspectTable::tryBegin(const Features &features)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_attribution.tryBegin(features, m_process.clock.now()) != retry::RunPermission::Refused;
+}
+
+bool SuspectTable::mayTryElsewhere(const Features &features)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_attribution.blamed(features, m_process.clock.now()).empty();
+}
+
+void SuspectTable::returnPermission(const Features &features)
+{
+    const std::lock_guard lock(m_mutex);
+    m_attribution.returnPermission(features, m_process.clock.now());
+}
+
+Duration SuspectTable::timeUntilTrial(const Features &features)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_attribution.timeUntilTrial(features, m_process.clock.now());
+}
+
+void SuspectTable::noteCrash(const Features &features, TimePoint begun)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_attribution.noteCrash(hash::hash64(m_process.vmName), features, begun, m_process.clock.now());
+    }
+    notifyListener(!features.empty());
+}
+
+void SuspectTable::noteSuccess(const Features &features, TimePoint begun)
+{
+    const std::lock_guard lock(m_mutex);
+    m_attribution.noteSuccess(features, begun, m_process.clock.now());
+}
+
 void SuspectTable::noteCrashes(const retry::SuspectRecord &record)
 {
     if (record.crashes == 0) {
@@ -91,7 +132,7 @@
 void SuspectTable::addUpdate(const std::string &peer, schema::Heartbeat &heartbeat)
 {
     const std::lock_guard lock(m_mutex);
-    addSuspectUpdate(heartbeat, exchange(peer).makeUpdate(m_quarantine, m_minCrashesToShare, m_process.clock.now()));
+    addSuspectUpdate(heartbeat, exchange(peer).makeUpdate(m_quarantine, m_attribution, m_minCrashesToShare, m_process.clock.now()));
 }
 
 void SuspectTable::applyUpdate(const std::string &peer, const schema::Heartbeat &heartbeat)
@@ -100,7 +141,7 @@
     {
         const std::lock_guard lock(m_mutex);
         const auto update = toSuspectUpdate(heartbeat);
-        const bool isNew = exchange(peer).applyUpdate(m_quarantine, update, heartbeat.boot_id(), m_process.clock.now());
+        const bool isNew = exchange(peer).applyUpdate(m_quarantine, m_attribution, update, heartbeat.boot_id(), m_process.clock.now());
         hasNewRecords = isNew && std::any_of(update.records.begin(), update.records.end(), [this](const auto &record) {
                             return record.crashes >= m_minCrashesToShare;
                         });
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -106,6 +106,9 @@
 
 void CrashAttribution::noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now)
 {
+    if (features.empty()) {
+        return;
+    }
     forgetOld(now);
     ++m_sequence;
     const bool isEarly = !begun || now - *begun <= m_policy.earlyTime;
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -409,41 +409,57 @@
 {
     constexpr u64 SenderProcess = 1;
     retry::Quarantine senderQuarantine(std::chrono::minutes(30), 100);
+    retry::CrashAttribution senderAttribution{retry::CrashAttributionPolicy{}};
     retry::Quarantine receiverQuarantine(std::chrono::minutes(30), 100);
+    retry::CrashAttribution receiverAttribution{retry::CrashAttributionPolicy{}};
     retry::SuspectExchange sender(SenderProcess);
     retry::SuspectExchange receiver(2);
     const auto senderUpdate = [&] {
-        return sender.makeUpdate(senderQuarantine, 1, Start);
+        return sender.makeUpdate(senderQuarantine, senderAttribution, 1, Start);
     };
     const auto receiverUpdate = [&] {
-        return receiver.makeUpdate(receiverQuarantine, 1, Start);
+        return receiver.makeUpdate(receiverQuarantine, receiverAttribution, 1, Start);
     };
     senderQuarantine.noteCrash(7, Start);
     senderQuarantine.noteCrash(8, Start);
+    senderAttribution.noteCrash(1, {70, 71}, std::nullopt, Start);
     CHECK(senderUpdate().records.size() == 2); // lost
+    CHECK(senderUpdate().features.size() == 2);
     CHECK(senderUpdate().records.size() == 2);
-    CHECK(receiver.applyUpdate(receiverQuarantine, senderUpdate(), SenderProcess, Start));
-    CHECK_FALSE(receiver.applyUpdate(receiverQuarantine, senderUpdate(), SenderProcess, Start));
-    CHECK_FALSE(sender.applyUpdate(senderQuarantine, receiverUpdate(), 2, Start));
+    CHECK(receiver.applyUpdate(receiverQuarantine, receiverAttribution, senderUpdate(), SenderProcess, Start));
+    CHECK_FALSE(receiver.applyUpdate(receiverQuarantine, receiverAttribution, senderUpdate(), SenderProcess, Start));
+    CHECK_FALSE(sender.applyUpdate(senderQuarantine, senderAttribution, receiverUpdate(), 2, Start));
     CHECK(senderUpdate().records.empty());
+    CHECK(senderUpdate().features.empty());
+    CHECK(receiverAttribution.observations(0, Start).empty()); // only what a process observed itself is passed on
+    senderAttribution.noteCrash(2, {71}, std::nullopt, Start);
+    REQUIRE(senderUpdate().features.size() == 1);
+    CHECK(senderUpdate().features.front().crashes.size() == 1);
     senderQuarantine.noteCrash(8, Start);
     REQUIRE(senderUpdate().records.size() == 1);
     CHECK(senderUpdate().records.front().crashes == 2);
-    CHECK(sender.makeUpdate(senderQuarantine, 3, Start).records.empty());
+    CHECK(sender.makeUpdate(senderQuarantine, senderAttribution, 3, Start).records.empty());
     // A restarted receiver has no records, so acknowledgements of its predecessor must not count for it.
     retry::Quarantine restartedReceiverQuarantine(std::chrono::minutes(30), 100);
+    retry::CrashAttribution restartedReceiverAttribution{retry::CrashAttributionPolicy{}};
     retry::SuspectExchange restartedReceiver(3);
-    static_cast<void>(sender.applyUpdate(senderQuarantine, restartedReceiver.makeUpdate(restartedReceiverQuarantine, 1, Start), 3, Start));
+    static_cast<void>(sender.applyUpdate(senderQuarantine, senderAttribution,
+                                         restartedReceiver.makeUpdate(restartedReceiverQuarantine, restartedReceiverAttribution, 1, Start),
+                                         3, Start));
     CHECK(senderUpdate().records.size() == 2);
-    CHECK(restartedReceiver.applyUpdate(restartedReceiverQuarantine, senderUpdate(), SenderProcess, Start));
+    CHECK(senderUpdate().features.size() == 2);
+    CHECK(restartedReceiver.applyUpdate(restartedReceiverQuarantine, restartedReceiverAttribution, senderUpdate(), SenderProcess, Start));
     // A restarted sender starts with new sequence numbers, so acknowledgements for its predecessor must not count for it.
     retry::Quarantine restartedSenderQuarantine(std::chrono::minutes(30), 100);
+    retry::CrashAttribution restartedSenderAttribution{retry::CrashAttributionPolicy{}};
     retry::SuspectExchange restartedSender(4);
     restartedSenderQuarantine.noteCrash(9, Start);
-    auto acknowledgement = restartedReceiver.makeUpdate(restartedReceiverQuarantine, 1, Start);
+    auto acknowledgement = restartedReceiver.makeUpdate(restartedReceiverQuarantine, restartedReceiverAttribution, 1, Start);
     acknowledgement.records.clear();
-    static_cast<void>(restartedSender.applyUpdate(restartedSenderQuarantine, acknowledgement, 3, Start));
-    CHECK(restartedSender.makeUpdate(restartedSenderQuarantine, 1, Start).records.size() == 1);
+    static_cast<void>(restartedSender.applyUpdate(restartedSenderQuarantine, restartedSenderAttribution, acknowledgement, 3, Start));
+    restartedSenderAttribution.noteCrash(3, {72}, std::nullopt, Start);
+    CHECK(restartedSender.makeUpdate(restartedSenderQuarantine, restartedSenderAttribution, 1, Start).records.size() == 1);
+    CHECK(restartedSender.makeUpdate(restartedSenderQuarantine, restartedSenderAttribution, 1, Start).features.size() == 1);
 }
 
 TEST_CASE("load slots: there are no more holders than slots, and a holder that stops renewing expires by the observer's clock")
