Close new connections unread at a gateway that gets more than it can serve

Nothing bounded the connections that a gateway takes on, and it accepted one for each turn of all its other work.

Now a gateway whose timer is late by more than 100 ms three times in a row closes a growing share of new connections before it reads their requests, as long as most other gateways say that they aren't late themselves. Such callers can go elsewhere at once, also with calls that must not run twice. It accepts up to 64 connections at a time, and those that it closes cost no more than that. The decision (admission::ConnectionShedding) is pure; a simulated process that gets 2, 5 and 9 times what it can serve keeps the requests it takes in time.

Callers' connections are also bounded by descriptors and memory, new settings that the platform's template gives.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -30,6 +30,7 @@
     /** Requests that a cold endpoint may get in any second over all entries: its service's rate times coldFactor, plus coldSlack. */
     double coldFactor = 1;
     double coldSlack = 0;
+    u32 maxCallerConnections = 0; ///< further connections are closed; zero means unlimited
 };
 
 /** @brief Objects that a gateway uses; all must outlive it. */
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -103,7 +103,7 @@
 
 } // namespace
 
-class Gateway::Impl : public http::Handler
+class Gateway::Impl : public http::Handler, private http::ConnectionGate
 {
 public:
     Impl(const GatewayDependencies &dependencies, const GatewaySettings &settings)
@@ -116,7 +116,7 @@
         , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
-        , m_callerServer(dependencies.context, settings.callerAddress, callerLimits({}), *this)
+        , m_callerServer(dependencies.context, settings.callerAddress, callerLimits({}), *this, http::ListenMode::Immediate, this)
         , m_readinessServer(dependencies.context, settings.readinessAddress, http::ServerLimits{}, m_readinessHandler)
         , m_metricsServer(dependencies.context, settings.metricsAddress, http::ServerLimits{}, m_metricsHandler)
     {
@@ -160,6 +160,29 @@
     }
 
 private:
+    [[nodiscard]] bool tryAdmit(std::size_t openConnections) override
+    {
+        const bool hasRoom = m_settings.maxCallerConnections == 0 || openConnections < m_settings.maxCallerConnections;
+        const bool isAdmitted = hasRoom && !m_state.connectionShedding.mustClose();
+        if (!isAdmitted) {
+            m_dependencies.metrics.count("burdock_connections_turned_away_total", {{"reason", hasRoom ? "overload" : "full"}});
+        }
+        return isAdmitted;
+    }
+
+    // Measured by this timer, as all handlers of the process wait in one queue.
+    void measureOverload(TimePoint due)
+    {
+        const auto &peers = m_state.endpoints.peers();
+        m_state.connectionShedding.setPeers(peers.peerCount(), peers.calmPeerCount());
+        m_state.connectionShedding.noteLateness(m_dependencies.clock.now() - due);
+        const bool isOverloaded = m_state.connectionShedding.isOverloaded();
+        if (std::exchange(m_wasOverloaded, isOverloaded) != isOverloaded) {
+            m_dependencies.logger.event(LogLevel::Warning, "overload",
+                                        {{"has_begun", isOverloaded}, {"under_way", u64{m_state.activeRequests}}});
+        }
+    }
+
     void spawn(boost::asio::awaitable<void> work)
     {
         boost::asio::co_spawn(m_dependencies.context, std::move(work), [this](const std::exception_ptr &failure) {
@@ -504,7 +527,9 @@
     boost::asio::awaitable<void> housekeeping()
     {
         while (true) {
+            const auto due = m_dependencies.clock.now() + HousekeepingPeriod;
             co_await runtime::sleepFor(HousekeepingPeriod);
+            measureOverload(due);
             m_pool.closeExpired(m_dependencies.clock.now());
             m_state.endpoints.peers().expire(m_dependencies.clock.now());
             logCrashCauses();
@@ -616,6 +641,7 @@
     std::multiset<std::string, std::less<>> m_returningZones; ///< once per return after which its endpoints haven't been listed yet
     bool m_isNewestConfigurationReadable = false;
     std::size_t m_loggedCrashCauses = 0;
+    bool m_wasOverloaded = false;
     std::set<std::string> m_followedStores;
     std::vector<std::unique_ptr<ObjectWatcher>> m_watchers;
     PathHandler m_readinessHandler;
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -38,6 +38,7 @@
     , retirement(cache::RetirementPolicy{})
     , fetchCosts(cache::FetchCostPolicy{})
     , crashes(retry::CrashAttributionPolicy{})
+    , connectionShedding(admission::ConnectionSheddingPolicy{})
     , streamOrigins(OriginRetention, OriginCapacity)
 {
 }
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/admission/connection_shedding.hpp>
 #include <burdock/cache/fetch_cost_estimator.hpp>
 #include <burdock/cache/part_retirement.hpp>
 #include <burdock/cache/store_freshness.hpp>
@@ -76,6 +77,7 @@
     std::optional<i64> endpointClockOffsetMs;
     std::map<std::string, retry::RetryBudget, std::less<>> budgets;
     retry::CrashAttribution crashes;
+    admission::ConnectionShedding connectionShedding;
     run::StreamOrigins streamOrigins;
     u64 bootId = 0; ///< different after each start of this process
     std::vector<std::string> entryNames; ///< of the registered entries
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -99,6 +99,7 @@
     message.set_boot_id(m_state.bootId);
     message.set_sequence(++m_sequence);
     message.set_keys_current(m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings));
+    message.set_overloaded(m_state.connectionShedding.isOverloaded());
     const auto unresponsive = m_state.endpoints.unresponsive(m_dependencies.clock.now());
     const auto &loading = m_state.endpoints.loading();
     const bool needsSnapshot = unresponsive != m_sentUnresponsive || loading != m_sentLoading;
@@ -256,6 +257,7 @@
     report.bootId = message.boot_id();
     report.sequence = message.sequence();
     report.hasCurrentKeys = message.keys_current();
+    report.isOverloaded = message.overloaded();
     report.isSnapshot = !message.changes_only();
     for (const auto &work : message.work()) {
         report.loads[work.endpoint()] = endpoints::Load{work.running(), work.memory_tokens(), work.pending_tokens()};
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -63,6 +63,19 @@
     Duration idleTimeout = std::chrono::seconds(30);
 };
 
+/** @brief Decides which new connections a server serves. Called on the thread that accepts connections. */
+class ConnectionGate
+{
+public:
+    virtual ~ConnectionGate() = default;
+
+    /**
+     * @brief Whether to serve a new connection; otherwise it is reset with its request unread.
+     * @param openConnections number of connections that are being served
+     */
+    [[nodiscard]] virtual bool tryAdmit(std::size_t openConnections) = 0;
+};
+
 /** @brief When a server starts to accept connections. */
 enum class ListenMode : u8 {
     Immediate,
@@ -73,9 +86,12 @@
 class Server
 {
 public:
-    /** @throws boost::system::system_error if the address can't be bound */
+    /**
+     * @param gate null to serve all connections; must outlive the context's last handler
+     * @throws boost::system::system_error if the address can't be bound
+     */
     Server(boost::asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler,
-           ListenMode mode = ListenMode::Immediate);
+           ListenMode mode = ListenMode::Immediate, ConnectionGate *gate = nullptr);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/lib/libburdock-runtime/source/http/listening_socket.cpp
+++ b/lib/libburdock-runtime/source/http/listening_socket.cpp
@@ -1,6 +1,7 @@
 #include "listening_socket.hpp"
 
 #include <array>
+#include <cerrno>
 #include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -30,13 +31,32 @@
     static_cast<void>(::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)));
 }
 
-void resetBacklog(int socket)
+AcceptedConnection acceptConnection(int socket)
+{
+    while (true) {
+        const int connection = ::accept4(socket, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (connection >= 0) {
+            return {connection, false};
+        }
+        const bool hasPeerLeft = errno == ECONNABORTED || errno == EINTR;
+        if (!hasPeerLeft) {
+            return {std::nullopt, errno == EAGAIN || errno == EWOULDBLOCK};
+        }
+    }
+}
+
+void resetConnection(int connection)
 {
     // Closing a connection that lingers for no time sends a reset.
     constexpr linger ResetOnClose{1, 0};
+    static_cast<void>(::setsockopt(connection, SOL_SOCKET, SO_LINGER, &ResetOnClose, sizeof(ResetOnClose)));
+    ::close(connection);
+}
+
+void resetBacklog(int socket)
+{
     for (int connection = ::accept(socket, nullptr, nullptr); connection >= 0; connection = ::accept(socket, nullptr, nullptr)) {
-        static_cast<void>(::setsockopt(connection, SOL_SOCKET, SO_LINGER, &ResetOnClose, sizeof(ResetOnClose)));
-        ::close(connection);
+        resetConnection(connection);
     }
 }
 
--- a/lib/libburdock-runtime/source/http/listening_socket.hpp
+++ b/lib/libburdock-runtime/source/http/listening_socket.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 namespace burdock::runtime::http::detail {
 
 /**
@@ -12,6 +14,22 @@
  */
 void dropNewHandshakes(int socket);
 
+/** @brief Result of accepting one connection. */
+struct AcceptedConnection
+{
+    std::optional<int> descriptor; ///< in non-blocking mode; nothing if there is none
+    bool isBacklogEmpty = false; ///< otherwise, without a descriptor, the process can't accept more at the moment
+};
+
+/**
+ * @brief Accepts a connection if one waits.
+ * @param socket descriptor of a listening TCP socket in non-blocking mode
+ */
+[[nodiscard]] AcceptedConnection acceptConnection(int socket);
+
+/** @brief Closes a connection with a reset, so that the peer knows that its request hasn't been read. */
+void resetConnection(int connection);
+
 /**
  * @brief Resets the connections that wait to be accepted.
  * @param socket descriptor of a listening TCP socket in non-blocking mode
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -22,6 +22,8 @@
 
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ReadBytes = 8 * 1024;
+/** Connections that are accepted at a time. */
+constexpr u32 MaxAcceptsPerTurn = 64;
 constexpr std::size_t DiscardBufferBytes = 64 * 1024;
 constexpr std::size_t MaxDiscardedBytes = 32 * 1024 * 1024;
 constexpr Duration DiscardTimeout = std::chrono::seconds(2);
@@ -200,11 +202,12 @@
 class Server::Impl : public std::enable_shared_from_this<Server::Impl>
 {
 public:
-    Impl(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler)
+    Impl(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler, ConnectionGate *gate)
         : m_context(context)
         , m_acceptor(asio::make_strand(context))
         , m_limits(limits)
         , m_handler(handler)
+        , m_gate(gate)
     {
         const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
         m_acceptor.open(endpoint.protocol());
@@ -335,19 +338,47 @@
     static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
     {
         while (true) {
-            Tcp::socket socket(asio::make_strand(self->m_context));
-            const auto [error] = co_await self->m_acceptor.async_accept(socket, Awaitable);
-            if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+            const auto [error] = co_await self->m_acceptor.async_wait(Tcp::acceptor::wait_read, Awaitable);
+            if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor || self->m_isStopping) {
                 co_return;
             }
-            if (error) {
+            if (error || !self->acceptWaiting()) {
                 // The process has probably run out of file descriptors; some connections may end during the pause.
                 asio::steady_timer retryTimer(self->m_acceptor.get_executor(), std::chrono::milliseconds(20));
                 co_await retryTimer.async_wait(Awaitable);
+            }
+        }
+    }
+
+    // Accepts several connections at a time, and closes those that aren't served before they cost more: under overload each turn of the
+    // context takes long, and connections that should be closed would wait in the backlog until their callers give up.
+    [[nodiscard]] bool acceptWaiting()
+    {
+        for (u32 i = 0; i < MaxAcceptsPerTurn; ++i) {
+            const auto accepted = detail::acceptConnection(m_acceptor.native_handle());
+            if (!accepted.descriptor) {
+                return accepted.isBacklogEmpty;
+            }
+            if (m_gate != nullptr && !m_gate->tryAdmit(openConnectionCount())) {
+                detail::resetConnection(*accepted.descriptor);
                 continue;
             }
-            spawnConnection(self, std::move(socket));
+            Tcp::socket socket(asio::make_strand(m_context));
+            boost::system::error_code error;
+            socket.assign(m_acceptor.local_endpoint(error).protocol(), *accepted.descriptor, error);
+            if (error) {
+                detail::resetConnection(*accepted.descriptor);
+                continue;
+            }
+            spawnConnection(shared_from_this(), std::move(socket));
         }
+        return true;
+    }
+
+    [[nodiscard]] std::size_t openConnectionCount()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_connections.size();
     }
 
     static void spawnConnection(const std::shared_ptr<Impl> &self, Tcp::socket socket)
@@ -500,6 +531,7 @@
     Tcp::acceptor m_acceptor;
     ServerLimits m_limits;
     Handler &m_handler;
+    ConnectionGate *m_gate;
     u16 m_port = 0;
     std::atomic<bool> m_isStopping{false};
     std::atomic<bool> m_closesAfterAnswers{false};
@@ -511,8 +543,9 @@
     std::optional<Response> m_finalResponse; // sent on connections that closeIdle() closes
 };
 
-Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler, ListenMode mode)
-    : m_impl(std::make_shared<Impl>(context, address, limits, handler))
+Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler, ListenMode mode,
+               ConnectionGate *gate)
+    : m_impl(std::make_shared<Impl>(context, address, limits, handler, gate))
 {
     if (mode == ListenMode::Immediate) {
         m_impl->listen();
--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -31,6 +31,8 @@
 constexpr double MaxTimeLimitMs = 3'600'000.0;
 /** Largest number of requests in a limit. */
 constexpr double MaxRequestCount = 1e9;
+constexpr double MaxDescriptors = 1e7;
+constexpr double MaxMemoryMegabytes = 1e7;
 
 bool isHex(std::string_view text, std::size_t digits)
 {
@@ -249,6 +251,8 @@
     requireInRange(settings.retry_slack(), 0, MaxRequestCount, "$.retry_slack", faults);
     requireInRange(settings.cold_factor(), 0, MaxRequestCount, "$.cold_factor", faults);
     requireInRange(settings.cold_slack(), 0, MaxRequestCount, "$.cold_slack", faults);
+    requireInRange(settings.descriptors(), 0, MaxDescriptors, "$.descriptors", faults);
+    requireInRange(settings.memory_mb(), 0, MaxMemoryMegabytes, "$.memory_mb", faults);
     require(settings.retry_share() >= 0 && settings.retry_share() <= 1, "$.retry_share", "must be from 0 to 1", faults);
 }
 
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -48,6 +48,7 @@
         std::map<std::string, u64, std::less<>> announcedWeights; ///< newest version known to the entry, by model
         std::unordered_set<u64> loading; ///< endpoints that the entry ordered to load weights
         std::unordered_set<u64> unresponsive; ///< endpoints that do not respond to the entry
+        bool isOverloaded = false; ///< the entry has more work than it can do
         bool hasCurrentKeys = false; ///< the entry's API keys are up to date, so that it accepts requests with keys
     };
 
@@ -72,6 +73,9 @@
     /** @brief Whether any entry reports that it accepts requests with keys. */
     [[nodiscard]] bool anyHasCurrentKeys() const;
 
+    /** @brief Number of entries that are not overloaded. */
+    [[nodiscard]] std::size_t calmPeerCount() const;
+
     /** @brief Number of entries with a valid report. */
     [[nodiscard]] std::size_t peerCount() const;
 
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -99,6 +99,12 @@
     return std::any_of(m_reports.begin(), m_reports.end(), [](const auto &entry) { return entry.second.report.hasCurrentKeys; });
 }
 
+std::size_t PeerLoads::calmPeerCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_reports.begin(), m_reports.end(), [](const auto &entry) { return !entry.second.report.isOverloaded; }));
+}
+
 std::size_t PeerLoads::peerCount() const
 {
     return m_reports.size();
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -1,5 +1,6 @@
 #include "run_gateway.hpp"
 
+#include <burdock/admission/connection_shedding.hpp>
 #include <burdock/gateway/gateway.hpp>
 #include <burdock/platform/http_platform_store.hpp>
 #include <burdock/platform/http_protocol_codec.hpp>
@@ -48,6 +49,8 @@
     settings.minOrderInterval = fromMilliseconds(document.order_pause_ms()) + Duration(1);
     settings.coldFactor = document.cold_factor() > 0 ? document.cold_factor() : settings.coldFactor;
     settings.coldSlack = document.cold_slack();
+    settings.maxCallerConnections
+        = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
     return settings;
 }
 
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -212,6 +212,11 @@
     return m_gateway.log();
 }
 
+const GatewayProcess &GatewayDeployment::gateway() const
+{
+    return m_gateway;
+}
+
 ChildProcess &GatewayDeployment::process()
 {
     return m_gateway.process();
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -81,6 +81,7 @@
     [[nodiscard]] u16 readiness();
     [[nodiscard]] std::string metrics();
     [[nodiscard]] std::string log() const;
+    [[nodiscard]] const GatewayProcess &gateway() const;
     [[nodiscard]] ChildProcess &process();
 
     /** @brief Kills the gateway and restarts it with the same settings. */
--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -25,8 +25,8 @@
     return schema::parseGatewaySettings("settings.json", json::serialize(settings));
 }
 
-const std::vector<std::string> Limits{"grace_seconds", "revocation_ms",  "retry_share", "retry_slack",
-                                      "weights_ms",    "order_pause_ms", "cold_factor", "cold_slack"};
+const std::vector<std::string> Limits{"grace_seconds",  "revocation_ms", "retry_share", "retry_slack", "weights_ms",
+                                      "order_pause_ms", "cold_factor",   "cold_slack",  "descriptors", "memory_mb"};
 
 } // namespace
 
