Stop requests that break no connection but their own, and crash engines in the soak by parts of prompts

The bit that tells the two kinds of features apart is in the feature, so all gateways judge alike.

Refused features are tried again after 10 s, 30 s, 90 s: after 30 s, a sound request that unrelated crashes had blamed stayed refused for too long.

In the soak, one call in forty is a prompt, unlike any other, with a part that crashes engines: all connections break, and the engine is down for 1.5 s.

--- a/lib/libburdock-gateway/source/crash_guard.cpp
+++ b/lib/libburdock-gateway/source/crash_guard.cpp
@@ -10,18 +10,15 @@
 
 using endpoints::Outcome;
 
-/** Keeps the hashes of parts apart from those of requests. */
-constexpr u64 PartSeed = 0x70617274;
-
 } // namespace
 
 CrashGuard::CrashGuard(retry::CrashAttribution &crashes, u64 requestHash, const std::vector<cache::PromptPart> &parts)
     : m_crashes(crashes)
     , m_parts(parts)
-    , m_features{requestHash}
+    , m_features{retry::requestFeature(requestHash)}
 {
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        m_features.push_back(hash::hash64(parts[i].id, PartSeed));
+        m_features.push_back(retry::partFeature(hash::hash64(parts[i].id)));
     }
 }
 
--- a/lib/libburdock-serving/source/entry/caller_handler.cpp
+++ b/lib/libburdock-serving/source/entry/caller_handler.cpp
@@ -117,7 +117,7 @@
     u64 prefix = 0;
     for (std::size_t end = blockBytes; end < prompt.size() && features.size() < MaxBlockFeatures; end += blockBytes) {
         prefix = hash::hash64(prompt.substr(end - blockBytes, blockBytes), prefix);
-        features.push_back(prefix);
+        features.push_back(retry::partFeature(prefix));
     }
     return features;
 }
--- a/lib/libburdock-serving/source/entry/prompt_api.cpp
+++ b/lib/libburdock-serving/source/entry/prompt_api.cpp
@@ -1,6 +1,7 @@
 #include <burdock/serving/entry/prompt_api.hpp>
 
 #include <burdock/hash/digest.hpp>
+#include <burdock/retry/crash_attribution.hpp>
 
 #include <boost/json.hpp>
 
@@ -38,7 +39,7 @@
             return std::nullopt;
         }
         prompt.text.append("<|").append(*role).append("|>\n").append(*content).append("\n");
-        prompt.messageHashes.push_back(hash::hash64(*content, hash::hash64(*role)));
+        prompt.messageHashes.push_back(retry::partFeature(hash::hash64(*content, hash::hash64(*role))));
     }
     prompt.messageHashes.pop_back();
     return prompt;
--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -17,8 +17,8 @@
     /** Crashes that nothing else explains from which requests with a feature are refused; more if such a request succeeded recently. */
     u32 crashThreshold = 3;
     u32 crashThresholdAfterSuccess = 5;
-    /** Time since the last crash until a single request with a refused feature is tried; doubles after each failed trial. */
-    Duration initialTrialDelay = std::chrono::seconds(30);
+    /** Time since the last crash until a single request with a refused feature is tried; triples after each failed trial. */
+    Duration initialTrialDelay = std::chrono::seconds(10);
     /** Losses of connections to one endpoint within this time count as one crash. */
     Duration sameCrashWindow = std::chrono::milliseconds(1500);
     /** An endpoint that is heard from within this time after the loss of a connection, but not immediately, has not crashed. */
@@ -55,6 +55,18 @@
     std::optional<Duration> clearedAge; ///< age of the newest request with the feature that succeeded after crashes, at its start
 };
 
+/** @brief Feature of a request as a whole, given a hash of its content. */
+[[nodiscard]] constexpr u64 requestFeature(u64 hash)
+{
+    return hash | 1;
+}
+
+/** @brief Feature of a part of a prompt, given a hash of the part. */
+[[nodiscard]] constexpr u64 partFeature(u64 hash)
+{
+    return hash & ~u64{1};
+}
+
 /**
  * @brief Finds out what the requests that crash endpoints have in common, and refuses further ones.
  *
@@ -98,7 +110,11 @@
      */
     void noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now);
 
-    /** @brief Records that an endpoint is alive; refutes crashes that were assumed shortly before. */
+    /**
+     * @brief Records that an endpoint is alive; refutes crashes that were assumed shortly before.
+     *
+     * Only parts of prompts are cleared of them: a request as a whole also counts as a cause if it breaks no connection but its own.
+     */
     void noteAlive(u64 endpoint, TimePoint now);
 
     /**
@@ -151,6 +167,7 @@
     [[nodiscard]] bool areClose(TimePoint left, TimePoint right) const;
     [[nodiscard]] bool isKnown(const CrashTimes &crashes, const Sighting &sighting) const;
     [[nodiscard]] std::vector<Sighting> without(const std::vector<Sighting> &crashes, const CrashTimes &explained) const;
+    [[nodiscard]] static bool isRefutable(u64 feature);
     [[nodiscard]] static std::pair<std::size_t, std::size_t> weightOf(const std::vector<Sighting> &crashes);
     [[nodiscard]] bool areEqual(const std::vector<Sighting> &left, const std::vector<Sighting> &right) const;
     [[nodiscard]] u32 thresholdOf(u64 feature) const;
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t MaxCrashesOfFeature = 64;
 constexpr std::size_t MaxCrashesInRecord = 8;
 /** Keeps the delay between trials from overflowing. */
-constexpr u32 MaxTrialDoublings = 10;
+constexpr u32 MaxFailedTrials = 7;
+constexpr u32 TrialDelayFactor = 3;
 /** A test that has no result for this long makes room for another. */
 constexpr Duration TestTimeout = std::chrono::seconds(5);
 /** How long successes are remembered at least, and the maximum number of features for which they are. */
@@ -139,7 +140,9 @@
     }
     m_recentLosses.erase(loss);
     for (auto &[id, feature] : m_features) {
-        std::erase_if(feature.crashes, [&](const Sighting &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
+        if (isRefutable(id)) {
+            std::erase_if(feature.crashes, [&](const Sighting &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
+        }
     }
     m_mustFindCauses = true;
 }
@@ -315,6 +318,11 @@
     return rest;
 }
 
+bool CrashAttribution::isRefutable(u64 feature)
+{
+    return feature == partFeature(feature);
+}
+
 std::pair<std::size_t, std::size_t> CrashAttribution::weightOf(const std::vector<Sighting> &crashes)
 {
     const auto early = std::count_if(crashes.begin(), crashes.end(), [](const Sighting &crash) { return crash.isEarly; });
@@ -341,12 +349,15 @@
 // Requests with a blamed feature are refused, so a crash long after the previous one comes from a trial, here or in another process.
 Duration CrashAttribution::trialDelayOf(const Feature &feature) const
 {
+    auto delay = m_policy.initialTrialDelay;
     u32 failedTrials = 0;
-    for (std::size_t i = m_policy.crashThreshold; i < feature.crashes.size(); ++i) {
-        const bool isTrial = feature.crashes[i].at - feature.crashes[i - 1].at >= m_policy.initialTrialDelay / 2;
-        failedTrials += isTrial ? 1 : 0;
+    for (std::size_t i = m_policy.crashThreshold; i < feature.crashes.size() && failedTrials < MaxFailedTrials; ++i) {
+        if (feature.crashes[i].at - feature.crashes[i - 1].at >= m_policy.initialTrialDelay / 2) {
+            ++failedTrials;
+            delay *= TrialDelayFactor;
+        }
     }
-    return m_policy.initialTrialDelay * (1U << std::min(failedTrials, MaxTrialDoublings));
+    return delay;
 }
 
 Duration CrashAttribution::timeUntilTrialOf(const Cause &cause, TimePoint now) const
--- a/soak/back_end.cpp
+++ b/soak/back_end.cpp
@@ -16,6 +16,7 @@
 
 constexpr auto PlainServiceTime = std::chrono::milliseconds(8);
 constexpr auto PromptPrefillTime = std::chrono::milliseconds(15);
+constexpr auto CrashDownTime = std::chrono::milliseconds(1500);
 constexpr auto EventInterval = std::chrono::milliseconds(5);
 constexpr int SlowFactor = 12;
 constexpr std::size_t UnframedOneIn = 3;
@@ -110,6 +111,9 @@
 
 ConnectionAction BackEnd::serve(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection)
 {
+    if (now() < m_downUntil.load()) {
+        return ConnectionAction::Reset;
+    }
     if (request.target == "/report") {
         connection.write(standins::completeResponse(request, Ok, statusJson()));
         return ConnectionAction::Keep;
@@ -160,9 +164,25 @@
         connection.write(mode == EndpointMode::Truncating ? answer.substr(0, answer.size() / 2) : answer);
         return mode == EndpointMode::Truncating ? ConnectionAction::Close : ConnectionAction::Keep;
     }
+    if (request.header("X-Prompt-Prefix").find(PoisonPart + ":") != std::string::npos) {
+        connection.write(standins::streamHead(request) + standins::eventChunk(1, attempt));
+        crash();
+        return ConnectionAction::Reset;
+    }
     return stream(request, connection, mode);
 }
 
+void BackEnd::crash()
+{
+    const auto at = now();
+    auto downUntil = m_downUntil.load();
+    if (at < downUntil || !m_downUntil.compare_exchange_strong(downUntil, at + CrashDownTime)) {
+        return;
+    }
+    m_checker.notePoisonedPromptRun(m_id, at, at + CrashDownTime);
+    m_proxy->closeConnections();
+}
+
 // Some streams have neither a length nor chunks and end with their connection, which also ends when the engine fails inside an event.
 ConnectionAction BackEnd::stream(const standins::ReceivedRequest &request, standins::ReplicaConnection &connection, EndpointMode mode)
 {
--- a/soak/back_end.hpp
+++ b/soak/back_end.hpp
@@ -11,6 +11,9 @@
 
 namespace soak {
 
+/** @brief A part of prompts that crashes each engine that begins to answer one. */
+inline const std::string PoisonPart = "dead";
+
 /** @brief How an endpoint handles requests. */
 enum class EndpointMode : u8 {
     Healthy,
@@ -58,6 +61,8 @@
                                                     EndpointMode mode);
     [[nodiscard]] standins::ConnectionAction handleWeightOrder(const standins::ReceivedRequest &request,
                                                                standins::ReplicaConnection &connection);
+    /** @brief Simulates a crash, if the engine isn't down already: all its connections break, and new ones for some time. */
+    void crash();
     void finishLoadIfDue();
     [[nodiscard]] std::string statusJson();
     [[nodiscard]] EngineBehavior behavior();
@@ -71,6 +76,7 @@
     std::string m_softwareVersion;
     std::atomic<EndpointMode> m_mode{EndpointMode::Healthy};
     std::atomic<bool> m_isDraining{false};
+    std::atomic<TimePoint> m_downUntil{TimePoint{}};
     std::mutex m_mutex; ///< guards the members up to m_loadFinishTime
     EngineBehavior m_behavior;
     u64 m_weightVersion = 1;
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,5 +1,7 @@
 #include "callers.hpp"
 
+#include "back_end.hpp"
+
 #include <burdock/runtime/sleep.hpp>
 
 #include <array>
@@ -19,11 +21,11 @@
 constexpr u16 StatusOk = 200;
 constexpr u32 AbandonOneIn = 12;
 constexpr u32 SwitchGatewayOneIn = 20;
-constexpr u32 PoisonOneIn = 40;
+constexpr u32 PoisonOneIn = 20;
 /** Number of most recent rotating keys in use: the current one and those that were revoked before it. */
 constexpr std::size_t RotatingKeyCount = 3;
 constexpr u32 KeyChoiceRange = 12;
-constexpr std::array<const char *, 5> Paths{"/once/x", "/read/x", "/prompts/x", "/resumable/x", "/read/poison"};
+constexpr std::array<const char *, 6> Paths{"/once/x", "/read/x", "/prompts/x", "/resumable/x", "/read/poison", "/prompts/x"};
 constexpr u32 RegularKindCount = 4;
 constexpr std::string_view EventEnd = "\n\n";
 
@@ -80,7 +82,7 @@
     while (!m_isOver) {
         const u32 gateway
             = m_connection && randomBelow(SwitchGatewayOneIn) > 0 ? m_currentGateway : randomBelow(static_cast<u32>(m_gateways.size()));
-        const auto kind = randomBelow(PoisonOneIn) == 0 ? CallKind::Poison : static_cast<CallKind>(randomBelow(RegularKindCount));
+        const auto kind = nextKind();
         const auto key = m_keys.pickKey(randomBelow(KeyChoiceRange));
         static_cast<void>(co_await call(gateway, kind, key));
         const Duration pause = std::chrono::milliseconds(randomBelow(MaxPauseMs));
@@ -88,6 +90,14 @@
     }
 }
 
+CallKind Caller::nextKind()
+{
+    if (randomBelow(PoisonOneIn) == 0) {
+        return randomBelow(2) == 0 ? CallKind::Poison : CallKind::PoisonedPrompt;
+    }
+    return static_cast<CallKind>(randomBelow(RegularKindCount));
+}
+
 boost::asio::awaitable<CallOutcome> Caller::call(u32 gateway, CallKind kind, const std::string &key)
 {
     const StreamStart none;
@@ -129,10 +139,12 @@
         request.headers.emplace_back("Resumes", start.attempt);
         request.headers.emplace_back("Last-Event-Id", std::to_string(start.lastEvent));
     }
-    if (kind == CallKind::Prompt || kind == CallKind::ResumablePrompt) {
+    if (kind == CallKind::Prompt || kind == CallKind::ResumablePrompt || kind == CallKind::PoisonedPrompt) {
+        const std::string poison = kind == CallKind::PoisonedPrompt ? fmt::format("{}:1,", PoisonPart) : "";
         request.headers.emplace_back("X-Model-Id", "m");
         request.headers.emplace_back("X-Token-Usage", "40,6");
-        request.headers.emplace_back("X-Prompt-Prefix", fmt::format("{:x}:30,{:x}:10", randomBelow(16) + 1, 100 + m_number));
+        request.headers.emplace_back("X-Prompt-Prefix", fmt::format("{:x}:30,{}{:x}:10", randomBelow(16) + 1, poison, 100 + m_number));
+        request.body = attempt; // no two prompts are alike
     }
     const u32 incarnation = m_gateways[gateway]->incarnation;
     m_checker.noteSent(attempt, {kind, gateway, incarnation, m_gateways[gateway]->startedAt, key, now()});
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -59,6 +59,7 @@
     [[nodiscard]] boost::asio::awaitable<CallOutcome> call(u32 gateway, CallKind kind, const std::string &key, const StreamStart &start);
     [[nodiscard]] boost::asio::awaitable<CallOutcome> sendRequest(const runtime::http::Request &request);
     [[nodiscard]] boost::asio::awaitable<void> readBody(CallOutcome &outcome);
+    [[nodiscard]] CallKind nextKind();
     [[nodiscard]] u32 randomBelow(u32 limit);
 
     u32 m_number;
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> KindNames{"once", "read", "prompt", "resumable prompt", "poison"};
+constexpr std::array<std::string_view, 6> KindNames{"once", "read", "prompt", "resumable prompt", "poison", "poisoned prompt"};
 constexpr u16 Ok = 200;
 constexpr u16 Unauthorized = 401;
 constexpr u16 NotFound = 404;
@@ -81,7 +81,7 @@
     ++m_counts[outcome.isAbandoned ? "left" : "status " + std::to_string(outcome.status)];
     checkResponse(attempt, recorded);
     checkNotRunRefusal(attempt, recorded);
-    if (recorded.sent.kind != CallKind::Poison) {
+    if (recorded.sent.kind != CallKind::Poison && recorded.sent.kind != CallKind::PoisonedPrompt) {
         checkLostCall(attempt, recorded);
     }
     checkUnknownKey(attempt, recorded);
@@ -325,6 +325,16 @@
     m_disturbances.end(endpoint, at);
 }
 
+void GuaranteeChecker::notePoisonedPromptRun(const std::string &engine, TimePoint at, TimePoint backAt)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_counts["poisoned prompt runs"];
+    }
+    m_disturbances.begin(engine, DisturbanceKind::Unplanned, at);
+    m_disturbances.end(engine, backAt);
+}
+
 void GuaranteeChecker::noteOrder(const ReceivedOrder &order)
 {
     const std::lock_guard lock(m_mutex);
--- a/soak/guarantee_checker.hpp
+++ b/soak/guarantee_checker.hpp
@@ -13,6 +13,7 @@
     Prompt,
     ResumablePrompt, ///< a prompt whose stream its caller takes up once if it breaks off
     Poison, ///< a read that crashes each endpoint that executes it
+    PoisonedPrompt, ///< a prompt with a part that crashes each engine that begins to answer it, unlike any other as a whole
 };
 
 [[nodiscard]] std::string_view toString(CallKind kind);
@@ -96,6 +97,8 @@
     void noteExecution(const CallExecution &call);
     void noteOutcome(const std::string &attempt, const CallOutcome &outcome);
     void notePoisonRun(const std::string &endpoint, TimePoint at);
+    /** @brief Records that an engine began to answer a prompt with the part that crashes engines, and crashed; it is back later. */
+    void notePoisonedPromptRun(const std::string &engine, TimePoint at, TimePoint backAt);
     void noteOrder(const ReceivedOrder &order);
 
     /** @brief Changes by the operator, at the time when the store acknowledged them. */
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -74,9 +74,11 @@
                                 fmt::format("{} calls were not served: {}", calls, response));
     }
     const auto counted = checker.counts();
-    const auto poison = counted.find("poison runs");
-    if (poison != counted.end() && poison->second > maxPoisonRuns(deployment)) {
-        checker.reportViolation("a request that crashes endpoints is quarantined", fmt::format("it was executed {} times", poison->second));
+    for (const std::string poison : {"poison runs", "poisoned prompt runs"}) {
+        const auto runs = counted.find(poison);
+        if (runs != counted.end() && runs->second > maxPoisonRuns(deployment)) {
+            checker.reportViolation("requests that crash endpoints are stopped", fmt::format("{}: {}", poison, runs->second));
+        }
     }
     if (!checker.violations().empty()) {
         for (const auto &path : deployment.keepLogs()) {
