--- a/lib/libburdock/include/burdock/admission/connection_shedding.hpp
+++ b/lib/libburdock/include/burdock/admission/connection_shedding.hpp
@@ -54,7 +54,7 @@
     bool m_canOthersServe = false;
 };
 
-/** @brief Number of connections of callers that a process accepts, given its limits of file descriptors and memory; zero means unlimited. */
+/** @brief Number of callers' connections that a process accepts, given its file descriptors and memory; zero means unlimited. */
 [[nodiscard]] u32 connectionLimit(u32 descriptors, u32 memoryMegabytes);
 
 } // namespace burdock::admission
