Tell other gateways of a success when its request ends, and do less work for each crash

A gateway that cleared a part told the others only if the request had begun within the last two messages. Where answers take seconds, which are those that crashes break most, sound prompts with the part would stay refused elsewhere. Found by reading; "a success of a request that took long" fails before.

Causes are sought anew only when a feature with enough crashes changes, and observations are listed only if there are recent ones.

--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -152,8 +152,9 @@
     struct Feature
     {
         std::vector<Sighting> crashes; ///< the earliest first
-        std::optional<TimePoint> clearedAt;
-        u64 clearSequence = 0; ///< zero if another process observed it
+        std::optional<TimePoint> clearedAt; ///< start of the newest request that succeeded after crashes
+        u64 clearSequence = 0; ///< of that success; zero if another process observed it
+        TimePoint clearNotedAt{}; ///< end of that request, if this process observed it
         std::optional<TimePoint> trialAt;
         std::optional<TimePoint> testAt;
     };
@@ -178,6 +179,7 @@
     [[nodiscard]] FeatureRecord toRecord(u64 feature, const std::vector<Sighting> &crashes, TimePoint now) const;
     bool addSighting(u64 feature, const Sighting &sighting);
     bool clear(Feature &feature, TimePoint begun);
+    void noteChange(const Feature &feature);
     void noteRecentSuccess(u64 feature, TimePoint now);
     void forgetOld(TimePoint now);
     void evict();
@@ -193,6 +195,7 @@
     std::vector<Cause> m_causes;
     bool m_mustFindCauses = false;
     TimePoint m_oldForgottenAt{};
+    TimePoint m_lastObservationAt{}; ///< of this process
     u64 m_sequence = 0;
 };
 
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -112,6 +112,7 @@
     }
     forgetOld(now);
     ++m_sequence;
+    m_lastObservationAt = now;
     const bool isEarly = !begun || now - *begun <= m_policy.earlyTime;
     bool isNew = false;
     for (const u64 feature : features) {
@@ -130,7 +131,7 @@
     while (!m_recentLosses.empty() && now - m_recentLosses.front().second > m_policy.maxAliveDelay) {
         m_recentLosses.pop_front();
     }
-    const auto isRefuted = [this, endpoint, now](TimePoint lostAt) {
+    const auto isRefuted = [this, now](TimePoint lostAt) {
         return now - lostAt >= m_policy.minAliveDelay && now - lostAt <= m_policy.maxAliveDelay;
     };
     const auto loss = std::find_if(m_recentLosses.begin(), m_recentLosses.end(),
@@ -141,10 +142,10 @@
     m_recentLosses.erase(loss);
     for (auto &[id, feature] : m_features) {
         if (isRefutable(id)) {
+            noteChange(feature);
             std::erase_if(feature.crashes, [&](const Sighting &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
         }
     }
-    m_mustFindCauses = true;
 }
 
 void CrashAttribution::noteSuccess(const Features &features, TimePoint begun, TimePoint now)
@@ -158,6 +159,8 @@
         found->second.testAt.reset();
         if (clear(found->second, begun)) {
             found->second.clearSequence = ++m_sequence;
+            found->second.clearNotedAt = now;
+            m_lastObservationAt = now;
         }
     }
 }
@@ -207,11 +210,14 @@
 std::vector<FeatureRecord> CrashAttribution::observationsSince(TimePoint time, TimePoint now) const
 {
     std::vector<FeatureRecord> records;
+    if (m_lastObservationAt < time) {
+        return records;
+    }
     for (const auto &[id, feature] : m_features) {
         std::vector<Sighting> crashes;
         std::copy_if(feature.crashes.begin(), feature.crashes.end(), std::back_inserter(crashes),
                      [time](const Sighting &crash) { return crash.sequence > 0 && crash.at >= time; });
-        const bool isCleared = feature.clearSequence > 0 && feature.clearedAt && *feature.clearedAt >= time;
+        const bool isCleared = feature.clearSequence > 0 && feature.clearNotedAt >= time;
         if (crashes.empty() && !isCleared) {
             continue;
         }
@@ -408,7 +414,7 @@
         const bool isNews = sighting.isEarly && !seen->isEarly;
         if (isNews) {
             *seen = {seen->endpoint, seen->at, sighting.sequence, true};
-            m_mustFindCauses = true;
+            noteChange(entry);
         }
         return isNews;
     }
@@ -419,19 +425,25 @@
         entry.crashes.erase(entry.crashes.begin());
     }
     entry.testAt.reset();
-    m_mustFindCauses = true;
+    noteChange(entry);
     return true;
 }
 
 // The mark stays when no crash is left, so that a late report of an earlier crash doesn't count.
 bool CrashAttribution::clear(Feature &feature, TimePoint begun)
 {
+    noteChange(feature);
     const auto count = std::erase_if(feature.crashes, [begun](const Sighting &crash) { return crash.at <= begun; });
     feature.clearedAt = std::max(begun, feature.clearedAt.value_or(begun));
-    m_mustFindCauses = m_mustFindCauses || count > 0;
     return count > 0;
 }
 
+// A feature with few crashes neither is a cause nor explains any crash.
+void CrashAttribution::noteChange(const Feature &feature)
+{
+    m_mustFindCauses = m_mustFindCauses || feature.crashes.size() >= m_policy.crashThreshold;
+}
+
 void CrashAttribution::noteRecentSuccess(u64 feature, TimePoint now)
 {
     if (m_succeeded.size() >= MaxSucceeded || now - m_successesSince > SuccessPeriod) {
--- a/tests/unit/crash_attribution_test.cpp
+++ b/tests/unit/crash_attribution_test.cpp
@@ -240,6 +240,18 @@
     CHECK(first.tryBegin({CrashingPart}, at(15s)) == RunPermission::Free);
 }
 
+// Guards against sound requests that other processes refuse because the one that cleared their part had answered one for long.
+TEST_CASE("a success of a request that took long is told to the others when it ends")
+{
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    noteCrashes(attribution, 3, {CrashingPart});
+    attribution.noteSuccess({CrashingPart}, at(4s), at(9s));
+    const auto records = attribution.observationsSince(at(8900ms), at(9s));
+    REQUIRE(records.size() == 1);
+    CHECK(records.front().clearedAge == 5s);
+    CHECK(attribution.observationsSince(at(9100ms), at(10s)).empty());
+}
+
 // Guards against a cause that is forgotten because many innocent features were at endpoints that were lost at once.
 TEST_CASE("features are forgotten after a time, and those with the fewest crashes when there are too many")
 {
