Tell a part that crashes engines from one that was merely there when many crashed at once

Cause: a feature is blamed for the crashes since its last success, and a mass crash gives a popular part 16 of them at once, before any request that began afterwards can have ended. Once it is blamed, its requests are refused, so that none can succeed until the trial.

Change: five endpoints and more that crash within 200 ms count as one crash, and not at all for a feature that fewer than half of them had; a feature that succeeded before is blamed only if nothing with it that began after its first crash has succeeded for 1.5 s, any other after 0.4 s, in which reports of others arrive; answers that go on for longer than half a second count for the parts of their prompts; a success counts for crashes that are reported after it; the earliest report tells when an endpoint crashed; the first trial of a feature that succeeded before comes after 1 s in place of 10 s. Daemons' endpoint processes use the same, without the 0.4 s.

Ruled out on the way: counting each moment once, however few crash in it, let a message that crashes four engines within 100 ms crash 24 (overload_test "conversations with a message", red). So few crashes count singly.

Throttle moves out of hot_gateway_test unchanged.

--- a/lib/libburdock-gateway/source/crash_guard.cpp
+++ b/lib/libburdock-gateway/source/crash_guard.cpp
@@ -10,6 +10,9 @@
 
 using endpoints::Outcome;
 
+/** Longer pauses between the events of an answer are not counted: this process may not have run while the endpoint crashed. */
+constexpr Duration MaxEventGap = std::chrono::milliseconds(100);
+
 } // namespace
 
 CrashGuard::CrashGuard(retry::CrashAttribution &crashes, u64 requestHash, const std::vector<cache::PromptPart> &parts)
@@ -32,6 +35,20 @@
     return m_crashes.blamed(m_features, now).empty();
 }
 
+void CrashGuard::noteEvent(TimePoint now)
+{
+    if (!m_firstEventAt) {
+        m_firstEventAt = now;
+        m_lastEventAt = now;
+    }
+    m_answeredFor += std::min(now - m_lastEventAt, MaxEventGap);
+    m_lastEventAt = now;
+    if (!m_isProgressNoted && m_answeredFor > m_crashes.earlyTime()) {
+        m_isProgressNoted = true;
+        m_crashes.noteProgress(m_features, *m_firstEventAt, now);
+    }
+}
+
 void CrashGuard::noteNotSent(TimePoint now)
 {
     m_crashes.returnPermission(m_features, now);
@@ -39,6 +56,9 @@
 
 void CrashGuard::noteEnd(const RunEnd &end, TimePoint now)
 {
+    m_firstEventAt.reset();
+    m_answeredFor = Duration::zero();
+    m_isProgressNoted = false;
     if (end.outcome == Outcome::Broken) {
         m_crashes.noteCrash(hash::hash64(end.endpoint), m_features, end.begunAt, now);
         return;
--- a/lib/libburdock-gateway/source/crash_guard.hpp
+++ b/lib/libburdock-gateway/source/crash_guard.hpp
@@ -27,6 +27,9 @@
     /** @brief Whether the request may be sent to a further endpoint. */
     [[nodiscard]] bool mayTryElsewhere(TimePoint now);
 
+    /** @brief Records that a part of the answer was received from the endpoint that runs the request. */
+    void noteEvent(TimePoint now);
+
     /** @brief Records that the request isn't sent after tryBegin() has allowed it. */
     void noteNotSent(TimePoint now);
 
@@ -51,6 +54,11 @@
     retry::CrashAttribution &m_crashes;
     const std::vector<cache::PromptPart> &m_parts;
     retry::CrashAttribution::Features m_features; ///< of the request, and of its parts but the last
+    /** Of the current run: when its first and its last event were received, and for how long they have come without a pause. */
+    std::optional<TimePoint> m_firstEventAt;
+    TimePoint m_lastEventAt{};
+    Duration m_answeredFor{};
+    bool m_isProgressNoted = false;
 };
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -539,6 +539,7 @@
         }
         noteHeard(id);
         noteFirstEvent(id);
+        m_crashGuard->noteEvent(m_dependencies.clock.now());
         const auto events = m_sseSplitter.append(chunk.data);
         if (!events.empty()) {
             noteOrigin();
--- a/lib/libburdock-serving/source/suspect_table.cpp
+++ b/lib/libburdock-serving/source/suspect_table.cpp
@@ -11,6 +11,15 @@
 
 constexpr Duration SuspectLifetime = std::chrono::minutes(30);
 constexpr std::size_t MaxSuspects = 4096;
+
+/** Endpoint processes tell of crashes at once and notice them without delay. */
+retry::CrashAttributionPolicy attributionPolicy()
+{
+    retry::CrashAttributionPolicy policy;
+    policy.timeToHear = Duration::zero();
+    return policy;
+}
+
 constexpr retry::TrialPolicy HeldTrialPolicy{retry::LossesToHold, std::chrono::seconds(10)};
 
 } // namespace
@@ -19,7 +28,7 @@
     : m_process(process)
     , m_minCrashesToShare(minCrashesToShare)
     , m_quarantine(SuspectLifetime, MaxSuspects)
-    , m_attribution(retry::CrashAttributionPolicy{})
+    , m_attribution(attributionPolicy())
 {
 }
 
--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -6,7 +6,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace burdock::retry {
@@ -17,8 +16,20 @@
     /** Crashes that nothing else explains from which requests with a feature are refused; more if such a request succeeded recently. */
     u32 crashThreshold = 3;
     u32 crashThresholdAfterSuccess = 5;
+    /** So many endpoints that crash within this time are likely to have one cause, such as a power failure, and count as one crash. */
+    std::size_t massCrashSize = 5;
+    Duration massCrashTime = std::chrono::milliseconds(200);
+    /** Time in which other processes tell what they have observed; a feature isn't blamed sooner after the first of its crashes. */
+    Duration timeToHear = std::chrono::milliseconds(400);
+    /**
+     * Time in which requests with an innocent feature succeed somewhere. A feature that requests succeeded with recently is blamed only if
+     * none that began after the first of its crashes has succeeded for so long.
+     */
+    Duration timeToSucceed = std::chrono::milliseconds(1500);
     /** Time since the last crash until a single request with a refused feature is tried; triples after each failed trial. */
     Duration initialTrialDelay = std::chrono::seconds(10);
+    /** The same for the first trial of a feature that requests succeeded with recently. */
+    Duration trialDelayAfterSuccess = std::chrono::seconds(1);
     /** Losses of connections to one endpoint within this time count as one crash. */
     Duration sameCrashWindow = std::chrono::milliseconds(1500);
     /** An endpoint that is heard from within this time after the loss of a connection, but not immediately, has not crashed. */
@@ -76,6 +87,10 @@
  * since the last success of a request that had it, except for those that a feature with more crashes explains. Features with the same
  * crashes are blamed together: requests with all of them are refused, and of those with some of them one at a time is tested.
  *
+ * When many endpoints crash at once, each feature that many requests share is in most of the crashes. Such crashes count as one, and not
+ * at all for a feature that few of the endpoints had. A feature that requests succeeded with before is blamed only once further ones have
+ * had time to succeed elsewhere.
+ *
  * Crashes are identified by endpoint and time, so processes that observe the same crash count it once, and crashes that each of many
  * processes observed alone add up. Not thread-safe.
  */
@@ -123,9 +138,19 @@
      */
     void noteSuccess(const Features &features, TimePoint begun, TimePoint now);
 
+    /**
+     * @brief Records that an endpoint has gone on answering a request for longer than earlyTime.
+     *
+     * Clears the parts of its prompt of crashes that happened to requests which endpoints had hardly begun to answer.
+     */
+    void noteProgress(const Features &features, TimePoint begun, TimePoint now);
+
     /** @brief Merges what another process has observed; returns true if it contained new information. */
     bool merge(const FeatureRecord &record, TimePoint now);
 
+    /** @brief Time after which an answer in progress counts for noteProgress(). */
+    [[nodiscard]] Duration earlyTime() const;
+
     /** @brief Sequence number of the last observation of this process. */
     [[nodiscard]] u64 sequence() const;
 
@@ -149,6 +174,11 @@
         u64 sequence = 0; ///< zero if another process observed it
         bool isEarly = false;
     };
+    struct EndpointCrash
+    {
+        u64 endpoint = 0;
+        TimePoint at{};
+    };
     struct Feature
     {
         std::vector<Sighting> crashes; ///< the earliest first
@@ -156,31 +186,41 @@
         u64 clearSequence = 0; ///< of that success; zero if another process observed it
         TimePoint clearNotedAt{}; ///< end of that request, if this process observed it
         std::optional<TimePoint> trialAt;
+        bool hasHadFirstTrial = false; ///< since it was last cleared
         std::optional<TimePoint> testAt;
     };
     using FeatureMap = std::unordered_map<u64, Feature>;
+    using SuccessTimes = std::unordered_map<u64, TimePoint>; ///< by feature: when the last request that succeeded began; zero if unknown
     using CrashTimes = std::unordered_map<u64, std::vector<TimePoint>>; ///< by endpoint
     /** @brief Features with the same crashes, one of which is their cause. */
     using Cause = Features;
 
     [[nodiscard]] const std::vector<Cause> &causes(TimePoint now);
-    void findCauses();
+    void findCauses(TimePoint now);
     [[nodiscard]] bool areClose(TimePoint left, TimePoint right) const;
     [[nodiscard]] bool isKnown(const CrashTimes &crashes, const Sighting &sighting) const;
     [[nodiscard]] std::vector<Sighting> without(const std::vector<Sighting> &crashes, const CrashTimes &explained) const;
     [[nodiscard]] static bool isRefutable(u64 feature);
     [[nodiscard]] static std::pair<std::size_t, std::size_t> weightOf(const std::vector<Sighting> &crashes);
     [[nodiscard]] bool areEqual(const std::vector<Sighting> &left, const std::vector<Sighting> &right) const;
-    [[nodiscard]] u32 thresholdOf(u64 feature) const;
-    [[nodiscard]] Duration trialDelayOf(const Feature &feature) const;
+    [[nodiscard]] bool hasSucceededRecently(u64 feature) const;
+    [[nodiscard]] std::size_t evidenceOf(const std::vector<Sighting> &crashes) const;
+    [[nodiscard]] std::size_t endpointsCrashedNear(TimePoint moment) const;
+    [[nodiscard]] std::vector<EndpointCrash>::const_iterator firstEndpointCrashSince(TimePoint time) const;
+    TimePoint noteEndpointCrash(u64 endpoint, TimePoint at);
+    [[nodiscard]] bool canBeCause(u64 feature, const std::vector<Sighting> &crashes, TimePoint now);
+    [[nodiscard]] Duration trialDelayOf(u64 id) const;
     [[nodiscard]] Duration timeUntilTrialOf(const Cause &cause, TimePoint now) const;
     [[nodiscard]] bool isTrialOwner(const Cause &cause) const;
     [[nodiscard]] bool isTested(const Cause &cause, const Features &features, TimePoint now) const;
     [[nodiscard]] FeatureRecord toRecord(u64 feature, const std::vector<Sighting> &crashes, TimePoint now) const;
-    bool addSighting(u64 feature, const Sighting &sighting);
+    bool addSighting(u64 feature, Sighting sighting, TimePoint now);
     bool clear(Feature &feature, TimePoint begun);
+    void noteCleared(Feature &feature, TimePoint begun, TimePoint now);
+    void noteClearedHere(Feature &feature, TimePoint now);
     void noteChange(const Feature &feature);
-    void noteRecentSuccess(u64 feature, TimePoint now);
+    void noteRecentSuccess(u64 feature, TimePoint begun, TimePoint now);
+    [[nodiscard]] static TimePoint lastSuccessOf(const SuccessTimes &successes, u64 feature);
     void forgetOld(TimePoint now);
     void evict();
 
@@ -189,11 +229,13 @@
     std::vector<std::string> m_members; ///< empty while unknown
     FeatureMap m_features;
     std::deque<std::pair<u64, TimePoint>> m_recentLosses; ///< endpoints and when they were lost, the earliest first
-    std::unordered_set<u64> m_succeeded; ///< features of requests that succeeded since m_successesSince
-    std::unordered_set<u64> m_succeededBefore; ///< the same for the period before
+    std::vector<EndpointCrash> m_endpointCrashes; ///< the earliest first
+    SuccessTimes m_succeeded; ///< since m_successesSince
+    SuccessTimes m_succeededBefore; ///< in the period before
     TimePoint m_successesSince{};
     std::vector<Cause> m_causes;
     bool m_mustFindCauses = false;
+    std::optional<TimePoint> m_causesValidUntil; ///< when another feature can be a cause though nothing new is observed
     TimePoint m_oldForgottenAt{};
     TimePoint m_lastObservationAt{}; ///< of this process
     u64 m_sequence = 0;
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -11,6 +11,7 @@
 /** Maximum number of crashes that are remembered of one feature, and how many of them are sent to processes that started later. */
 constexpr std::size_t MaxCrashesOfFeature = 64;
 constexpr std::size_t MaxCrashesInRecord = 8;
+constexpr std::size_t MaxEndpointCrashes = 1024;
 /** Keeps the delay between trials from overflowing. */
 constexpr u32 MaxFailedTrials = 7;
 constexpr u32 TrialDelayFactor = 3;
@@ -65,6 +66,7 @@
     for (const u64 blamedFeature : begun) {
         auto &feature = m_features.at(blamedFeature);
         (permission == RunPermission::Trial ? feature.trialAt : feature.testAt) = now;
+        feature.hasHadFirstTrial = feature.hasHadFirstTrial || permission == RunPermission::Trial;
     }
     return permission;
 }
@@ -116,7 +118,7 @@
     const bool isEarly = !begun || now - *begun <= m_policy.earlyTime;
     bool isNew = false;
     for (const u64 feature : features) {
-        isNew = addSighting(feature, {endpoint, now, m_sequence, isEarly}) || isNew;
+        isNew = addSighting(feature, {endpoint, now, m_sequence, isEarly}, now) || isNew;
     }
     if (isNew) {
         m_recentLosses.emplace_back(endpoint, now);
@@ -140,6 +142,7 @@
         return;
     }
     m_recentLosses.erase(loss);
+    std::erase_if(m_endpointCrashes, [&](const EndpointCrash &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
     for (auto &[id, feature] : m_features) {
         if (isRefutable(id)) {
             noteChange(feature);
@@ -151,16 +154,32 @@
 void CrashAttribution::noteSuccess(const Features &features, TimePoint begun, TimePoint now)
 {
     for (const u64 id : features) {
-        noteRecentSuccess(id, now);
+        noteRecentSuccess(id, begun, now);
         const auto found = m_features.find(id);
         if (found == m_features.end()) {
             continue;
         }
         found->second.testAt.reset();
-        if (clear(found->second, begun)) {
-            found->second.clearSequence = ++m_sequence;
-            found->second.clearNotedAt = now;
-            m_lastObservationAt = now;
+        noteCleared(found->second, begun, now);
+    }
+}
+
+// A part of a prompt crashes endpoints as they begin to answer it; a request as a whole may do so at any time.
+void CrashAttribution::noteProgress(const Features &features, TimePoint begun, TimePoint now)
+{
+    for (const u64 id : features) {
+        if (!isRefutable(id)) {
+            continue;
+        }
+        const auto found = m_features.find(id);
+        if (found == m_features.end()) {
+            noteRecentSuccess(id, TimePoint{}, now);
+            continue;
+        }
+        const auto &crashes = found->second.crashes;
+        if (std::all_of(crashes.begin(), crashes.end(), [](const Sighting &crash) { return crash.isEarly; })) {
+            noteRecentSuccess(id, TimePoint{}, now);
+            noteCleared(found->second, begun, now);
         }
     }
 }
@@ -170,19 +189,25 @@
     forgetOld(now);
     bool isNew = false;
     for (const auto &crash : record.crashes) {
-        if (crash.age < m_policy.retention && addSighting(record.feature, {crash.endpoint, now - crash.age, 0, crash.isEarly})) {
+        if (crash.age < m_policy.retention && addSighting(record.feature, {crash.endpoint, now - crash.age, 0, crash.isEarly}, now)) {
             m_recentLosses.emplace_back(crash.endpoint, now - crash.age);
             isNew = true;
         }
     }
     const auto found = m_features.find(record.feature);
     if (record.clearedAge && found != m_features.end()) {
+        noteRecentSuccess(record.feature, TimePoint{}, now);
         isNew = clear(found->second, now - *record.clearedAge) || isNew;
     }
     evict();
     return isNew;
 }
 
+Duration CrashAttribution::earlyTime() const
+{
+    return m_policy.earlyTime;
+}
+
 u64 CrashAttribution::sequence() const
 {
     return m_sequence;
@@ -256,20 +281,21 @@
 const std::vector<CrashAttribution::Cause> &CrashAttribution::causes(TimePoint now)
 {
     forgetOld(now);
-    if (m_mustFindCauses) {
-        findCauses();
+    if (m_mustFindCauses || (m_causesValidUntil && now >= *m_causesValidUntil)) {
+        findCauses(now);
         m_mustFindCauses = false;
     }
     return m_causes;
 }
 
 // Takes the most likely feature as the cause of all its crashes, and then the most likely one for the rest.
-void CrashAttribution::findCauses()
+void CrashAttribution::findCauses(TimePoint now)
 {
     m_causes.clear();
+    m_causesValidUntil.reset();
     std::vector<u64> candidates;
     for (const auto &[id, feature] : m_features) {
-        if (feature.crashes.size() >= thresholdOf(id)) {
+        if (canBeCause(id, feature.crashes, now)) {
             candidates.push_back(id);
         }
     }
@@ -280,7 +306,7 @@
         std::vector<std::pair<u64, std::vector<Sighting>>> unexplained;
         for (const u64 id : candidates) {
             auto crashes = without(m_features.at(id).crashes, explained);
-            if (crashes.size() < thresholdOf(id)) {
+            if (!canBeCause(id, crashes, now)) {
                 continue;
             }
             if (weightOf(crashes) > weightOf(most)) {
@@ -344,17 +370,82 @@
     return weightOf(left) == weightOf(right) && without(right, times).empty();
 }
 
+bool CrashAttribution::hasSucceededRecently(u64 feature) const
+{
+    return m_succeeded.count(feature) > 0 || m_succeededBefore.count(feature) > 0;
+}
+
+// Counts crashes at moments at which at least half of the endpoints that crashed had the feature.
+std::size_t CrashAttribution::evidenceOf(const std::vector<Sighting> &crashes) const
+{
+    std::size_t count = 0;
+    for (auto first = crashes.begin(); first != crashes.end();) {
+        const auto end
+            = std::find_if(first, crashes.end(), [&](const Sighting &crash) { return crash.at - first->at > m_policy.massCrashTime; });
+        const auto explained = static_cast<std::size_t>(end - first);
+        const auto all = endpointsCrashedNear(first->at);
+        if (2 * explained >= all) {
+            count += all >= m_policy.massCrashSize ? 1 : explained;
+        }
+        first = end;
+    }
+    return count;
+}
+
+std::size_t CrashAttribution::endpointsCrashedNear(TimePoint moment) const
+{
+    const auto end = firstEndpointCrashSince(moment + m_policy.massCrashTime + Duration(1));
+    return static_cast<std::size_t>(end - firstEndpointCrashSince(moment - m_policy.massCrashTime));
+}
+
+std::vector<CrashAttribution::EndpointCrash>::const_iterator CrashAttribution::firstEndpointCrashSince(TimePoint time) const
+{
+    return std::lower_bound(m_endpointCrashes.begin(), m_endpointCrashes.end(), time,
+                            [](const EndpointCrash &crash, TimePoint at) { return crash.at < at; });
+}
+
+// Processes with little processor time notice a crash late, so the earliest report of it counts.
+TimePoint CrashAttribution::noteEndpointCrash(u64 endpoint, TimePoint at)
+{
+    const auto first = firstEndpointCrashSince(at - m_policy.sameCrashWindow);
+    const auto known = std::find_if(first, m_endpointCrashes.cend(),
+                                    [&](const EndpointCrash &crash) { return crash.endpoint == endpoint && areClose(crash.at, at); });
+    if (known != m_endpointCrashes.cend()) {
+        if (known->at <= at) {
+            return known->at;
+        }
+        m_endpointCrashes.erase(known);
+    }
+    m_endpointCrashes.insert(firstEndpointCrashSince(at), {endpoint, at});
+    if (m_endpointCrashes.size() > MaxEndpointCrashes) {
+        m_endpointCrashes.erase(m_endpointCrashes.begin());
+    }
+    return at;
+}
+
 // A feature that many requests have succeeds between most crashes, but not while all of its requests take longer than the time between
 // crashes.
-u32 CrashAttribution::thresholdOf(u64 feature) const
+bool CrashAttribution::canBeCause(u64 feature, const std::vector<Sighting> &crashes, TimePoint now)
 {
-    const bool hasSucceeded = m_succeeded.count(feature) > 0 || m_succeededBefore.count(feature) > 0;
-    return hasSucceeded ? m_policy.crashThresholdAfterSuccess : m_policy.crashThreshold;
+    const bool hasSucceeded = hasSucceededRecently(feature);
+    const u32 threshold = hasSucceeded ? m_policy.crashThresholdAfterSuccess : m_policy.crashThreshold;
+    if (crashes.size() < threshold || evidenceOf(crashes) < threshold) {
+        return false;
+    }
+    const auto decidedAt = crashes.front().at + (hasSucceeded ? m_policy.timeToSucceed : m_policy.timeToHear);
+    if (decidedAt > now) {
+        m_causesValidUntil = std::min(decidedAt, m_causesValidUntil.value_or(decidedAt));
+    }
+    return decidedAt <= now;
 }
 
 // Requests with a blamed feature are refused, so a crash long after the previous one comes from a trial, here or in another process.
-Duration CrashAttribution::trialDelayOf(const Feature &feature) const
+Duration CrashAttribution::trialDelayOf(u64 id) const
 {
+    const auto &feature = m_features.at(id);
+    if (hasSucceededRecently(id) && !feature.hasHadFirstTrial) {
+        return m_policy.trialDelayAfterSuccess;
+    }
     auto delay = m_policy.initialTrialDelay;
     u32 failedTrials = 0;
     for (std::size_t i = m_policy.crashThreshold; i < feature.crashes.size() && failedTrials < MaxFailedTrials; ++i) {
@@ -372,7 +463,7 @@
     for (const u64 id : cause) {
         const auto &feature = m_features.at(id);
         const auto last = std::max(feature.crashes.back().at, feature.trialAt.value_or(TimePoint{}));
-        longest = std::max(longest, last + trialDelayOf(feature) - now);
+        longest = std::max(longest, last + trialDelayOf(id) - now);
     }
     return longest;
 }
@@ -401,9 +492,16 @@
     return record;
 }
 
-bool CrashAttribution::addSighting(u64 feature, const Sighting &sighting)
+bool CrashAttribution::addSighting(u64 feature, Sighting sighting, TimePoint now)
 {
     auto &entry = m_features[feature];
+    sighting.at = noteEndpointCrash(sighting.endpoint, sighting.at);
+    // Such a request may have succeeded before the crash is reported.
+    const auto succeeded = std::max(lastSuccessOf(m_succeeded, feature), lastSuccessOf(m_succeededBefore, feature));
+    if (succeeded >= sighting.at && (!entry.clearedAt || *entry.clearedAt < sighting.at)) {
+        clear(entry, succeeded);
+        noteClearedHere(entry, now);
+    }
     if (entry.clearedAt && sighting.at <= *entry.clearedAt) {
         return false;
     }
@@ -422,19 +520,35 @@
                                            [](const Sighting &left, const Sighting &right) { return left.at < right.at; });
     entry.crashes.insert(position, sighting);
     if (entry.crashes.size() > MaxCrashesOfFeature) {
-        entry.crashes.erase(entry.crashes.begin());
+        // The first one stays, as it tells for how long no request with the feature has succeeded.
+        entry.crashes.erase(entry.crashes.begin() + 1);
     }
     entry.testAt.reset();
     noteChange(entry);
     return true;
 }
 
+void CrashAttribution::noteCleared(Feature &feature, TimePoint begun, TimePoint now)
+{
+    if (clear(feature, begun)) {
+        noteClearedHere(feature, now);
+    }
+}
+
+void CrashAttribution::noteClearedHere(Feature &feature, TimePoint now)
+{
+    feature.clearSequence = ++m_sequence;
+    feature.clearNotedAt = now;
+    m_lastObservationAt = now;
+}
+
 // The mark stays when no crash is left, so that a late report of an earlier crash doesn't count.
 bool CrashAttribution::clear(Feature &feature, TimePoint begun)
 {
     noteChange(feature);
     const auto count = std::erase_if(feature.crashes, [begun](const Sighting &crash) { return crash.at <= begun; });
     feature.clearedAt = std::max(begun, feature.clearedAt.value_or(begun));
+    feature.hasHadFirstTrial = feature.hasHadFirstTrial && !feature.crashes.empty();
     return count > 0;
 }
 
@@ -444,14 +558,21 @@
     m_mustFindCauses = m_mustFindCauses || feature.crashes.size() >= m_policy.crashThreshold;
 }
 
-void CrashAttribution::noteRecentSuccess(u64 feature, TimePoint now)
+TimePoint CrashAttribution::lastSuccessOf(const SuccessTimes &successes, u64 feature)
+{
+    const auto found = successes.find(feature);
+    return found == successes.end() ? TimePoint{} : found->second;
+}
+
+void CrashAttribution::noteRecentSuccess(u64 feature, TimePoint begun, TimePoint now)
 {
     if (m_succeeded.size() >= MaxSucceeded || now - m_successesSince > SuccessPeriod) {
         m_succeededBefore = std::move(m_succeeded);
         m_succeeded.clear();
         m_successesSince = now;
     }
-    m_succeeded.insert(feature);
+    auto &last = m_succeeded[feature];
+    last = std::max(last, begun);
 }
 
 void CrashAttribution::forgetOld(TimePoint now)
--- a/tests/integration/crashing_requests_test.cpp
+++ b/tests/integration/crashing_requests_test.cpp
@@ -1,11 +1,13 @@
 #include <support/crashing_endpoints.hpp>
 #include <support/gateway_deployment.hpp>
+#include <support/throttle.hpp>
 
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <functional>
+#include <optional>
 #include <thread>
 
 using namespace burdock;
@@ -98,6 +100,16 @@
         }
     }
 
+    /** @brief Number of gateways with a metric that contains the text. */
+    [[nodiscard]] u32 gatewaysWithMetric(const std::string &text)
+    {
+        u32 count = m_deployment.metrics().find(text) == std::string::npos ? 0 : 1;
+        for (auto *gateway : m_further) {
+            count += m_deployment.metricsOf(*gateway).find(text) == std::string::npos ? 0 : 1;
+        }
+        return count;
+    }
+
     void stop()
     {
         m_isStopping = true;
@@ -285,3 +297,39 @@
     callers.stop();
     CHECK(endpoints.crashingArrivalsAfter(bound) <= MaxLaterArrivals);
 }
+
+// Guards against prompts that are refused because many engines lost power at once while they answered prompts with the same part.
+TEST_CASE("no prompt is refused as crashing after most engines crash at the same moment, three times")
+{
+    constexpr u32 EventsPerAnswer = 50;
+    constexpr u32 CallersPerGateway = 10;
+    constexpr std::size_t CrashedAtOnce = 7;
+    constexpr auto TimeBetween = std::chrono::seconds(2);
+    GatewayDeployment deployment;
+    deployment.configure(3);
+    CrashingEndpoints endpoints(deployment.store(), "engines", EndpointCount, [](const auto & /*request*/) { return false; });
+    endpoints.setEventsPerAnswer(EventsPerAnswer);
+    deployment.awaitReady();
+    std::optional<Throttle> throttle;
+    SUBCASE("gateways with processor time")
+    {
+    }
+    SUBCASE("one gateway with little processor time")
+    {
+        throttle.emplace(deployment.process());
+    }
+    Callers callers(deployment, 3);
+    Counts calls;
+    for (u32 i = 0; i < CallersPerGateway; ++i) {
+        callers.start(soundPrompt, 1 + i * 1'000'000, calls.sent, calls.served);
+    }
+    REQUIRE(GatewayDeployment::waitFor([&calls] { return calls.served >= 3 * CallersPerGateway; }));
+    for (u32 i = 0; i < 3; ++i) {
+        endpoints.crashAtOnce(CrashedAtOnce);
+        std::this_thread::sleep_for(TimeBetween);
+    }
+    callers.stop();
+    throttle.reset();
+    MESSAGE("served: " << calls.served.load() << " of " << calls.sent.load());
+    CHECK(callers.gatewaysWithMetric("outcome=\"crashes_endpoints\"") == 0);
+}
--- a/tests/integration/hot_gateway_test.cpp
+++ b/tests/integration/hot_gateway_test.cpp
@@ -1,4 +1,5 @@
 #include <support/gateway_deployment.hpp>
+#include <support/throttle.hpp>
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -6,8 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <csignal>
-#include <ctime>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <thread>
@@ -24,14 +23,6 @@
 namespace http = runtime::http;
 using Clock = std::chrono::steady_clock;
 
-/** The processor time that the busy gateway gets: so much of each period. Sanitizers make it several times slower. */
-#ifdef __SANITIZE_ADDRESS__
-constexpr auto Slice = std::chrono::milliseconds(30);
-#else
-constexpr auto Slice = std::chrono::milliseconds(4);
-#endif
-constexpr auto Period = std::chrono::milliseconds(100);
-constexpr auto PollInterval = std::chrono::microseconds(300);
 constexpr auto CallInterval = std::chrono::milliseconds(2);
 /** Time within which a caller expects its request to be answered or its connection to be closed. */
 constexpr auto CallerPatience = std::chrono::seconds(1);
@@ -40,55 +31,6 @@
 constexpr auto TimeObserved = std::chrono::seconds(4);
 constexpr double MinServedShare = 0.75;
 
-/** @brief Suspends a process for the rest of each period once it has used its slice of processor time. */
-class Throttle
-{
-public:
-    explicit Throttle(ChildProcess &process)
-        : m_process(process)
-        , m_thread([this] { run(); })
-    {
-    }
-
-    ~Throttle()
-    {
-        m_isStopping = true;
-        m_thread.join();
-        m_process.signal(SIGCONT);
-    }
-    Throttle(const Throttle &) = delete;
-    Throttle &operator=(const Throttle &) = delete;
-
-private:
-    void run()
-    {
-        while (!m_isStopping) {
-            const auto periodEnd = Clock::now() + Period;
-            const auto used = processorTime() + Slice;
-            m_process.signal(SIGCONT);
-            while (processorTime() < used && Clock::now() < periodEnd) {
-                std::this_thread::sleep_for(PollInterval);
-            }
-            m_process.signal(SIGSTOP);
-            std::this_thread::sleep_until(periodEnd);
-        }
-    }
-
-    [[nodiscard]] std::chrono::nanoseconds processorTime() const
-    {
-        clockid_t clock = 0;
-        timespec time{};
-        if (::clock_getcpuclockid(m_process.pid(), &clock) != 0 || ::clock_gettime(clock, &time) != 0) {
-            return std::chrono::nanoseconds(0);
-        }
-        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-    }
-
-    ChildProcess &m_process;
-    std::atomic<bool> m_isStopping{false};
-    std::thread m_thread;
-};
-
 /** @brief Callers that each open a connection to one gateway, and send their request to another if it is closed without an answer. */
 class NewCallers
 {
--- a/tests/integration/support/crashing_endpoints.cpp
+++ b/tests/integration/support/crashing_endpoints.cpp
@@ -33,6 +33,7 @@
     : m_store(store)
     , m_service(std::move(service))
     , m_crashes(std::move(crashes))
+    , m_eventsPerAnswer(EventsPerPrompt)
 {
     for (u32 i = 0; i < count; ++i) {
         auto &endpoint = *m_endpoints.emplace_back(std::make_unique<Endpoint>());
@@ -50,6 +51,22 @@
     }
 }
 
+void CrashingEndpoints::setEventsPerAnswer(u32 count)
+{
+    m_eventsPerAnswer = count;
+}
+
+void CrashingEndpoints::crashAtOnce(std::size_t count)
+{
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < std::min(count, m_endpoints.size()); ++i) {
+        threads.emplace_back([this, i] { crash(*m_endpoints[i]); });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+}
+
 std::vector<CrashingEndpoints::Clock::time_point> CrashingEndpoints::crashTimes() const
 {
     const std::lock_guard lock(m_mutex);
@@ -81,7 +98,8 @@
     const bool isStream = m_service == "engines";
     const bool isFatal = isCrashing(request);
     connection.write(isStream ? standins::streamHead(request) : "");
-    for (u32 event = 1; event <= EventsPerPrompt; ++event) {
+    const u32 events = m_eventsPerAnswer;
+    for (u32 event = 1; event <= events; ++event) {
         connection.write(isStream ? standins::eventChunk(event, "x") : "");
         std::this_thread::sleep_for(StepTime);
         if (isFatal) {
--- a/tests/integration/support/crashing_endpoints.hpp
+++ b/tests/integration/support/crashing_endpoints.hpp
@@ -3,6 +3,7 @@
 #include <standins/object_store.hpp>
 #include <standins/replica.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -31,6 +32,12 @@
     CrashingEndpoints(const CrashingEndpoints &) = delete;
     CrashingEndpoints &operator=(const CrashingEndpoints &) = delete;
 
+    /** @brief Sets the number of events of each further answer. */
+    void setEventsPerAnswer(u32 count);
+
+    /** @brief Crashes that many endpoints at the same moment; returns when they are back. */
+    void crashAtOnce(std::size_t count);
+
     /** @brief Times of all crashes, the earliest first. */
     [[nodiscard]] std::vector<Clock::time_point> crashTimes() const;
 
@@ -49,6 +56,7 @@
     standins::ObjectStore &m_store;
     std::string m_service;
     CrashRule m_crashes;
+    std::atomic<u32> m_eventsPerAnswer;
     mutable std::mutex m_mutex; ///< guards the members up to m_crashTimes, and the state of the endpoints
     u32 m_registrations = 0;
     std::vector<Clock::time_point> m_crashingArrivals;
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -80,6 +80,7 @@
 
     [[nodiscard]] u16 readiness();
     [[nodiscard]] std::string metrics();
+    [[nodiscard]] std::string metricsOf(const GatewayProcess &gateway);
     [[nodiscard]] std::string log() const;
     [[nodiscard]] const GatewayProcess &gateway() const;
     [[nodiscard]] ChildProcess &process();
@@ -92,7 +93,6 @@
 
 private:
     [[nodiscard]] u16 readinessOf(const GatewayProcess &gateway);
-    [[nodiscard]] std::string metricsOf(const GatewayProcess &gateway);
     [[nodiscard]] runtime::http::Request toRequest(const GatewayCall &call) const;
     [[nodiscard]] runtime::http::Exchange exchange(const std::string &address, const runtime::http::Request &request);
 
--- a/tests/unit/crash_attribution_test.cpp
+++ b/tests/unit/crash_attribution_test.cpp
@@ -1,9 +1,6 @@
 #include <burdock/retry/crash_attribution.hpp>
 
-#include <algorithm>
 #include <doctest/doctest.h>
-#include <pcg_random.hpp>
-#include <random>
 #include <vector>
 
 using namespace burdock;
@@ -267,263 +264,116 @@
     CHECK(attribution.causeCount(at(2h)) == 0);
 }
 
-namespace {
-
-/** @brief Simulated gateways that place prompts on engines, some of which crash them, and tell each other what they observe. */
-class Fleet
+// Guards against parts that many prompts share and that are refused because a rack lost power.
+TEST_CASE("crashes of many endpoints at one moment count as one")
 {
-public:
-    struct Parameters
-    {
-        u32 gateways = 4;
-        u32 engines = 12;
-        double soundPerSecond = 150;
-        double crashingPerSecond = 4;
-        Duration runTime = 1500ms;
-        u32 documents = 200;
-        u32 documentsOfCrashing = 200; ///< the crashing prompts use only so many of them
-    };
-    struct Result
-    {
-        u32 crashes = 0;
-        u32 laterArrivals = 0; ///< of crashing prompts, over three seconds after the fifth crash
-        u32 laterSound = 0;
-        u32 laterSoundRefused = 0;
-    };
-
-    Fleet(const Parameters &parameters, u64 seed)
-        : m_parameters(parameters)
-        , m_random(seed)
-        , m_engines(parameters.engines)
-        , m_gateways(parameters.gateways, CrashAttribution(CrashAttributionPolicy{}))
-    {
-        std::vector<std::string> names;
-        for (u32 i = 0; i < parameters.gateways; ++i) {
-            names.push_back(std::to_string(i));
-        }
-        for (u32 i = 0; i < parameters.gateways; ++i) {
-            m_gateways[i].setMembers(names[i], names);
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    for (u32 moment = 0; moment < 3; ++moment) {
+        CHECK(attribution.tryBegin({FirstPart}, at(moment * 1s)) == RunPermission::Free);
+        for (u64 endpoint = 0; endpoint < 20; ++endpoint) {
+            attribution.noteCrash(100 * moment + endpoint, {FirstPart}, std::nullopt, at(moment * 1s + endpoint * 2ms));
         }
     }
+    CHECK(attribution.tryBegin({FirstPart}, at(2100ms)) == RunPermission::Refused);
+}
 
-    Result run(Duration length)
-    {
-        for (m_now = at(0s); m_now < at(length); m_now += Step) {
-            const double seconds = toMilliseconds(Step) / 1000;
-            const bool isCrashTime = m_now >= at(CrashesFrom);
-            for (u32 i = draw(m_parameters.soundPerSecond * seconds); i > 0; --i) {
-                place({FirstPart, documentPart(m_parameters.documents), ownFeature()}, false);
-            }
-            for (u32 i = isCrashTime ? draw(m_parameters.crashingPerSecond * seconds) : 0; i > 0; --i) {
-                place({FirstPart, documentPart(m_parameters.documentsOfCrashing), CrashingPart, ownFeature()}, true);
-            }
-            for (auto &engine : m_engines) {
-                advance(engine);
-            }
-            if ((m_now - at(0s)) % GossipPeriod == 0us) {
-                gossip();
-            }
+// Guards against a document that is refused because it was at a few of many endpoints that crashed at once, several times.
+TEST_CASE("crashes of many endpoints at one moment aren't blamed on a feature that few of them had")
+{
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    for (u32 moment = 0; moment < 6; ++moment) {
+        for (u64 endpoint = 0; endpoint < 20; ++endpoint) {
+            const Features features = endpoint < 5 ? Features{Document} : Features{2000 + 2 * (20 * moment + endpoint)};
+            attribution.noteCrash(100 * moment + endpoint, features, std::nullopt, at(moment * 1s));
         }
-        return m_result;
-    }
-
-private:
-    static constexpr Duration Step = 10ms;
-    static constexpr Duration GossipPeriod = 400ms;
-    static constexpr Duration SnapshotPeriod = 2s;
-    static constexpr Duration CrashesFrom = 3s;
-    static constexpr Duration CrashDelay = 60ms;
-    static constexpr Duration Downtime = 4s;
-    static constexpr u32 LostOneIn = 10;
-
-    struct Run
-    {
-        Features features;
-        u32 gateway = 0;
-        TimePoint begun{};
-        TimePoint end{};
-        bool isCrashing = false;
-    };
-    struct Engine
-    {
-        u64 id = 0;
-        TimePoint upFrom{};
-        std::vector<Run> runs;
-    };
-
-    u32 draw(double mean)
-    {
-        return std::poisson_distribution<u32>(mean)(m_random);
     }
+    CHECK(attribution.tryBegin({Document}, at(6s)) == RunPermission::Free);
+}
 
-    u32 below(u32 bound)
-    {
-        return std::uniform_int_distribution<u32>(0, bound - 1)(m_random);
+// Guards against sound parts that are refused before requests with them have had time to succeed elsewhere.
+TEST_CASE("a feature of requests that succeeded before is refused only if none has succeeded for a time since its first crash")
+{
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    attribution.noteSuccess({CrashingPart}, at(0s), at(500ms));
+    for (u32 i = 0; i < 6; ++i) {
+        attribution.noteCrash(i, {CrashingPart}, std::nullopt, at(1s + i * 150ms));
     }
-
-    u64 documentPart(u32 count)
+    CHECK(attribution.tryBegin({CrashingPart}, at(2s)) == RunPermission::Free);
+    SUBCASE("one succeeds")
     {
-        // Few documents are used often and many seldom.
-        const double position = std::uniform_real_distribution<double>(0, 1)(m_random);
-        return 1000 + static_cast<u64>(position * position * count);
+        attribution.noteSuccess({CrashingPart}, at(1200ms), at(2s));
+        CHECK(attribution.tryBegin({CrashingPart}, at(2600ms)) == RunPermission::Free);
     }
-
-    u64 ownFeature()
+    SUBCASE("none succeeds")
     {
-        return 1'000'000 + ++m_lastOwn;
+        CHECK(attribution.tryBegin({CrashingPart}, at(2499ms)) == RunPermission::Free);
+        CHECK(attribution.tryBegin({CrashingPart}, at(2500ms)) == RunPermission::Refused);
     }
+}
 
-    [[nodiscard]] bool isLate() const
+// Guards against sound parts that stay refused since no request with them can succeed.
+TEST_CASE("a refused feature of requests that succeeded before is tried after one second, and then as rarely as others")
+{
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    attribution.noteSuccess({CrashingPart}, at(0s), at(500ms));
+    noteCrashes(attribution, 5, {CrashingPart});
+    CHECK(attribution.tryBegin({CrashingPart}, at(5900ms)) == RunPermission::Refused);
+    CHECK(attribution.tryBegin({CrashingPart}, at(6s)) == RunPermission::Trial);
+    CHECK(attribution.tryBegin({CrashingPart}, at(6100ms)) == RunPermission::Refused);
+    SUBCASE("it succeeds")
     {
-        return m_fifthCrashAt && m_now > *m_fifthCrashAt + 3s;
+        attribution.noteSuccess({CrashingPart}, at(6100ms), at(6200ms));
+        CHECK(attribution.tryBegin({CrashingPart}, at(6300ms)) == RunPermission::Free);
     }
-
-    void place(const Features &features, bool isCrashing)
+    SUBCASE("it crashes an endpoint")
     {
-        const u32 gateway = below(m_parameters.gateways);
-        const auto permission = m_gateways[gateway].tryBegin(features, m_now);
-        m_result.laterSound += isLate() && !isCrashing ? 1 : 0;
-        if (permission == RunPermission::Refused) {
-            m_result.laterSoundRefused += isLate() && !isCrashing ? 1 : 0;
-            return;
-        }
-        auto *engine = pickEngine();
-        if (engine == nullptr) {
-            m_gateways[gateway].returnPermission(features, m_now);
-            return;
-        }
-        m_result.laterArrivals += isLate() && isCrashing ? 1 : 0;
-        const auto runTime = isCrashing ? CrashDelay : m_parameters.runTime / 4 + m_parameters.runTime * below(100) / 66;
-        engine->runs.push_back({features, gateway, m_now + 20ms, m_now + 20ms + runTime, isCrashing});
-    }
-
-    /** @brief Returns a random engine that is up; null if there is none. */
-    Engine *pickEngine()
-    {
-        const bool isAnyUp
-            = std::any_of(m_engines.begin(), m_engines.end(), [this](const Engine &engine) { return m_now >= engine.upFrom; });
-        while (isAnyUp) {
-            auto &engine = m_engines[below(static_cast<u32>(m_engines.size()))];
-            if (m_now >= engine.upFrom) {
-                return &engine;
-            }
-        }
-        return nullptr;
+        attribution.noteCrash(50, {CrashingPart}, std::nullopt, at(6200ms));
+        CHECK(attribution.tryBegin({CrashingPart}, at(16100ms)) == RunPermission::Refused);
+        CHECK(attribution.tryBegin({CrashingPart}, at(16200ms)) == RunPermission::Trial);
     }
+}
 
-    void advance(Engine &engine)
+// Guards against sound parts that are blamed while answers take long, as none ends between the crashes.
+TEST_CASE("an answer that goes on clears the parts of its prompt, but not what crashes endpoints late or the request as a whole")
+{
+    const u64 request = retry::requestFeature(100);
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    bool isEarly = false;
+    SUBCASE("endpoints crashed early")
     {
-        const bool hasCrashed
-            = std::any_of(engine.runs.begin(), engine.runs.end(), [this](const Run &run) { return run.isCrashing && run.end <= m_now; });
-        if (hasCrashed) {
-            crash(engine);
-            return;
-        }
-        std::erase_if(engine.runs, [this](const Run &run) {
-            if (run.end > m_now) {
-                return false;
-            }
-            m_gateways[run.gateway].noteSuccess(run.features, run.begun, m_now);
-            return true;
-        });
+        isEarly = true;
     }
-
-    void crash(Engine &engine)
+    SUBCASE("endpoints crashed late")
     {
-        for (const auto &run : engine.runs) {
-            m_gateways[run.gateway].noteCrash(engine.id + 1'000'000 * static_cast<u64>(&engine - m_engines.data()), run.features, run.begun,
-                                              m_now);
-        }
-        engine.runs.clear();
-        ++engine.id;
-        engine.upFrom = m_now + Downtime;
-        if (++m_result.crashes == 5) {
-            m_fifthCrashAt = m_now;
-        }
     }
-
-    // Each message repeats what was observed during the last two periods.
-    void gossip()
-    {
-        for (u32 from = 0; from < m_gateways.size(); ++from) {
-            auto records = m_gateways[from].observationsSince(m_now - 2 * GossipPeriod, m_now);
-            if ((m_now - at(0s)) % SnapshotPeriod == 0us) {
-                const auto blamed = m_gateways[from].blamedRecords(m_now);
-                records.insert(records.end(), blamed.begin(), blamed.end());
-            }
-            if (records.empty()) {
-                continue;
-            }
-            for (u32 to = 0; to < m_gateways.size(); ++to) {
-                if (to == from || below(LostOneIn) == 0) {
-                    continue;
-                }
-                for (const auto &record : records) {
-                    m_gateways[to].merge(record, m_now);
-                }
-            }
-        }
+    for (u32 i = 0; i < 3; ++i) {
+        const auto begun = isEarly ? at(i * 1s) : at(i * 1s - 2s);
+        attribution.noteCrash(i, {request, CrashingPart}, begun, at(i * 1s));
     }
+    attribution.noteProgress({request, CrashingPart}, at(2100ms), at(2700ms));
+    CHECK(attribution.blamed({CrashingPart}, at(3s)).empty() == isEarly);
+    CHECK(attribution.blamed({request}, at(3s)) == Features{request});
+}
 
-    Parameters m_parameters;
-    pcg32 m_random;
-    std::vector<Engine> m_engines;
-    std::vector<CrashAttribution> m_gateways;
-    TimePoint m_now{};
-    u64 m_lastOwn = 0;
-    std::optional<TimePoint> m_fifthCrashAt;
-    Result m_result;
-};
-
-void checkFleet(const Fleet::Parameters &parameters)
+// Guards against crashes that count for a feature though a request with it succeeded before they were reported.
+TEST_CASE("a success that is known before the report of an earlier crash clears it, and is told to others")
 {
-    for (u64 seed = 1; seed <= 10; ++seed) {
-        CAPTURE(seed);
-        const auto result = Fleet(parameters, seed).run(25s);
-        CAPTURE(result.crashes);
-        CHECK(result.crashes >= 3);
-        CHECK(result.laterArrivals <= 3);
-        CHECK(2 * result.laterSoundRefused <= result.laterSound);
-    }
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    attribution.noteSuccess({CrashingPart}, at(5s), at(5500ms));
+    CHECK_FALSE(attribution.merge({CrashingPart, {{1, 2s}, {2, 3s}, {3, 4s}, {4, 5s}, {5, 6s}}, std::nullopt}, at(6s)));
+    CHECK(attribution.tryBegin({CrashingPart}, at(6s)) == RunPermission::Free);
+    const auto records = attribution.observations(0, at(6s));
+    REQUIRE(records.size() == 1);
+    CHECK(records.front().clearedAge == 1s);
 }
 
-} // namespace
-
-// Guards against a crashing part that is found at few gateways only, and against innocent parts that are blamed at many.
-TEST_CASE("simulated fleets of any size stop prompts with a crashing part and serve the others")
+// Guards against a moment that counts several times because processes with little processor time notice its crashes late.
+TEST_CASE("the earliest report tells when an endpoint crashed")
 {
-    Fleet::Parameters parameters;
-    SUBCASE("one gateway")
-    {
-        parameters.gateways = 1;
-    }
-    SUBCASE("4 gateways")
-    {
-    }
-    SUBCASE("68 gateways, 117 engines")
-    {
-        parameters.gateways = 68;
-        parameters.engines = 117;
-        parameters.soundPerSecond = 1000;
-    }
-    SUBCASE("300 gateways, 500 engines")
-    {
-        parameters.gateways = 300;
-        parameters.engines = 500;
-        parameters.soundPerSecond = 2000;
-        parameters.crashingPerSecond = 10;
-    }
-    SUBCASE("the crashing prompts are rare")
-    {
-        parameters.crashingPerSecond = 1;
-    }
-    SUBCASE("the crashing prompts share a document with few others")
-    {
-        parameters.documentsOfCrashing = 1;
-    }
-    SUBCASE("long runs")
-    {
-        parameters.runTime = 6s;
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    for (u64 endpoint = 0; endpoint < 6; ++endpoint) {
+        attribution.noteCrash(endpoint, {Document}, std::nullopt, at(0s));
+        attribution.noteCrash(endpoint, {CrashingPart}, std::nullopt, at(endpoint * 200ms));
     }
-    checkFleet(parameters);
+    CHECK(attribution.tryBegin({CrashingPart}, at(1s)) == RunPermission::Free);
 }
