Let only the test of a suspected part make room for another test

What callers would see: more than one test of a part that may crash engines at the same time.

Cause: CrashGuard returned the permission of a test when any request with the part ended without evidence, also one that had been sent before the part was blamed and held none.

Change: the guard remembers the permission that its request got. crash_guard_test "a request that was sent before its part was blamed" failed on the guard before (1 of its 2 cases) and passes now. The second test, of events with pauses, passes on both.

--- a/lib/libburdock-gateway/source/crash_guard.cpp
+++ b/lib/libburdock-gateway/source/crash_guard.cpp
@@ -3,6 +3,7 @@
 #include <burdock/hash/digest.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdock::gateway {
 
@@ -27,7 +28,8 @@
 
 bool CrashGuard::tryBegin(TimePoint now)
 {
-    return m_crashes.tryBegin(m_features, now) != retry::RunPermission::Refused;
+    m_permission = m_crashes.tryBegin(m_features, now);
+    return m_permission != retry::RunPermission::Refused;
 }
 
 bool CrashGuard::mayTryElsewhere(TimePoint now)
@@ -51,7 +53,15 @@
 
 void CrashGuard::noteNotSent(TimePoint now)
 {
-    m_crashes.returnPermission(m_features, now);
+    returnPermission(now);
+}
+
+// A request that was under way before its features were blamed holds no permission, and must not make room for another test.
+void CrashGuard::returnPermission(TimePoint now)
+{
+    if (std::exchange(m_permission, retry::RunPermission::Free) > retry::RunPermission::Free) {
+        m_crashes.returnPermission(m_features, now);
+    }
 }
 
 void CrashGuard::noteEnd(const RunEnd &end, TimePoint now)
@@ -67,7 +77,7 @@
         m_crashes.noteSuccess(m_features, end.begunAt.value_or(end.sentAt), now);
         return;
     }
-    m_crashes.returnPermission(m_features, now);
+    returnPermission(now);
 }
 
 Duration CrashGuard::timeUntilTrial(TimePoint now)
--- a/lib/libburdock-gateway/source/crash_guard.hpp
+++ b/lib/libburdock-gateway/source/crash_guard.hpp
@@ -51,9 +51,12 @@
     [[nodiscard]] std::string blamed(TimePoint now);
 
 private:
+    void returnPermission(TimePoint now);
+
     retry::CrashAttribution &m_crashes;
     const std::vector<cache::PromptPart> &m_parts;
     retry::CrashAttribution::Features m_features; ///< of the request, and of its parts but the last
+    retry::RunPermission m_permission = retry::RunPermission::Free;
     /** Of the current run: when its first and its last event were received, and for how long they have come without a pause. */
     std::optional<TimePoint> m_firstEventAt;
     TimePoint m_lastEventAt{};
