Refuse a request that crashes endpoints as a whole as soon as before, and refute losses that came in pairs

And a part could stay blamed for the loss of a connection to an endpoint that was heard from later, if the endpoint had been lost once before within 1.5 s.

Cause: mass crashes and the wait for reports were meant for parts that many prompts share, but held for whole requests too. The time of a crash is the earliest that is known, so a later loss got the time of an earlier one, which was too old to be refuted.

Change: whole requests count each crash and don't wait. What is heard from an endpoint refutes all that was lost with the same crash.

--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -200,7 +200,7 @@
     [[nodiscard]] bool areClose(TimePoint left, TimePoint right) const;
     [[nodiscard]] bool isKnown(const CrashTimes &crashes, const Sighting &sighting) const;
     [[nodiscard]] std::vector<Sighting> without(const std::vector<Sighting> &crashes, const CrashTimes &explained) const;
-    [[nodiscard]] static bool isRefutable(u64 feature);
+    [[nodiscard]] static bool isPart(u64 feature);
     [[nodiscard]] static std::pair<std::size_t, std::size_t> weightOf(const std::vector<Sighting> &crashes);
     [[nodiscard]] bool areEqual(const std::vector<Sighting> &left, const std::vector<Sighting> &right) const;
     [[nodiscard]] bool hasSucceededRecently(u64 feature) const;
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -141,12 +141,15 @@
     if (loss == m_recentLosses.end()) {
         return;
     }
+    const auto isSameLoss = [&, lostAt = loss->second](const auto &crash) {
+        return crash.endpoint == endpoint && areClose(crash.at, lostAt) && now - crash.at >= m_policy.minAliveDelay;
+    };
     m_recentLosses.erase(loss);
-    std::erase_if(m_endpointCrashes, [&](const EndpointCrash &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
+    std::erase_if(m_endpointCrashes, isSameLoss);
     for (auto &[id, feature] : m_features) {
-        if (isRefutable(id)) {
+        if (isPart(id)) {
             noteChange(feature);
-            std::erase_if(feature.crashes, [&](const Sighting &crash) { return crash.endpoint == endpoint && isRefuted(crash.at); });
+            std::erase_if(feature.crashes, isSameLoss);
         }
     }
 }
@@ -168,7 +171,7 @@
 void CrashAttribution::noteProgress(const Features &features, TimePoint begun, TimePoint now)
 {
     for (const u64 id : features) {
-        if (!isRefutable(id)) {
+        if (!isPart(id)) {
             continue;
         }
         const auto found = m_features.find(id);
@@ -350,7 +353,7 @@
     return rest;
 }
 
-bool CrashAttribution::isRefutable(u64 feature)
+bool CrashAttribution::isPart(u64 feature)
 {
     return feature == partFeature(feature);
 }
@@ -429,10 +432,13 @@
 {
     const bool hasSucceeded = hasSucceededRecently(feature);
     const u32 threshold = hasSucceeded ? m_policy.crashThresholdAfterSuccess : m_policy.crashThreshold;
-    if (crashes.size() < threshold || evidenceOf(crashes) < threshold) {
+    // Requests that are equal as a whole seldom run at many endpoints at once.
+    const bool isShared = isPart(feature);
+    if (crashes.size() < threshold || (isShared && evidenceOf(crashes) < threshold)) {
         return false;
     }
-    const auto decidedAt = crashes.front().at + (hasSucceeded ? m_policy.timeToSucceed : m_policy.timeToHear);
+    const auto timeToHear = isShared ? m_policy.timeToHear : Duration::zero();
+    const auto decidedAt = crashes.front().at + (hasSucceeded ? m_policy.timeToSucceed : timeToHear);
     if (decidedAt > now) {
         m_causesValidUntil = std::min(decidedAt, m_causesValidUntil.value_or(decidedAt));
     }
