--- a/bench/crashes/main.cpp
+++ b/bench/crashes/main.cpp
@@ -47,9 +47,9 @@
         burdock::u32 engines;
         double soundPerSecond;
     };
-    constexpr std::array<Size, 4> sizes{{{4, 24, 300}, {29, 53, 900}, {68, 117, 1000}, {300, 500, 2000}}};
+    constexpr std::array<Size, 4> Sizes{{{4, 24, 300}, {29, 53, 900}, {68, 117, 1000}, {300, 500, 2000}}};
     std::vector<Scenario> list;
-    for (const auto &size : sizes) {
+    for (const auto &size : Sizes) {
         if (size.gateways > FLAGS_most_gateways) {
             continue;
         }
