--- a/bench/crashes/crash_fleet.cpp
+++ b/bench/crashes/crash_fleet.cpp
@@ -137,6 +137,9 @@
 
 void Fleet::handleEvents(Gateway &gateway)
 {
+    if (gateway.events.empty()) {
+        return;
+    }
     if (m_parameters.slice > Duration::zero() && (m_now - m_start + gateway.phase) % m_parameters.slice >= Step) {
         return;
     }
@@ -168,7 +171,7 @@
         gateway.attribution.noteCrash(event.endpoint, event.run.features, event.run.begun, m_now);
         return;
     case EventKind::Message:
-        for (const auto &record : event.records) {
+        for (const auto &record : *event.records) {
             gateway.attribution.merge(record, m_now);
         }
         return;
@@ -275,6 +278,7 @@
         if (records.empty()) {
             continue;
         }
+        const auto shared = std::make_shared<const Records>(std::move(records));
         for (u32 to = 0; to < m_gateways.size(); ++to) {
             if (to == from || below(LostOneIn) == 0) {
                 continue;
@@ -282,7 +286,7 @@
             Event event;
             event.at = m_now + upTo(m_parameters.maxMessageDelay);
             event.kind = EventKind::Message;
-            event.records = records;
+            event.records = shared;
             m_gateways[to].events.push_back(std::move(event));
         }
     }
--- a/bench/crashes/crash_fleet.hpp
+++ b/bench/crashes/crash_fleet.hpp
@@ -2,7 +2,7 @@
 
 #include <burdock/retry/crash_attribution.hpp>
 
-#include <deque>
+#include <memory>
 #include <pcg_random.hpp>
 #include <vector>
 
@@ -95,7 +95,7 @@
         EventKind kind = EventKind::Prompt;
         Run run;
         u64 endpoint = 0; ///< of a crash
-        Records records; ///< of a message
+        std::shared_ptr<const Records> records; ///< of a message; it goes to many gateways
     };
     struct Gateway
     {
