Count each time that the same request breaks its connection to an endpoint which it was sent to after it had broken there before

Cause, by a trace of each run (gateway, its start, endpoint): losses of one endpoint within 1.5 s count as one crash. After all gateways were killed, two of the plain endpoints were reached, so the request had broken there 38 times before its third crash counted. It is refused after three.

Change: a request as a whole that was sent to an endpoint after the crash that is known there has been lost by itself, and counts. What is known of a crash may come late but never too early, so the gateway that sent the request can tell; it gives the run a number, by which the others count it once. Parts of prompts still count one crash of an endpoint within 1.5 s, as an engine needs longer to come back.

Unit test "a request that is sent to an endpoint after it was lost there", which can't be built on the code before, as it gives the time of sending.

--- a/lib/libburdock-gateway/source/crash_guard.cpp
+++ b/lib/libburdock-gateway/source/crash_guard.cpp
@@ -70,7 +70,7 @@
     m_answeredFor = Duration::zero();
     m_isProgressNoted = false;
     if (end.outcome == Outcome::Broken) {
-        m_crashes.noteCrash(hash::hash64(end.endpoint), m_features, end.begunAt, now);
+        m_crashes.noteCrash(hash::hash64(end.endpoint), m_features, end.begunAt, now, end.sentAt);
         return;
     }
     if (end.outcome == Outcome::Answered && end.isSuccess) {
--- a/lib/libburdock-schema/source/crash_features.cpp
+++ b/lib/libburdock-schema/source/crash_features.cpp
@@ -20,6 +20,7 @@
         out->set_endpoint(crash.endpoint);
         out->set_age_ms(toAgeMs(crash.age));
         out->set_early(crash.isEarly);
+        out->set_repeated_run(crash.repeatedRun);
     }
     if (record.clearedAge) {
         message.set_cleared_age_ms(toAgeMs(*record.clearedAge));
@@ -32,7 +33,7 @@
     retry::FeatureRecord record;
     record.feature = message.feature();
     for (const auto &crash : message.crashes()) {
-        record.crashes.push_back({crash.endpoint(), std::chrono::milliseconds(crash.age_ms()), crash.early()});
+        record.crashes.push_back({crash.endpoint(), std::chrono::milliseconds(crash.age_ms()), crash.early(), crash.repeated_run()});
     }
     if (message.has_cleared_age_ms()) {
         record.clearedAge = std::chrono::milliseconds(message.cleared_age_ms());
--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -60,6 +60,7 @@
         u64 endpoint = 0; ///< hash of the endpoint's id
         Duration age{};
         bool isEarly = false; ///< the endpoint had hardly begun to answer a request with the feature, or not yet
+        u64 repeatedRun = 0; ///< unless zero: identifies the run, which began after an earlier crash of the endpoint
     };
     u64 feature = 0;
     std::vector<Crash> crashes;
@@ -122,8 +123,10 @@
     /**
      * @brief Records that an endpoint was lost while it was running a request.
      * @param begun when the endpoint began to answer it; nothing if it had not yet
+     * @param sentAt when it was sent to the endpoint, if known; a request as a whole that was sent after a crash isn't counted for it
      */
-    void noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now);
+    void noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now,
+                   std::optional<TimePoint> sentAt = std::nullopt);
 
     /**
      * @brief Records that an endpoint is alive; refutes crashes that were assumed shortly before.
@@ -173,6 +176,7 @@
         TimePoint at{};
         u64 sequence = 0; ///< zero if another process observed it
         bool isEarly = false;
+        u64 repeatedRun = 0;
     };
     struct EndpointCrash
     {
@@ -214,6 +218,8 @@
     [[nodiscard]] bool isTrialOwner(const Cause &cause) const;
     [[nodiscard]] bool isTested(const Cause &cause, const Features &features, TimePoint now) const;
     [[nodiscard]] FeatureRecord toRecord(u64 feature, const std::vector<Sighting> &crashes, TimePoint now) const;
+    [[nodiscard]] u64 repeatedRunOf(u64 feature, u64 endpoint, TimePoint sentAt, TimePoint now) const;
+    [[nodiscard]] bool areSameCrash(const Sighting &left, const Sighting &right) const;
     bool addSighting(u64 feature, Sighting sighting, TimePoint now);
     bool clear(Feature &feature, TimePoint begun);
     void noteCleared(Feature &feature, TimePoint begun, TimePoint now);
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -1,5 +1,6 @@
 #include <burdock/retry/crash_attribution.hpp>
 
+#include <burdock/hash/digest.hpp>
 #include <burdock/membership/rendezvous.hpp>
 
 #include <algorithm>
@@ -107,7 +108,8 @@
     }
 }
 
-void CrashAttribution::noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now)
+void CrashAttribution::noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now,
+                                 std::optional<TimePoint> sentAt)
 {
     if (features.empty()) {
         return;
@@ -118,7 +120,8 @@
     const bool isEarly = !begun || now - *begun <= m_policy.earlyTime;
     bool isNew = false;
     for (const u64 feature : features) {
-        isNew = addSighting(feature, {endpoint, now, m_sequence, isEarly}, now) || isNew;
+        const u64 repeatedRun = sentAt ? repeatedRunOf(feature, endpoint, *sentAt, now) : 0;
+        isNew = addSighting(feature, {endpoint, now, m_sequence, isEarly, repeatedRun}, now) || isNew;
     }
     if (isNew) {
         m_recentLosses.emplace_back(endpoint, now);
@@ -192,8 +195,9 @@
     forgetOld(now);
     bool isNew = false;
     for (const auto &crash : record.crashes) {
-        if (crash.age < m_policy.retention && addSighting(record.feature, {crash.endpoint, now - crash.age, 0, crash.isEarly}, now)) {
-            m_recentLosses.emplace_back(crash.endpoint, now - crash.age);
+        const auto at = now - crash.age;
+        if (crash.age < m_policy.retention && addSighting(record.feature, {crash.endpoint, at, 0, crash.isEarly, crash.repeatedRun}, now)) {
+            m_recentLosses.emplace_back(crash.endpoint, at);
             isNew = true;
         }
     }
@@ -493,15 +497,47 @@
     FeatureRecord record;
     record.feature = feature;
     for (const auto &crash : crashes) {
-        record.crashes.push_back({crash.endpoint, std::max(Duration::zero(), now - crash.at), crash.isEarly});
+        record.crashes.push_back({crash.endpoint, std::max(Duration::zero(), now - crash.at), crash.isEarly, crash.repeatedRun});
     }
     return record;
 }
 
+// The same request may break its connection to an endpoint time and again without a crash that others see. What is known of a crash may
+// come late, but never too early, so a request that was sent after it was lost by itself.
+u64 CrashAttribution::repeatedRunOf(u64 feature, u64 endpoint, TimePoint sentAt, TimePoint now) const
+{
+    const auto found = m_features.find(feature);
+    if (isPart(feature) || found == m_features.end()) {
+        return 0;
+    }
+    bool isAfterCrash = false;
+    for (const auto &crash : found->second.crashes) {
+        if (crash.endpoint != endpoint || !areClose(crash.at, now)) {
+            continue;
+        }
+        if (crash.at >= sentAt) {
+            return 0;
+        }
+        isAfterCrash = true;
+    }
+    const auto moment = static_cast<u64>(now.time_since_epoch().count());
+    return isAfterCrash ? hash::hash64(m_ownName, endpoint ^ moment) : 0;
+}
+
+bool CrashAttribution::areSameCrash(const Sighting &left, const Sighting &right) const
+{
+    if (left.repeatedRun != right.repeatedRun) {
+        return false;
+    }
+    return left.endpoint == right.endpoint && (left.repeatedRun != 0 || areClose(left.at, right.at));
+}
+
 bool CrashAttribution::addSighting(u64 feature, Sighting sighting, TimePoint now)
 {
     auto &entry = m_features[feature];
-    sighting.at = noteEndpointCrash(sighting.endpoint, sighting.at);
+    if (sighting.repeatedRun == 0) {
+        sighting.at = noteEndpointCrash(sighting.endpoint, sighting.at);
+    }
     // Such a request may have succeeded before the crash is reported.
     const auto succeeded = std::max(lastSuccessOf(m_succeeded, feature), lastSuccessOf(m_succeededBefore, feature));
     if (succeeded >= sighting.at && (!entry.clearedAt || *entry.clearedAt < sighting.at)) {
@@ -511,13 +547,12 @@
     if (entry.clearedAt && sighting.at <= *entry.clearedAt) {
         return false;
     }
-    const auto seen = std::find_if(entry.crashes.begin(), entry.crashes.end(), [&](const Sighting &crash) {
-        return crash.endpoint == sighting.endpoint && areClose(crash.at, sighting.at);
-    });
+    const auto seen
+        = std::find_if(entry.crashes.begin(), entry.crashes.end(), [&](const Sighting &crash) { return areSameCrash(crash, sighting); });
     if (seen != entry.crashes.end()) {
         const bool isNews = sighting.isEarly && !seen->isEarly;
         if (isNews) {
-            *seen = {seen->endpoint, seen->at, sighting.sequence, true};
+            *seen = {seen->endpoint, seen->at, sighting.sequence, true, seen->repeatedRun};
             noteChange(entry);
         }
         return isNews;
--- a/tests/unit/crash_attribution_test.cpp
+++ b/tests/unit/crash_attribution_test.cpp
@@ -152,6 +152,37 @@
     CHECK(attribution.tryBegin({retry::requestFeature(200), CrashingPart}, at(4s)) == RunPermission::Free);
 }
 
+// Guards against a request that breaks its connections to the only two endpoints again and again within a short time, and is sent on.
+TEST_CASE("a request that is sent to an endpoint after it was lost there and is lost again counts twice, and once at each process")
+{
+    const u64 request = retry::requestFeature(100);
+    const Features features{request, CrashingPart};
+    CrashAttribution attribution{CrashAttributionPolicy{}};
+    attribution.setMembers("a", {"a", "b"});
+    attribution.noteCrash(1, features, std::nullopt, at(10ms), at(0ms));
+    attribution.noteCrash(1, features, std::nullopt, at(20ms), at(5ms)); // lost by the same crash
+    attribution.noteCrash(2, features, std::nullopt, at(25ms), at(22ms));
+    CHECK(attribution.tryBegin(features, at(30ms)) == RunPermission::Free);
+    const auto before = attribution.sequence();
+    attribution.noteCrash(1, features, std::nullopt, at(110ms), at(100ms));
+    CHECK(attribution.tryBegin(features, at(110ms)) == RunPermission::Refused);
+    CHECK(attribution.tryBegin({CrashingPart}, at(1s)) == RunPermission::Free);
+
+    CrashAttribution other{CrashAttributionPolicy{}};
+    other.setMembers("b", {"a", "b"});
+    other.noteCrash(1, features, std::nullopt, at(10ms), at(0ms));
+    for (u32 i = 0; i < 5; ++i) {
+        for (const auto &record : attribution.observations(before, at(120ms + i * 50ms))) {
+            other.merge(record, at(500ms + i * 200ms)); // some arrive late
+        }
+    }
+    CHECK(other.tryBegin(features, at(2s)) == RunPermission::Free);
+    for (const auto &record : attribution.observations(0, at(2s))) {
+        other.merge(record, at(2s));
+    }
+    CHECK(other.tryBegin(features, at(2s)) == RunPermission::Refused);
+}
+
 TEST_CASE("several losses of one endpoint within a short time are one crash, a restart that crashes again is another")
 {
     CrashAttribution attribution{CrashAttributionPolicy{}};
