Let the soak end a gateway that has not begun its program without an exit code of its own

Cause, by a trace of the stops: the soak sent SIGTERM 0.3 ms after it had started the process, 140 ms and more in all other stops. A program needs about 5 ms until its main function; until then no code of it runs, and the system ends the process. Nobody was served by it, and the gateway registers for signals first thing (run_gateway.cpp). So the case is allowed: the check asks the system whether the process handles SIGTERM at that moment, and only if it doesn't, an end by SIGTERM isn't a violation. All other exit codes, and all other stops, are checked as before.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t MinFaultKinds = 5;
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 constexpr Duration StopTimeout = std::chrono::seconds(6);
+constexpr int EndedBySigterm = 128 + SIGTERM;
 constexpr Duration ProxyDelay = std::chrono::milliseconds(60);
 constexpr Duration StoreDelay = std::chrono::milliseconds(250);
 /** Time for which a draining endpoint still serves before its registration is removed. */
@@ -210,22 +211,25 @@
 {
     m_unavailableGateways.insert(gateway);
     m_deployment.disturbances().begin(gatewaySubject(gateway), DisturbanceKind::Planned, now());
-    m_deployment.gateways()[gateway]->process().signal(SIGTERM);
-    m_stoppingGateways[gateway] = now();
+    const auto &process = m_deployment.gateways()[gateway]->process();
+    const bool isHandled = process.handles(SIGTERM);
+    process.signal(SIGTERM);
+    m_stoppingGateways[gateway] = {now(), isHandled};
 }
 
 void FaultInjector::restartStopped()
 {
     for (auto stopping = m_stoppingGateways.begin(); stopping != m_stoppingGateways.end();) {
-        const auto [gateway, since] = *stopping;
+        const auto &[gateway, stop] = *stopping;
         auto &slot = *m_deployment.gateways()[gateway];
         const int code = slot.process().waitForExit(Duration::zero());
-        const bool isOverdue = now() > since + StopTimeout;
+        const bool isOverdue = now() > stop.since + StopTimeout;
         if (code == -1 && !isOverdue) {
             ++stopping;
             continue;
         }
-        if (code != 0) {
+        const bool wasNotRunning = !stop.wasHandled && code == EndedBySigterm;
+        if (code != 0 && !wasNotRunning) {
             m_deployment.checker().reportViolation("a graceful stop completes within its grace period",
                                                    fmt::format("gateway {}: exit code {}", gateway, code));
             slot.process().signal(SIGKILL);
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -96,7 +96,12 @@
     TimePoint m_startTime{};
     std::vector<ScheduledAction> m_scheduledActions;
     std::set<u32> m_unavailableGateways; ///< gateways that are down, stopping or frozen
-    std::map<u32, TimePoint> m_stoppingGateways; ///< when each gateway received SIGTERM
+    struct Stop
+    {
+        TimePoint since{}; ///< when the gateway received SIGTERM
+        bool wasHandled = true; ///< otherwise the system ends the process, which has not begun its program yet
+    };
+    std::map<u32, Stop> m_stoppingGateways;
     std::set<std::string> m_drainedEndpoints; ///< ids of draining and removed endpoints
     u64 m_configurationVersion = 1;
     u64 m_latestWeightVersion = 1;
--- a/tests/integration/support/child_process.cpp
+++ b/tests/integration/support/child_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr int SignalExitCodeBase = 128;
+/** In the status file of a process: a bit for each signal that it handles, the lowest for signal 1. */
+constexpr const char *HandledSignalsField = "SigCgt:";
+constexpr int HexBase = 16;
 constexpr auto PollInterval = std::chrono::milliseconds(5);
 
 } // namespace
@@ -58,6 +62,17 @@
     }
 }
 
+bool ChildProcess::handles(int signal) const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string name, value; status >> name && std::getline(status, value);) {
+        if (name == HandledSignalsField) {
+            return (std::stoull(value, nullptr, HexBase) >> (signal - 1) & 1) != 0;
+        }
+    }
+    return false;
+}
+
 int ChildProcess::waitForExit(Duration timeout)
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
--- a/tests/integration/support/child_process.hpp
+++ b/tests/integration/support/child_process.hpp
@@ -22,6 +22,8 @@
 
     [[nodiscard]] pid_t pid() const;
     void signal(int number) const;
+    /** @brief Whether the process handles a signal by itself; a process that was just created doesn't yet. */
+    [[nodiscard]] bool handles(int signal) const;
 
     /** @brief Waits until the process exits. Returns its exit code, 128 + n after signal n, or -1 if it outlives `timeout`. */
     [[nodiscard]] int waitForExit(Duration timeout);
