Count a repeated loss of a request only at an endpoint that others were heard from in between

A request that breaks nothing but its own connections still counts each time, an endpoint that loses all of them counts once.

--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -60,7 +60,7 @@
         u64 endpoint = 0; ///< hash of the endpoint's id
         Duration age{};
         bool isEarly = false; ///< the endpoint had hardly begun to answer a request with the feature, or not yet
-        u64 repeatedRun = 0; ///< unless zero: identifies the run, which began after an earlier crash of the endpoint
+        u64 repeatedRun = 0; ///< unless zero: identifies the run, which the endpoint began after it had survived an earlier loss
     };
     u64 feature = 0;
     std::vector<Crash> crashes;
@@ -123,7 +123,8 @@
     /**
      * @brief Records that an endpoint was lost while it was running a request.
      * @param begun when the endpoint began to answer it; nothing if it had not yet
-     * @param sentAt when it was sent to the endpoint, if known; a request as a whole that was sent after a crash isn't counted for it
+     * @param sentAt when it was sent to the endpoint, if known; a request as a whole that was sent after an earlier loss, and was lost
+     * after the endpoint had been heard from, counts again
      */
     void noteCrash(u64 endpoint, const Features &features, std::optional<TimePoint> begun, TimePoint now,
                    std::optional<TimePoint> sentAt = std::nullopt);
@@ -218,6 +219,7 @@
     [[nodiscard]] bool isTrialOwner(const Cause &cause) const;
     [[nodiscard]] bool isTested(const Cause &cause, const Features &features, TimePoint now) const;
     [[nodiscard]] FeatureRecord toRecord(u64 feature, const std::vector<Sighting> &crashes, TimePoint now) const;
+    [[nodiscard]] bool hasSurvived(u64 endpoint, TimePoint lostAt) const;
     [[nodiscard]] u64 repeatedRunOf(u64 feature, u64 endpoint, TimePoint sentAt, TimePoint now) const;
     [[nodiscard]] bool areSameCrash(const Sighting &left, const Sighting &right) const;
     bool addSighting(u64 feature, Sighting sighting, TimePoint now);
@@ -235,6 +237,7 @@
     std::vector<std::string> m_members; ///< empty while unknown
     FeatureMap m_features;
     std::deque<std::pair<u64, TimePoint>> m_recentLosses; ///< endpoints and when they were lost, the earliest first
+    std::deque<std::pair<u64, TimePoint>> m_recentSurvivals; ///< endpoints that were heard from after a loss, and when, the earliest first
     std::vector<EndpointCrash> m_endpointCrashes; ///< the earliest first
     SuccessTimes m_succeeded; ///< since m_successesSince
     SuccessTimes m_succeededBefore; ///< in the period before
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -148,6 +148,10 @@
         return crash.endpoint == endpoint && areClose(crash.at, lostAt) && now - crash.at >= m_policy.minAliveDelay;
     };
     m_recentLosses.erase(loss);
+    m_recentSurvivals.emplace_back(endpoint, now);
+    while (now - m_recentSurvivals.front().second > m_policy.sameCrashWindow) {
+        m_recentSurvivals.pop_front();
+    }
     std::erase_if(m_endpointCrashes, isSameLoss);
     for (auto &[id, feature] : m_features) {
         if (isPart(id)) {
@@ -502,7 +506,13 @@
     return record;
 }
 
-// The same request may break its connection to an endpoint time and again without a crash that others see. What is known of a crash may
+bool CrashAttribution::hasSurvived(u64 endpoint, TimePoint lostAt) const
+{
+    return std::any_of(m_recentSurvivals.begin(), m_recentSurvivals.end(),
+                       [&](const auto &survival) { return survival.first == endpoint && survival.second > lostAt; });
+}
+
+// The same request may break its connection to an endpoint time and again while the endpoint serves others. What is known of a loss may
 // come late, but never too early, so a request that was sent after it was lost by itself.
 u64 CrashAttribution::repeatedRunOf(u64 feature, u64 endpoint, TimePoint sentAt, TimePoint now) const
 {
@@ -515,7 +525,7 @@
         if (crash.endpoint != endpoint || !areClose(crash.at, now)) {
             continue;
         }
-        if (crash.at >= sentAt) {
+        if (crash.at >= sentAt || !hasSurvived(endpoint, crash.at)) {
             return 0;
         }
         isAfterCrash = true;
