Read, log and count the limits that endpoints name, without keeping to them yet

The logs of the incident can't tell whether no gateway knows of a limit, or each keeps to it alone. Gateways now log endpoint_limited, endpoint_limit_lifted and endpoint_limit_unreadable, and count limited endpoints. What is named is kept as versioned records that entries can exchange: of two changes the later one applies, of two whose order isn't known the lower limit. Requests are placed as before.

--- a/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
@@ -55,6 +55,8 @@
     bool isWrongEndpoint = false; ///< declined because endpoint or weights are not those that the request names
     std::optional<u64> weightVersion;
     std::optional<Duration> remainingColdTime; ///< remaining warm-up time of the endpoint
+    std::optional<double> requestsPerSecond; ///< limit that the endpoint names for all entries together; finite and not negative
+    bool hasUnreadableLimit = false; ///< it names a limit that is no such number, or several
     Duration keepAlive{}; ///< how long the endpoint keeps an idle connection open; zero if unspecified
 };
 
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -113,6 +113,7 @@
         , m_rolloutController(m_dependencies, m_settings, m_state)
         , m_peerSocket(dependencies.context, settings.loadAddress)
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
+        , m_limitObserver(m_dependencies, m_state)
         , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
@@ -155,7 +156,7 @@
 
     boost::asio::awaitable<void> handle(const http::Request &request, http::Reply &reply) override
     {
-        RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_pool, m_origins, request, reply);
+        RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_services, request, reply);
         co_await forwarder.run();
     }
 
@@ -231,6 +232,7 @@
     {
         m_dependencies.metrics.set("burdock_requests_under_way", m_state.activeRequests);
         m_dependencies.metrics.set("burdock_entries", m_state.entryCount);
+        m_dependencies.metrics.set("burdock_limited_endpoints", static_cast<double>(m_state.endpoints.namedLimits().inForceCount()));
         m_dependencies.metrics.set("burdock_crash_causes", static_cast<double>(m_state.crashes.causeCount(m_dependencies.clock.now())));
         if (m_state.routes) {
             m_dependencies.metrics.set("burdock_configuration_version", static_cast<double>(m_state.routes->configuration().version));
@@ -636,6 +638,8 @@
     WeightRolloutController m_rolloutController;
     PeerSocket m_peerSocket;
     OriginExchange m_origins;
+    LimitObserver m_limitObserver;
+    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver};
     LoadExchange m_loadExchange;
     std::set<std::string, std::less<>> m_evacuatedZones;
     std::multiset<std::string, std::less<>> m_returningZones; ///< once per return after which its endpoints haven't been listed yet
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -59,12 +59,11 @@
 } // namespace
 
 RequestForwarder::RequestForwarder(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                                   ConnectionPool &pool, OriginExchange &origins, const http::Request &request, http::Reply &reply)
+                                   const ForwardingServices &services, const http::Request &request, http::Reply &reply)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_state(state)
-    , m_pool(pool)
-    , m_origins(origins)
+    , m_services(services)
     , m_request(request)
     , m_reply(reply)
 {
@@ -113,7 +112,7 @@
     run::OriginKnowledge known;
     known.isNamed = !m_requestMetadata.resumedAttemptId.empty();
     if (known.isNamed) {
-        const auto search = co_await m_origins.find(hash::hash64(m_requestMetadata.resumedAttemptId));
+        const auto search = co_await m_services.origins.find(hash::hash64(m_requestMetadata.resumedAttemptId));
         known.recorded = search.software;
         known.haveAllAnswered = search.haveAllAnswered;
     }
@@ -133,7 +132,7 @@
         return;
     }
     m_streamSoftware = m_endpointSoftware;
-    m_origins.publish(hash::hash64(m_requestMetadata.attemptId), m_endpointSoftware);
+    m_services.origins.publish(hash::hash64(m_requestMetadata.attemptId), m_endpointSoftware);
 }
 
 std::optional<RequestForwarder::Rejection> RequestForwarder::validate()
@@ -376,7 +375,7 @@
     m_crashGuard->noteEnd({id, attempt.outcome, isSuccess(attempt.response.status), m_sentAt, hasBegun ? m_firstEventAt : std::nullopt},
                           now);
     if (attempt.outcome == Outcome::Broken) {
-        m_pool.discard(id);
+        m_services.pool.discard(id);
     }
     if (attempt.outcome != Outcome::Answered) {
         const auto blamed = m_crashGuard->blamed(now);
@@ -449,7 +448,7 @@
 boost::asio::awaitable<bool> RequestForwarder::connectTo(const std::string &id)
 {
     const auto now = m_dependencies.clock.now();
-    m_connection = m_pool.acquire(id, now);
+    m_connection = m_services.pool.acquire(id, now);
     m_isReusedConnection = m_connection != nullptr;
     if (m_isReusedConnection) {
         co_return true;
@@ -713,12 +712,13 @@
     if (responseMetadata.remainingColdTime) {
         m_state.endpoints.noteCold(id, *responseMetadata.remainingColdTime, m_dependencies.clock.now());
     }
+    m_services.limits.noteResponse({id, m_selection.startTimeMs, m_sentAt}, responseMetadata);
 }
 
 void RequestForwarder::returnToPool(const std::string &id, const ResponseMetadata &responseMetadata)
 {
     if (m_connection->isReusable() && !responseMetadata.isWrongEndpoint) {
-        m_pool.release(id, std::move(m_connection), responseMetadata.keepAlive, m_dependencies.clock.now());
+        m_services.pool.release(id, std::move(m_connection), responseMetadata.keepAlive, m_dependencies.clock.now());
     }
 }
 
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include "connection_pool.hpp"
 #include "crash_guard.hpp"
+#include "limit_observer.hpp"
 #include "origin_exchange.hpp"
 #include "prompt_planner.hpp"
 
@@ -13,12 +14,20 @@
 
 namespace burdock::gateway {
 
+/** @brief Parts of the gateway that all requests share. */
+struct ForwardingServices
+{
+    ConnectionPool &pool;
+    OriginExchange &origins;
+    LimitObserver &limits;
+};
+
 /** @brief Handles one request of a caller: validates it, forwards it to endpoints with retries, and sends the final response. */
 class RequestForwarder
 {
 public:
-    RequestForwarder(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, ConnectionPool &pool,
-                     OriginExchange &origins, const runtime::http::Request &request, runtime::http::Reply &reply);
+    RequestForwarder(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
+                     const ForwardingServices &services, const runtime::http::Request &request, runtime::http::Reply &reply);
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
@@ -74,8 +83,7 @@
     const GatewayDependencies &m_dependencies;
     const GatewaySettings &m_settings;
     GatewayState &m_state;
-    ConnectionPool &m_pool;
-    OriginExchange &m_origins;
+    const ForwardingServices &m_services;
     const runtime::http::Request &m_request;
     runtime::http::Reply &m_reply;
 
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -5,6 +5,7 @@
 #include <burdock/endpoints/peer_loads.hpp>
 #include <burdock/endpoints/placement_turns.hpp>
 #include <burdock/endpoints/software_history.hpp>
+#include <burdock/limits/named_limits.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/types.hpp>
 
@@ -206,6 +207,9 @@
     /** @brief Decides which requests go to cold endpoints; must know the entries before any does. */
     [[nodiscard]] ColdAdmission &coldAdmission();
 
+    /** @brief The request rates to which endpoints limit all entries together. */
+    [[nodiscard]] limits::NamedLimits &namedLimits();
+
     /** @brief Decides to which engines this entry may send prompts between two reports of the other entries. */
     [[nodiscard]] PlacementTurns &turns();
 
@@ -278,6 +282,8 @@
     void noteCold(std::string_view id, Duration remaining, TimePoint now);
 
     [[nodiscard]] const Endpoint *find(std::string_view id) const;
+    /** @param hash hash of the endpoint's id */
+    [[nodiscard]] const Endpoint *findByHash(u64 hash) const;
     [[nodiscard]] const std::map<std::string, Endpoint, std::less<>> &all() const;
 
 private:
@@ -323,6 +329,7 @@
 
     Policy m_policy;
     ColdAdmission m_coldAdmission;
+    limits::NamedLimits m_namedLimits;
     PlacementTurns m_turns;
     Endpoints m_endpoints;
     SoftwareHistory m_softwareHistory;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -76,6 +76,7 @@
 
 EndpointTable::EndpointTable(const Policy &policy, u64 own)
     : m_policy(policy)
+    , m_namedLimits(limits::NamedLimitPolicy{})
     , m_turns(own)
     , m_peers(PeerReportLifetime)
 {
@@ -98,6 +99,7 @@
         known = std::max(known, version);
     }
     endpoint.hash = hash::hash64(registration.id);
+    m_namedLimits.noteInstance(endpoint.hash, registration.startTimeMs);
     endpoint.software = hash::hash64(registration.softwareVersion, hash::hash64(registration.service));
     m_softwareHistory.set(registration.id, registration.service, endpoint.software, now);
     m_byHash[endpoint.hash] = &endpoint;
@@ -150,6 +152,11 @@
     return m_coldAdmission;
 }
 
+limits::NamedLimits &EndpointTable::namedLimits()
+{
+    return m_namedLimits;
+}
+
 PlacementTurns &EndpointTable::turns()
 {
     return m_turns;
@@ -541,6 +548,12 @@
     return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
+const Endpoint *EndpointTable::findByHash(u64 hash) const
+{
+    const auto found = m_byHash.find(hash);
+    return found == m_byHash.end() ? nullptr : found->second;
+}
+
 const std::map<std::string, Endpoint, std::less<>> &EndpointTable::all() const
 {
     return m_endpoints;
--- a/tests/unit/http_protocol_codec_test.cpp
+++ b/tests/unit/http_protocol_codec_test.cpp
@@ -108,6 +108,32 @@
     CHECK(forwarded.header("X-Attempt-Id") == "a1");
 }
 
+// Guards against an answer that is lost, or a limit that is made up, because an endpoint names something else than a number.
+TEST_CASE("a limit is read if the head names exactly one finite number that is not negative")
+{
+    const auto read = [](const std::vector<std::string> &values) {
+        runtime::http::Response head;
+        head.status = 503;
+        for (const auto &value : values) {
+            head.headers.emplace_back("server-limit", value);
+        }
+        return HttpProtocolCodec().readResponse(head);
+    };
+    CHECK(read({"2.9"}).requestsPerSecond == 2.9);
+    CHECK(read({"0"}).requestsPerSecond == 0);
+    CHECK(read({" 200 "}).requestsPerSecond == 200);
+    CHECK_FALSE(read({}).requestsPerSecond);
+    CHECK_FALSE(read({}).hasUnreadableLimit);
+    const std::string beyondRange = "1" + std::string(400, '0');
+    const std::vector<std::vector<std::string>> unreadable{{""},    {"many"},   {"-1"},        {"inf"},   {"-inf"}, {"nan"},
+                                                           {"3 4"}, {"3", "3"}, {beyondRange}, {"1e999"}, {"0x10"}, {"3,5"}};
+    for (const auto &values : unreadable) {
+        CAPTURE(values.front());
+        CHECK_FALSE(read(values).requestsPerSecond);
+        CHECK(read(values).hasUnreadableLimit);
+    }
+}
+
 TEST_CASE("a configuration is read completely or not at all")
 {
     const HttpProtocolCodec codec;
