Keep to the limits that endpoints name, over all gateways

What callers saw: nothing yet, but endpoints in need got their usual load, three times what they had named.

Cause: no gateway read the limit. The class of fault: each gateway allows itself what it can't know to be allowed, as it doesn't know what the others send. Reading the header alone would have allowed each gateway the whole limit.

Now one gateway, the coordinator, issues the permits of an endpoint with a limit, as many as the limit allows; the others ask it when a request comes, so that skew and few callers waste nothing. Gateways that disagree on the coordinator issue less, not more: it needs to hear from more than half of all, and two thirds of those that know of the limit must have named it for a second. A gateway that hears from too few takes turns by hash with half of the limit. Requests that get no permit go to other endpoints at once; if all have limits, they are refused with the time that these limits leave. Kept KV cache doesn't draw prompts to an endpoint with a limit. Calls for weights are sent in any case, and counted. Gateways exchange limits as versioned records.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -8,6 +8,7 @@
 #include "weight_rollout_controller.hpp"
 
 #include <burdock/clients/json_fields.hpp>
+#include <burdock/hash/digest.hpp>
 #include <burdock/runtime/http/server.hpp>
 #include <burdock/runtime/sleep.hpp>
 
@@ -110,11 +111,12 @@
         : m_dependencies(dependencies)
         , m_settings(settings)
         , m_state(settings.name)
-        , m_rolloutController(m_dependencies, m_settings, m_state)
         , m_peerSocket(dependencies.context, settings.loadAddress)
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
-        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins)
+        , m_permits(m_dependencies, m_settings, m_state, m_peerSocket, m_limitObserver)
+        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits)
+        , m_rolloutController(m_dependencies, m_settings, m_state, m_limitObserver, m_permits)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
         , m_callerServer(dependencies.context, settings.callerAddress, callerLimits({}), *this, http::ListenMode::Immediate, this)
@@ -232,7 +234,7 @@
     {
         m_dependencies.metrics.set("burdock_requests_under_way", m_state.activeRequests);
         m_dependencies.metrics.set("burdock_entries", m_state.entryCount);
-        m_dependencies.metrics.set("burdock_limited_endpoints", static_cast<double>(m_state.endpoints.namedLimits().inForceCount()));
+        m_dependencies.metrics.set("burdock_limited_endpoints", static_cast<double>(m_state.endpoints.permits().limits().inForceCount()));
         m_dependencies.metrics.set("burdock_crash_causes", static_cast<double>(m_state.crashes.causeCount(m_dependencies.clock.now())));
         if (m_state.routes) {
             m_dependencies.metrics.set("burdock_configuration_version", static_cast<double>(m_state.routes->configuration().version));
@@ -534,11 +536,20 @@
             measureOverload(due);
             m_pool.closeExpired(m_dependencies.clock.now());
             m_state.endpoints.peers().expire(m_dependencies.clock.now());
+            updatePermits();
             logCrashCauses();
             m_dependencies.logger.flush();
         }
     }
 
+    void updatePermits()
+    {
+        const auto now = m_dependencies.clock.now();
+        auto &permits = m_state.endpoints.permits();
+        permits.limits().expire([this](u64 endpoint) { return m_state.endpoints.findByHash(endpoint) != nullptr; }, now);
+        permits.update(now);
+    }
+
     void logCrashCauses()
     {
         const auto count = m_state.crashes.causeCount(m_dependencies.clock.now());
@@ -603,7 +614,13 @@
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
         m_state.crashes.setMembers(m_settings.name, m_state.entryNames);
-        m_state.endpoints.turns().setEntries(list.items.size(), endpoints::LoadReporter::period(peers.size()));
+        const auto reportPeriod = endpoints::LoadReporter::period(peers.size());
+        m_state.endpoints.turns().setEntries(list.items.size(), reportPeriod);
+        std::vector<u64> entries;
+        for (const auto &name : m_state.entryNames) {
+            entries.push_back(hash::hash64(name));
+        }
+        m_state.endpoints.permits().coordinators().setEntries(entries, reportPeriod);
     }
 
     boost::asio::awaitable<void> drainAndStop()
@@ -635,12 +652,13 @@
     const GatewaySettings m_settings;
     GatewayState m_state;
     ConnectionPool m_pool;
-    WeightRolloutController m_rolloutController;
     PeerSocket m_peerSocket;
     OriginExchange m_origins;
     LimitObserver m_limitObserver;
-    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver};
+    PermitExchange m_permits;
+    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_permits};
     LoadExchange m_loadExchange;
+    WeightRolloutController m_rolloutController;
     std::set<std::string, std::less<>> m_evacuatedZones;
     std::multiset<std::string, std::less<>> m_returningZones; ///< once per return after which its endpoints haven't been listed yet
     bool m_isNewestConfigurationReadable = false;
--- a/lib/libburdock-gateway/source/limit_observer.cpp
+++ b/lib/libburdock-gateway/source/limit_observer.cpp
@@ -31,7 +31,7 @@
     }
     const u64 endpoint = hash::hash64(source.endpointId);
     const auto now = m_dependencies.clock.now();
-    auto &limits = m_state.endpoints.namedLimits();
+    auto &limits = m_state.endpoints.permits().limits();
     if (limits.noteResponse(endpoint, source.startTimeMs, metadata.requestsPerSecond, source.sentAt, now)) {
         logChange(source.endpointId, endpoint, {});
     }
@@ -39,7 +39,7 @@
 
 void LimitObserver::merge(const limits::NamedLimit &record, std::string_view entry)
 {
-    if (!m_state.endpoints.namedLimits().merge(record, m_dependencies.clock.now())) {
+    if (!m_state.endpoints.permits().limits().merge(record, m_dependencies.clock.now())) {
         return;
     }
     const auto *endpoint = m_state.endpoints.findByHash(record.endpoint);
@@ -59,7 +59,7 @@
 
 void LimitObserver::logChange(std::string_view endpoint, u64 endpointHash, std::string_view toldBy)
 {
-    const auto *record = m_state.endpoints.namedLimits().find(endpointHash);
+    const auto *record = m_state.endpoints.permits().limits().find(endpointHash);
     if (record == nullptr || !record->perSecond) {
         m_dependencies.logger.event(LogLevel::Info, "endpoint_limit_lifted", {{"endpoint", endpoint}, {"told_by", toldBy}});
         return;
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -38,12 +38,13 @@
 } // namespace
 
 LoadExchange::LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                           PeerSocket &socket, OriginExchange &origins)
+                           PeerSocket &socket, OriginExchange &origins, PermitExchange &permits)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_state(state)
     , m_socket(socket)
     , m_origins(origins)
+    , m_permits(permits)
     , m_startedAt(dependencies.clock.now())
 {
 }
@@ -125,6 +126,7 @@
         m_sentUnresponsive = unresponsive;
     }
     addCrashFeatures(message);
+    m_permits.addLimits(message);
     for (const auto &placed : m_state.outgoingPlacements) {
         auto *out = message.add_placed();
         out->set_endpoint(placed.endpoint);
@@ -242,6 +244,11 @@
         m_dependencies.metrics.count("burdock_loads_unreadable_total");
         return;
     }
+    m_permits.noteHeard(message.entry(), sender);
+    if (PermitExchange::isPermitMessage(message)) {
+        m_permits.handle(message, sender);
+        return;
+    }
     if (OriginExchange::isOriginMessage(message)) {
         m_origins.handle(message, sender);
         return;
@@ -281,6 +288,7 @@
             m_state.endpoints.notePart(placed.endpoint(), placed.parts(i), placed.tokens(i));
         }
     }
+    m_permits.applyReport(message);
     for (const auto &feature : message.crash_features()) {
         m_state.crashes.merge(schema::toRecord(feature), m_dependencies.clock.now());
     }
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "origin_exchange.hpp"
+#include "permit_exchange.hpp"
 
 #include <burdock/endpoints/load_reporter.hpp>
 
@@ -16,9 +17,12 @@
 class LoadExchange
 {
 public:
-    /** @param origins handles the messages about streams */
+    /**
+     * @param origins handles the messages about streams
+     * @param permits handles the messages about limits of endpoints
+     */
     LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, PeerSocket &socket,
-                 OriginExchange &origins);
+                 OriginExchange &origins, PermitExchange &permits);
 
     /** @brief Sends load messages to all peers until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> send();
@@ -40,6 +44,7 @@
     GatewayState &m_state;
     PeerSocket &m_socket;
     OriginExchange &m_origins;
+    PermitExchange &m_permits;
     TimePoint m_startedAt;
     u64 m_sequence = 0;
     endpoints::LoadReporter m_loadReporter;
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -26,6 +26,8 @@
 constexpr Duration RetryAfterNotSynced = std::chrono::milliseconds(700);
 /** Retry-after time if another gateway can serve the request immediately. */
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(20);
+/** Entries that are asked for a permit before the request goes to an endpoint without a limit, or is refused. */
+constexpr u32 MaxPermitQuestions = 3;
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusMultipleChoices = 300;
 constexpr u16 StatusServerError = 500;
@@ -40,6 +42,18 @@
     return static_cast<u64>(std::count_if(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); }));
 }
 
+Duration retryAfter(const endpoints::Selection &selection)
+{
+    switch (selection.reason) {
+    case endpoints::SelectionFailure::NoEndpoint:
+        return RetryAfterNoEndpoint;
+    case endpoints::SelectionFailure::Limited:
+        return selection.retryAfter;
+    default:
+        return RetryAfterFull;
+    }
+}
+
 std::string_view nameOf(const std::optional<run::BodyFraming> &framing)
 {
     return framing ? toString(*framing) : std::string_view("none");
@@ -226,11 +240,16 @@
         const auto now = m_dependencies.clock.now();
         m_selection = m_state.endpoints.choose(makeSelectionRequest(), now);
         if (m_selection.reason != endpoints::SelectionFailure::None) {
-            const bool isNone = m_selection.reason == endpoints::SelectionFailure::NoEndpoint;
-            const Rejection rejection{503, toString(m_selection.reason), isNone ? RetryAfterNoEndpoint : RetryAfterFull};
+            const Rejection rejection{503, toString(m_selection.reason), retryAfter(m_selection)};
             co_await stopTrying(rejection, lastAttempt);
             co_return;
         }
+        if (m_selection.permitNeededFor) {
+            ++m_permitQuestions;
+            co_await m_services.permits.ask(*m_selection.permitNeededFor, priority());
+            continue;
+        }
+        m_permitQuestions = 0;
         if (m_customer != nullptr && !m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings)) {
             const auto rejection = staleKeysRejection();
             co_await stopTrying(rejection, lastAttempt);
@@ -304,6 +323,8 @@
     }
     selectionRequest.tried = m_triedEndpoints;
     selectionRequest.software = m_streamSoftware;
+    selectionRequest.priority = priority();
+    selectionRequest.mayAskPermit = m_permitQuestions < MaxPermitQuestions && timeLeft() > 2 * MinAttemptTime;
     return selectionRequest;
 }
 
@@ -564,7 +585,7 @@
     options.endpointId = endpoint.registration.id;
     options.timeLeft = timeLeft();
     options.customer = m_customer == nullptr ? "" : m_customer->name;
-    options.priority = m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
+    options.priority = priority();
     options.isPrompt = m_route->isPrompt;
     m_sseSplitter.beginRun();
     options.lastEventId = m_sseSplitter.lastId();
@@ -722,6 +743,11 @@
     }
 }
 
+u32 RequestForwarder::priority() const
+{
+    return m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
+}
+
 Duration RequestForwarder::timeLeft() const
 {
     return m_deadline - m_dependencies.clock.now();
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -2,8 +2,8 @@
 
 #include "connection_pool.hpp"
 #include "crash_guard.hpp"
-#include "limit_observer.hpp"
 #include "origin_exchange.hpp"
+#include "permit_exchange.hpp"
 #include "prompt_planner.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
@@ -20,6 +20,7 @@
     ConnectionPool &pool;
     OriginExchange &origins;
     LimitObserver &limits;
+    PermitExchange &permits;
 };
 
 /** @brief Handles one request of a caller: validates it, forwards it to endpoints with retries, and sends the final response. */
@@ -74,6 +75,7 @@
     void noteHeard(const std::string &id);
     void noteResponse(const std::string &id, const ResponseMetadata &responseMetadata);
     void returnToPool(const std::string &id, const ResponseMetadata &responseMetadata);
+    [[nodiscard]] u32 priority() const;
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] Duration elapsed() const;
     void noteAnswered(const Attempt &attempt);
@@ -97,6 +99,7 @@
     std::string m_service;
     u64 m_memoryTokens = 0; ///< engine memory that the prompt and its output take
     endpoints::Selection m_selection; ///< of the current attempt
+    u32 m_permitQuestions = 0; ///< asked for the current attempt
     TimePoint m_sentAt{};
     TimePoint m_startDeadline{}; ///< of the current attempt: time by which the engine must have started the request
     bool m_isPrefillPending = false;
--- a/lib/libburdock-gateway/source/weight_rollout_controller.cpp
+++ b/lib/libburdock-gateway/source/weight_rollout_controller.cpp
@@ -112,9 +112,11 @@
 } // namespace
 
 WeightRolloutController::WeightRolloutController(const GatewayDependencies &dependencies, const GatewaySettings &settings,
-                                                 GatewayState &state)
+                                                 GatewayState &state, LimitObserver &limits, PermitExchange &permits)
     : m_dependencies(dependencies)
     , m_state(state)
+    , m_limits(limits)
+    , m_permits(permits)
     , m_lease(settings.name, dependencies.random.word() >> 1, settings.minOrderInterval)
     , m_vmName(settings.name)
 {
@@ -331,7 +333,7 @@
     }
     const WeightOrder order{model, version, m_vmName, m_lease.token(), status->acceptedOrders, id};
     const auto request = m_dependencies.codec.orderRequest(order);
-    const auto result = co_await http::exchange(http::parseAddress(address), request, CallTimeout);
+    const auto result = co_await callEngine(id, address, request);
     const auto orderResult = result.progress == http::Progress::Answered ? m_dependencies.codec.readOrderResult(result.response.status)
                                                                          : WeightOrderResult::Unknown;
     m_dependencies.logger.event(LogLevel::Info, "weights_ordered",
@@ -350,10 +352,23 @@
     }
 }
 
+// Weights must be loaded in time whatever limit an engine names, so these calls don't wait for permits. But they count.
+boost::asio::awaitable<http::Exchange> WeightRolloutController::callEngine(std::string id, std::string address, http::Request request)
+{
+    const auto *endpoint = m_state.endpoints.find(id);
+    const LimitSource source{id, endpoint == nullptr ? 0 : endpoint->registration.startTimeMs, m_dependencies.clock.now()};
+    m_permits.countUnconditional(id);
+    auto result = co_await http::exchange(http::parseAddress(address), request, CallTimeout);
+    if (result.progress == http::Progress::Answered && endpoint != nullptr) {
+        m_limits.noteResponse(source, m_dependencies.codec.readResponse(result.response));
+    }
+    co_return result;
+}
+
 boost::asio::awaitable<std::optional<EngineStatus>> WeightRolloutController::readStatus(const std::string &id, const std::string &address)
 {
     const auto request = m_dependencies.codec.engineStatusRequest();
-    const auto result = co_await http::exchange(http::parseAddress(address), request, CallTimeout);
+    const auto result = co_await callEngine(id, address, request);
     if (result.progress != http::Progress::Answered) {
         co_return std::nullopt;
     }
--- a/lib/libburdock-gateway/source/weight_rollout_controller.hpp
+++ b/lib/libburdock-gateway/source/weight_rollout_controller.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "gateway_state.hpp"
+#include "permit_exchange.hpp"
 
+#include <burdock/runtime/http/client.hpp>
 #include <burdock/weights/leader_lease.hpp>
 #include <burdock/weights/weight_rollout.hpp>
 
@@ -13,7 +14,8 @@
 class WeightRolloutController
 {
 public:
-    WeightRolloutController(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state);
+    WeightRolloutController(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
+                            LimitObserver &limits, PermitExchange &permits);
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
@@ -38,12 +40,16 @@
     void updateLoading();
     [[nodiscard]] int rank() const;
     [[nodiscard]] boost::asio::awaitable<void> sendOrder(std::string id, std::string address, std::string model, u64 version);
+    [[nodiscard]] boost::asio::awaitable<runtime::http::Exchange> callEngine(std::string id, std::string address,
+                                                                             runtime::http::Request request);
     [[nodiscard]] boost::asio::awaitable<std::optional<EngineStatus>> readStatus(const std::string &id, const std::string &address);
     [[nodiscard]] boost::asio::awaitable<void> pollReplica(std::string id, std::string model);
     void noteLeadership();
 
     const GatewayDependencies &m_dependencies;
     GatewayState &m_state;
+    LimitObserver &m_limits;
+    PermitExchange &m_permits;
     weights::LeaderLease m_lease;
     std::map<std::string, weights::WeightRollout, std::less<>> m_rollouts;
     TimePoint m_lastLeaseReadAt{};
--- a/lib/libburdock/include/burdock/endpoints/cold_admission.hpp
+++ b/lib/libburdock/include/burdock/endpoints/cold_admission.hpp
@@ -55,8 +55,6 @@
     [[nodiscard]] u32 requestsPerPeriod(double perSecond) const;
 
 private:
-    [[nodiscard]] u32 ownRequests(u64 endpoint, u64 period, u32 requests) const;
-
     ColdLimit m_limit;
     std::vector<u64> m_others; ///< hashes of the names of the other entries
     u64 m_own = 0;
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -5,7 +5,8 @@
 #include <burdock/endpoints/peer_loads.hpp>
 #include <burdock/endpoints/placement_turns.hpp>
 #include <burdock/endpoints/software_history.hpp>
-#include <burdock/limits/named_limits.hpp>
+#include <burdock/limits/endpoint_permits.hpp>
+#include <burdock/limits/refusal_schedule.hpp>
 #include <burdock/placement/policy.hpp>
 #include <burdock/types.hpp>
 
@@ -114,6 +115,8 @@
     Duration target{}; ///< target time to the first event; zero for no limit
     Duration timeOfDay{}; ///< wall-clock time, by which entries take turns at cold endpoints
     std::set<std::string, std::less<>> tried; ///< ids of endpoints that must not be selected again
+    u32 priority = 0; ///< 0 is the most urgent
+    bool mayAskPermit = false; ///< whether the caller can ask another entry for a permit
     std::optional<u64> software; ///< if set, only endpoints with this Endpoint::software are selected
 };
 
@@ -123,6 +126,7 @@
     NoEndpoint, ///< no endpoint is known that accepts requests
     NoRoom, ///< all endpoints are at a limit, or their weights expire too soon
     TooSlow, ///< the expected delay exceeds the target at the endpoints that are not at a limit
+    Limited, ///< all endpoints limit the requests that they take, and this one would be too many
 };
 
 [[nodiscard]] std::string_view toString(SelectionFailure reason);
@@ -147,6 +151,10 @@
     Duration expectedDelay{}; ///< to the first event; only for prompts
     u64 startTimeMs = 0; ///< identifies the instance of the endpoint, see Registration::startTimeMs
     NewestWeightsResult newest = NewestWeightsResult::Chosen;
+    /** Hash of the id of an endpoint that needs a permit of another entry. If set, that entry has to be asked, and the choice made again.
+     */
+    std::optional<u64> permitNeededFor = std::nullopt;
+    Duration retryAfter{}; ///< when the caller should come back; only if the reason is Limited
 };
 
 /** @brief Whether the measured delay of a first event is used to estimate the engine's speed. */
@@ -207,8 +215,8 @@
     /** @brief Decides which requests go to cold endpoints; must know the entries before any does. */
     [[nodiscard]] ColdAdmission &coldAdmission();
 
-    /** @brief The request rates to which endpoints limit all entries together. */
-    [[nodiscard]] limits::NamedLimits &namedLimits();
+    /** @brief Decides which requests go to endpoints that limit the requests of all entries together. */
+    [[nodiscard]] limits::EndpointPermits &permits();
 
     /** @brief Decides to which engines this entry may send prompts between two reports of the other entries. */
     [[nodiscard]] PlacementTurns &turns();
@@ -294,6 +302,13 @@
     };
     using Endpoints = std::map<std::string, Endpoint, std::less<>>;
 
+    /** @brief Whether a request may be sent to the endpoint that was chosen for it. */
+    enum class Admission : u8 {
+        Admitted,
+        MustAsk, ///< if another entry permits it
+        Refused,
+    };
+
     /** @brief An endpoint that may be selected. */
     struct Candidate
     {
@@ -311,7 +326,11 @@
     [[nodiscard]] bool isSilent(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isUnresponsiveToPeers(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool hasMemory(const Endpoint &endpoint, u64 needed, u32 limitPercent) const;
-    [[nodiscard]] bool tryAdmit(Endpoint &endpoint, Duration timeOfDay, TimePoint now);
+    [[nodiscard]] Admission tryAdmit(Endpoint &endpoint, const SelectionRequest &request, TimePoint now);
+    [[nodiscard]] bool isLimited(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] Selection chosen(const Endpoint &endpoint, Admission admission, TimePoint now);
+    void applyLimits(Selection &selection, const SelectionRequest &request, TimePoint now);
+    void ignoreCachesOfLimited(std::vector<Candidate> &candidates, const SelectionRequest &request, TimePoint now) const;
     [[nodiscard]] Selection choosePlain(const SelectionRequest &request, TimePoint now);
     [[nodiscard]] Selection choosePrompt(const SelectionRequest &request, TimePoint now);
     [[nodiscard]] NewestWeightsResult newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates,
@@ -329,7 +348,8 @@
 
     Policy m_policy;
     ColdAdmission m_coldAdmission;
-    limits::NamedLimits m_namedLimits;
+    limits::EndpointPermits m_permits;
+    std::map<std::string, limits::RefusalSchedule, std::less<>> m_refusals; ///< for want of permits, by service
     PlacementTurns m_turns;
     Endpoints m_endpoints;
     SoftwareHistory m_softwareHistory;
--- a/lib/libburdock/source/endpoints/cold_admission.cpp
+++ b/lib/libburdock/source/endpoints/cold_admission.cpp
@@ -1,6 +1,7 @@
 #include <burdock/endpoints/cold_admission.hpp>
 
 #include <burdock/hash/digest.hpp>
+#include <burdock/membership/turn_share.hpp>
 
 #include <algorithm>
 
@@ -41,7 +42,8 @@
     const auto offset = static_cast<i64>(endpoint % static_cast<u64>(Period.count()));
     const auto period = static_cast<u64>((timeOfDay.count() + offset) / Period.count());
     if (quota.period != period) {
-        quota = {period, ownRequests(endpoint, period, requestsPerPeriod(perSecond))};
+        const u64 seed = hash::mix64(endpoint + hash::mix64(period));
+        quota = {period, membership::turnShare(seed, m_own, m_others, requestsPerPeriod(perSecond))};
     }
     if (quota.remaining == 0) {
         return false;
@@ -56,17 +58,4 @@
     return std::max<u32>(1, static_cast<u32>(limit * SharePerPeriod));
 }
 
-u32 ColdAdmission::ownRequests(u64 endpoint, u64 period, u32 requests) const
-{
-    const auto entries = static_cast<u32>(m_others.size() + 1);
-    const u32 remainder = requests % entries;
-    const u64 seed = hash::mix64(endpoint + hash::mix64(period));
-    const u64 own = hash::mix64(seed ^ m_own);
-    const auto isAhead = [seed, own](u64 other) {
-        return hash::mix64(seed ^ other) > own;
-    };
-    const bool getsRemainder = remainder > 0 && std::count_if(m_others.begin(), m_others.end(), isAhead) < static_cast<i64>(remainder);
-    return requests / entries + (getsRemainder ? 1 : 0);
-}
-
 } // namespace burdock::endpoints
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -29,7 +29,7 @@
 /** Estimated share of an engine's memory that cached parts take, in percent; prompts in progress take the rest. */
 constexpr u64 CachedPartsPercent = 50;
 
-constexpr std::array<std::string_view, 4> NoChoiceNames{"none", "no_endpoint", "no_room", "too_slow"};
+constexpr std::array<std::string_view, 5> NoChoiceNames{"none", "no_endpoint", "no_room", "too_slow", "limited"};
 
 constexpr std::array<std::string_view, 5> NewestWeightsNames{"chosen", "none_serves", "no_room", "too_slow", "later"};
 
@@ -76,7 +76,7 @@
 
 EndpointTable::EndpointTable(const Policy &policy, u64 own)
     : m_policy(policy)
-    , m_namedLimits(limits::NamedLimitPolicy{})
+    , m_permits(own)
     , m_turns(own)
     , m_peers(PeerReportLifetime)
 {
@@ -99,7 +99,7 @@
         known = std::max(known, version);
     }
     endpoint.hash = hash::hash64(registration.id);
-    m_namedLimits.noteInstance(endpoint.hash, registration.startTimeMs);
+    m_permits.limits().noteInstance(endpoint.hash, registration.startTimeMs);
     endpoint.software = hash::hash64(registration.softwareVersion, hash::hash64(registration.service));
     m_softwareHistory.set(registration.id, registration.service, endpoint.software, now);
     m_byHash[endpoint.hash] = &endpoint;
@@ -152,9 +152,9 @@
     return m_coldAdmission;
 }
 
-limits::NamedLimits &EndpointTable::namedLimits()
+limits::EndpointPermits &EndpointTable::permits()
 {
-    return m_namedLimits;
+    return m_permits;
 }
 
 PlacementTurns &EndpointTable::turns()
@@ -196,16 +196,50 @@
     for (const u32 index : m_leastLoaded.order({request.affinityHash, 0, request.random}, views, static_cast<u32>(views.size()))) {
         auto &endpoint = *eligibleEndpoints[index];
         const u64 slotLimit = std::max<u64>(1, u64{endpoint.registration.slots} * m_policy.slotLimitPercent / 100);
-        if (loadAt(endpoint).running < slotLimit && tryAdmit(endpoint, request.timeOfDay, now)) {
-            selection.id = endpoint.registration.id;
-            selection.startTimeMs = endpoint.registration.startTimeMs;
-            selection.reason = SelectionFailure::None;
-            return selection;
+        if (loadAt(endpoint).running >= slotLimit) {
+            continue;
+        }
+        const auto admission = tryAdmit(endpoint, request, now);
+        if (admission != Admission::Refused) {
+            return chosen(endpoint, admission, now);
         }
     }
+    applyLimits(selection, request, now);
     return selection;
 }
 
+Selection EndpointTable::chosen(const Endpoint &endpoint, Admission admission, TimePoint now)
+{
+    Selection selection;
+    selection.id = endpoint.registration.id;
+    selection.startTimeMs = endpoint.registration.startTimeMs;
+    if (admission == Admission::MustAsk) {
+        selection.permitNeededFor = endpoint.hash;
+    } else if (isLimited(endpoint, now)) {
+        m_refusals[endpoint.registration.service].noteSent(now);
+    }
+    return selection;
+}
+
+// If all endpoints that could take the request have a limit, callers come back as these limits allow.
+void EndpointTable::applyLimits(Selection &selection, const SelectionRequest &request, TimePoint now)
+{
+    double perSecond = 0;
+    bool isAnyUnlimited = false;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (isEligible(endpoint, request, now)) {
+            const auto limit = m_permits.limits().allowedPerSecond(endpoint.hash, now);
+            isAnyUnlimited = isAnyUnlimited || !limit;
+            perSecond += limit.value_or(0);
+        }
+    }
+    if (perSecond > 0 && !isAnyUnlimited) {
+        selection.reason = SelectionFailure::Limited;
+        const auto entries = m_permits.coordinators().others(now).size() + 1;
+        selection.retryAfter = m_refusals[std::string(request.service)].nextReturn(perSecond, entries, now);
+    }
+}
+
 // Under overload, a prompt that queues behind others misses its target, and so do those queued behind it. Counting the tokens that each
 // engine has yet to process, over all entries, and admitting only prompts that can start in time keeps the admitted ones on target.
 Selection EndpointTable::choosePrompt(const SelectionRequest &request, TimePoint now)
@@ -230,6 +264,7 @@
             }
         }
     }
+    ignoreCachesOfLimited(candidates, request, now);
     closeEngines(candidates, request, now);
     // Engines that are closed to this entry come last, in the order of the hash. Among engines with about the same delay, the prompt's
     // affinity hash alone decides, so that all entries choose the same one.
@@ -249,17 +284,42 @@
             selection.expectedDelay = candidate.delay;
             continue;
         }
-        if (tryAdmit(*candidate.endpoint, request.timeOfDay, now)) {
-            const auto &chosen = candidate.endpoint->registration;
-            const RequestCost cost{candidate.memory, candidate.prefill};
-            const auto newest = newestWeights(candidate, candidates, request, now);
+        const auto admission = tryAdmit(*candidate.endpoint, request, now);
+        if (admission == Admission::Refused) {
+            continue;
+        }
+        selection = chosen(*candidate.endpoint, admission, now);
+        selection.cost = {candidate.memory, candidate.prefill};
+        selection.expectedDelay = candidate.delay;
+        selection.newest = newestWeights(candidate, candidates, request, now);
+        if (admission == Admission::Admitted) {
             m_turns.noteArrival(fromMilliseconds(static_cast<double>(candidate.prefill) * m_policy.delayPerTokenMs), now);
-            return {chosen.id, SelectionFailure::None, cost, candidate.delay, chosen.startTimeMs, newest};
         }
+        return selection;
     }
+    applyLimits(selection, request, now);
     return selection;
 }
 
+// The parts that an engine in need has in memory must not bring it more prompts than other engines get.
+void EndpointTable::ignoreCachesOfLimited(std::vector<Candidate> &candidates, const SelectionRequest &request, TimePoint now) const
+{
+    std::optional<u64> leastPrefill;
+    for (const auto &candidate : candidates) {
+        if (!isLimited(*candidate.endpoint, now)) {
+            leastPrefill = std::min(leastPrefill.value_or(candidate.prefill), candidate.prefill);
+        }
+    }
+    for (auto &candidate : candidates) {
+        if (!isLimited(*candidate.endpoint, now)) {
+            continue;
+        }
+        const u64 prefill = std::max(candidate.prefill, leastPrefill.value_or(0));
+        candidate.score += delayAt(*candidate.endpoint, prefill, now) - delayAt(*candidate.endpoint, candidate.prefill, now);
+        candidate.rank = hash::hash64(candidate.endpoint->registration.id, request.random);
+    }
+}
+
 NewestWeightsResult EndpointTable::newestWeights(const Candidate &chosen, const std::vector<Candidate> &candidates,
                                                  const SelectionRequest &request, TimePoint now) const
 {
@@ -612,11 +672,27 @@
     return memory == 0 || taken == 0 || taken + needed <= memory;
 }
 
-bool EndpointTable::tryAdmit(Endpoint &endpoint, Duration timeOfDay, TimePoint now)
+EndpointTable::Admission EndpointTable::tryAdmit(Endpoint &endpoint, const SelectionRequest &request, TimePoint now)
 {
     const double perSecond = limitsOf(endpoint.registration.service).coldRequestsPerSecond;
     const bool isCold = now < endpoint.coldUntil || m_returningZones.count(endpoint.registration.zone) > 0;
-    return perSecond <= 0 || !isCold || m_coldAdmission.tryTake(endpoint.coldQuota, endpoint.hash, perSecond, timeOfDay);
+    if (perSecond > 0 && isCold && !m_coldAdmission.tryTake(endpoint.coldQuota, endpoint.hash, perSecond, request.timeOfDay)) {
+        return Admission::Refused;
+    }
+    switch (m_permits.tryTake({endpoint.hash, request.priority, request.timeOfDay, request.mayAskPermit}, now)) {
+    case limits::Permission::Granted:
+        return Admission::Admitted;
+    case limits::Permission::MustAsk:
+        return Admission::MustAsk;
+    case limits::Permission::Refused:
+        break;
+    }
+    return Admission::Refused;
+}
+
+bool EndpointTable::isLimited(const Endpoint &endpoint, TimePoint now) const
+{
+    return m_permits.limits().allowedPerSecond(endpoint.hash, now).has_value();
 }
 
 const EndpointTable::ServiceLimits &EndpointTable::limitsOf(const std::string &service) const
