--- a/lib/libburdock/include/burdock/limits/permit_bucket.hpp
+++ b/lib/libburdock/include/burdock/limits/permit_bucket.hpp
@@ -18,10 +18,11 @@
 struct PermitPolicy
 {
     double usedShare = 0.95; ///< of the limit; the rest covers differences between the clocks of entries and endpoints
-    double burst = 2; ///< permits that are kept for later, besides those of burstTime
+    double maxBurst = 3; ///< permits that are kept for later, besides those of burstTime
     Duration burstTime = std::chrono::milliseconds(200);
+    Duration maxBurstTime = std::chrono::seconds(4); ///< in which so many must have come besides the first, for endpoints with a low limit
     Duration urgencyMemory = std::chrono::seconds(2); ///< how long a permit is kept back after a more urgent request asked for one
-    double returnsPerPermit = 2; ///< entries that are told to ask again for each permit, as some have no request by then
+    double returnsPerPermit = 4; ///< entries that are told to ask again for each permit, as some have no request by then
     Duration minRetryTime = std::chrono::milliseconds(5);
     Duration maxRetryTime = std::chrono::seconds(5);
 };
@@ -45,13 +46,13 @@
 private:
     void refill(double perSecond, TimePoint now);
     [[nodiscard]] bool isMoreUrgentExpected(u32 priority, TimePoint now);
-    [[nodiscard]] Duration nextReturn(double perSecond, TimePoint now);
+    [[nodiscard]] Duration nextReturn(double perSecond, u32 priority, TimePoint now);
 
     PermitPolicy m_policy;
     double m_permits = 0;
     std::optional<TimePoint> m_refilledAt;
     std::map<u32, TimePoint> m_lastAsked; ///< by priority
-    TimePoint m_lastReturn{}; ///< latest time at which an entry was told to ask again
+    std::map<u32, TimePoint> m_lastReturns; ///< by priority: latest time at which an entry was told to ask again
 };
 
 } // namespace burdock::limits
--- a/lib/libburdock/source/limits/permit_bucket.cpp
+++ b/lib/libburdock/source/limits/permit_bucket.cpp
@@ -27,7 +27,7 @@
         m_permits -= 1;
         return {true, {}};
     }
-    return {false, nextReturn(perSecond, now)};
+    return {false, nextReturn(perSecond, priority, now)};
 }
 
 void PermitBucket::takeUnconditionally(double perSecond, TimePoint now)
@@ -39,7 +39,7 @@
 void PermitBucket::refill(double perSecond, TimePoint now)
 {
     const double rate = perSecond * m_policy.usedShare;
-    const double most = m_policy.burst + rate * toSeconds(m_policy.burstTime);
+    const double most = std::min(m_policy.maxBurst, 1 + rate * toSeconds(m_policy.maxBurstTime)) + rate * toSeconds(m_policy.burstTime);
     if (m_refilledAt) {
         m_permits = std::min(most, m_permits + rate * toSeconds(now - *m_refilledAt));
     }
@@ -53,11 +53,12 @@
 }
 
 // Entries that are told to come back one after the other neither ask all the time nor all at once.
-Duration PermitBucket::nextReturn(double perSecond, TimePoint now)
+Duration PermitBucket::nextReturn(double perSecond, u32 priority, TimePoint now)
 {
-    const auto interval = fromMilliseconds(1000.0 / (perSecond * m_policy.returnsPerPermit));
-    m_lastReturn = std::min(std::max(m_lastReturn, now) + std::min(interval, m_policy.maxRetryTime), now + m_policy.maxRetryTime);
-    return std::max(m_lastReturn - now, m_policy.minRetryTime);
+    const auto interval = std::min(fromMilliseconds(1000.0 / (perSecond * m_policy.returnsPerPermit)), m_policy.maxRetryTime);
+    auto &lastReturn = m_lastReturns[priority];
+    lastReturn = std::min(std::max(lastReturn, now) + interval, now + m_policy.maxRetryTime);
+    return std::max(lastReturn - now, m_policy.minRetryTime);
 }
 
 } // namespace burdock::limits
