Break off answers without end in time, and hold their endpoint to be in trouble

What callers saw: a head or a body that never ends held its caller until the deadline; with a chunk extension or a trailer without end one gateway grew to 1.4 GB, and other calls waited for more than a second.

Cause: only heads and whole bodies had limits, of 64 KB and 64 MB each, whatever the number of answers. Nothing bounded what is buffered between two chunks of a body, informational heads, late answers to other requests, incomplete events or the number of events; each HTTP chunk took a read of its own.

Now all that is kept of one answer comes from a common memory, of which each may take a quarter of what is free, so that short answers of other calls have room; what is buffered before it is parsed has a limit, as have the heads before an answer and the events of a stream, by the tokens that its request allows. The outcome is too_long: the endpoint is ejected at once, the request isn't blamed, and another endpoint answers where the request may be repeated and its caller has received no event. Calls that read a whole response, such as those for an engine's status, have limits of size and time too.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -30,6 +30,7 @@
     /** Requests that a cold endpoint may get in any second over all entries: its service's rate times coldFactor, plus coldSlack. */
     double coldFactor = 1;
     double coldSlack = 0;
+    u64 responseBytes = 0; ///< memory for responses that are read before they are forwarded
     u32 maxCallerConnections = 0; ///< further connections are closed; zero means unlimited
 };
 
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -110,7 +110,7 @@
     Impl(const GatewayDependencies &dependencies, const GatewaySettings &settings)
         : m_dependencies(dependencies)
         , m_settings(settings)
-        , m_state(settings.name)
+        , m_state(settings.name, settings.responseBytes)
         , m_peerSocket(dependencies.context, settings.loadAddress)
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-GatewayState::GatewayState(std::string_view name)
+GatewayState::GatewayState(std::string_view name, u64 responseBytes)
     : endpoints(endpoints::Policy{}, hash::hash64(name))
     , parts(SaveRetryDelay)
     , retirement(cache::RetirementPolicy{})
@@ -40,6 +40,7 @@
     , crashes(retry::CrashAttributionPolicy{})
     , connectionShedding(admission::ConnectionSheddingPolicy{})
     , streamOrigins(OriginRetention, OriginCapacity)
+    , responseMemory(responseBytes)
 {
 }
 
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include <burdock/retry/crash_attribution.hpp>
 #include <burdock/retry/retry_budget.hpp>
 #include <burdock/routing/route_table.hpp>
+#include <burdock/run/response_memory.hpp>
 #include <burdock/run/stream_origins.hpp>
 #include <burdock/weights/announced_weights.hpp>
 
@@ -35,8 +36,11 @@
 /** @brief Shared state of one gateway. Only used on the single thread of the gateway's context. */
 struct GatewayState
 {
-    /** @param name name of this entry */
-    explicit GatewayState(std::string_view name);
+    /**
+     * @param name          name of this entry
+     * @param responseBytes memory for responses that are read before they are forwarded
+     */
+    GatewayState(std::string_view name, u64 responseBytes);
 
     /** @brief Returns the retry budget of a service, which is created on first use. */
     [[nodiscard]] retry::RetryBudget &retryBudget(const std::string &service, const GatewaySettings &settings);
@@ -79,6 +83,7 @@
     retry::CrashAttribution crashes;
     admission::ConnectionShedding connectionShedding;
     run::StreamOrigins streamOrigins;
+    run::ResponseMemory responseMemory;
     u64 bootId = 0; ///< different after each start of this process
     std::vector<std::string> entryNames; ///< of the registered entries
     u32 entryCount = 0; ///< zero while unknown
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
+#include <limits>
 #include <sstream>
 
 namespace burdock::gateway {
@@ -28,6 +29,11 @@
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(20);
 /** Entries that are asked for a permit before the request goes to an endpoint without a limit, or is refused. */
 constexpr u32 MaxPermitQuestions = 3;
+/** Late answers to earlier requests that may precede the answer on a connection. */
+constexpr u32 MaxForeignAnswers = 8;
+/** Larger numbers of output tokens in a request are treated as this one. */
+constexpr u64 MaxOutputTokens = 10'000'000;
+constexpr u64 ExtraEvents = 64;
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusMultipleChoices = 300;
 constexpr u16 StatusServerError = 500;
@@ -331,7 +337,13 @@
 // Distinguishes a connection that the endpoint closed from one on which the given deadline passed.
 Outcome RequestForwarder::interruptionOutcome(TimePoint waitDeadline) const
 {
-    if (m_isCallerDisconnected || timeLeft() <= Duration::zero()) {
+    if (m_isCallerDisconnected) {
+        return Outcome::Abandoned;
+    }
+    if (m_isResponseTooLong) {
+        return Outcome::TooLong;
+    }
+    if (timeLeft() <= Duration::zero()) {
         return Outcome::Abandoned;
     }
     return m_dependencies.clock.now() >= waitDeadline ? Outcome::Expired : Outcome::Broken;
@@ -377,6 +389,8 @@
     const auto request = buildRequest(*endpoint);
     m_sentAt = m_dependencies.clock.now();
     m_isPrefillPending = m_route->isPrompt;
+    m_responseShare.emplace(m_state.responseMemory);
+    m_isResponseTooLong = false;
     m_state.endpoints.noteSent(id, m_selection.cost, m_sentAt);
     attempt.outcome = co_await exchange(id, request, attempt);
     m_connection.reset();
@@ -395,9 +409,10 @@
     const bool hasBegun = m_route->isPrompt && !m_isPrefillPending;
     m_crashGuard->noteEnd({id, attempt.outcome, isSuccess(attempt.response.status), m_sentAt, hasBegun ? m_firstEventAt : std::nullopt},
                           now);
-    if (attempt.outcome == Outcome::Broken) {
+    if (attempt.outcome == Outcome::Broken || attempt.outcome == Outcome::TooLong) {
         m_services.pool.discard(id);
     }
+    m_history.mustEnd = attempt.outcome == Outcome::TooLong && m_sseSplitter.eventCount() > 0;
     if (attempt.outcome != Outcome::Answered) {
         const auto blamed = m_crashGuard->blamed(now);
         m_dependencies.logger.event(LogLevel::Info, "attempt_failed",
@@ -490,9 +505,10 @@
 // and is skipped.
 boost::asio::awaitable<bool> RequestForwarder::readMatchingHead(const std::string &id, ResponseMetadata &responseMetadata)
 {
-    while (m_dependencies.clock.now() < m_startDeadline) {
+    for (u32 foreign = 0; foreign <= MaxForeignAnswers && m_dependencies.clock.now() < m_startDeadline; ++foreign) {
         const bool isRead = co_await m_connection->readHead(m_startDeadline - m_dependencies.clock.now());
         if (!isRead) {
+            m_isResponseTooLong = m_connection->hasExceededLimit();
             co_return false;
         }
         m_state.endpoints.noteHeard(id, m_dependencies.clock.now());
@@ -514,6 +530,7 @@
             co_return false;
         }
     }
+    m_isResponseTooLong = m_dependencies.clock.now() < m_startDeadline;
     co_return false;
 }
 
@@ -526,9 +543,14 @@
         }
         const auto chunk = co_await m_connection->read(remaining);
         if (chunk.isBroken) {
+            m_isResponseTooLong = m_connection->hasExceededLimit();
             co_return false;
         }
         noteHeard(id);
+        if (!m_responseShare->tryResize(body.size() + chunk.data.size())) {
+            m_isResponseTooLong = true;
+            co_return false;
+        }
         body += chunk.data;
         if (chunk.isEnd) {
             co_return true;
@@ -555,12 +577,17 @@
         }
         const auto chunk = co_await m_connection->read(until - now);
         if (chunk.isBroken) {
+            m_isResponseTooLong = m_connection->hasExceededLimit();
             co_return interruptionOutcome(until);
         }
         noteHeard(id);
         noteFirstEvent(id);
         m_crashGuard->noteEvent(m_dependencies.clock.now());
         const auto events = m_sseSplitter.append(chunk.data);
+        m_isResponseTooLong = !m_responseShare->tryResize(m_sseSplitter.incompleteBytes()) || m_sseSplitter.eventCount() > maxEvents();
+        if (m_isResponseTooLong) {
+            co_return interruptionOutcome(until);
+        }
         if (!events.empty()) {
             noteOrigin();
             const bool isDelivered = co_await m_reply.write(events);
@@ -675,6 +702,11 @@
         co_await reject(rejection);
         co_return;
     }
+    if (attempt.outcome == Outcome::TooLong) {
+        const Rejection rejection{502, "answer_too_long", {}};
+        co_await reject(rejection);
+        co_return;
+    }
     const bool hasExpired = attempt.outcome == Outcome::Expired;
     const Rejection rejection{502, hasExpired ? "weights_expired" : "endpoint_lost", {}};
     co_await reject(rejection);
@@ -748,6 +780,13 @@
     return m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
 }
 
+// Each event contains at least one token. The rest covers events without one.
+u64 RequestForwarder::maxEvents() const
+{
+    const u64 tokens = m_requestMetadata.outputTokens;
+    return tokens == 0 ? std::numeric_limits<u64>::max() : 2 * std::min(tokens, MaxOutputTokens) + ExtraEvents;
+}
+
 Duration RequestForwarder::timeLeft() const
 {
     return m_deadline - m_dependencies.clock.now();
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -7,6 +7,7 @@
 #include "prompt_planner.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
+#include <burdock/run/response_memory.hpp>
 #include <burdock/run/sse_splitter.hpp>
 #include <burdock/runtime/http/server.hpp>
 
@@ -76,6 +77,7 @@
     void noteResponse(const std::string &id, const ResponseMetadata &responseMetadata);
     void returnToPool(const std::string &id, const ResponseMetadata &responseMetadata);
     [[nodiscard]] u32 priority() const;
+    [[nodiscard]] u64 maxEvents() const;
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] Duration elapsed() const;
     void noteAnswered(const Attempt &attempt);
@@ -108,6 +110,8 @@
     retry::AttemptHistory m_history;
     std::unique_ptr<runtime::http::Connection> m_connection;
     bool m_isReusedConnection = false;
+    std::optional<run::ResponseShare> m_responseShare; ///< memory of the current attempt's response
+    bool m_isResponseTooLong = false; ///< of the current attempt
     bool m_isCallerDisconnected = false; ///< the caller closed the connection
     bool m_isStreamStarted = false; ///< the head of a stream was sent to the caller
     run::SseSplitter m_sseSplitter;
--- a/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
@@ -72,6 +72,9 @@
     /** @brief Whether another request may follow: request and response are complete, and the server keeps the connection open. */
     [[nodiscard]] bool isReusable() const;
 
+    /** @brief Whether the last read failed because the response is longer than a response may be. */
+    [[nodiscard]] bool hasExceededLimit() const;
+
     /** @brief Whether a connection between requests is still open and has received no unexpected data. */
     [[nodiscard]] bool isIdle();
 
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
+/** Bounds a response that is read completely: its body, and the time of all reads, in timeouts of a single one. */
+constexpr std::size_t MaxCompleteBodyBytes = 16 * 1024 * 1024;
+constexpr int MaxReadTimeouts = 8;
+
 // Reads the complete response to a request that was sent.
 asio::awaitable<Exchange> readResponse(Connection &connection, Duration timeout)
 {
+    const auto deadline = std::chrono::steady_clock::now() + timeout * MaxReadTimeouts;
     Exchange result;
     result.progress = Progress::MayBeSent;
     const bool hasHead = co_await connection.readHead(timeout);
@@ -22,13 +27,14 @@
     while (true) {
         const auto chunk = co_await connection.read(timeout);
         result.response.body += chunk.data;
-        if (chunk.isBroken) {
-            co_return result;
-        }
         if (chunk.isEnd) {
             result.progress = Progress::Answered;
             co_return result;
         }
+        const bool isTooLong = result.response.body.size() > MaxCompleteBodyBytes || std::chrono::steady_clock::now() > deadline;
+        if (chunk.isBroken || isTooLong) {
+            co_return result;
+        }
     }
 }
 
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -17,11 +17,22 @@
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ChunkBytes = 16 * 1024;
 constexpr u64 MaxBodyBytes = 64ULL * 1024 * 1024;
-constexpr u32 MaxHeaderBytes = 64 * 1024;
+constexpr u32 MaxHeaderBytes = 16 * 1024;
+/** Bounds what is buffered of a head, a chunk extension or a trailer, besides body bytes that have arrived with it. */
+constexpr std::size_t MaxBufferBytes = 32 * 1024;
+constexpr u32 MaxInformationalHeads = 8;
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned Ok = 200;
 
 /** Time after which a connection with unacknowledged data fails, so that one to an unreachable VM is closed. */
 constexpr unsigned int UserTimeoutMs = 3000;
 
+bool isLimitError(const boost::system::error_code &error)
+{
+    return error == beast::http::error::header_limit || error == beast::http::error::body_limit
+        || error == beast::http::error::buffer_overflow;
+}
+
 void setOptions(Tcp::socket &socket)
 {
     boost::system::error_code ignored;
@@ -40,6 +51,7 @@
         : m_address(address)
         , m_reuse(reuse)
         , m_stream(executor)
+        , m_buffer(MaxBufferBytes)
     {
     }
 
@@ -79,21 +91,33 @@
         beast::http::async_write(m_stream, *m_message, std::move(onSent));
     }
 
+    // Informational heads precede the response.
     asio::awaitable<bool> readHead(Duration timeout)
     {
-        m_parser.emplace();
-        m_parser->header_limit(MaxHeaderBytes);
-        m_parser->body_limit(MaxBodyBytes);
-        m_stream.expires_after(timeout);
-        const auto [error, size] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, Awaitable);
-        if (error) {
-            m_parser.reset();
-            co_return false;
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        for (u32 i = 0; i <= MaxInformationalHeads; ++i) {
+            m_parser.emplace();
+            m_parser->header_limit(MaxHeaderBytes);
+            m_parser->body_limit(MaxBodyBytes);
+            m_stream.expires_at(deadline);
+            const auto [error, size] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, Awaitable);
+            if (error) {
+                m_hasExceededLimit = isLimitError(error);
+                m_parser.reset();
+                co_return false;
+            }
+            const auto status = m_parser->get().result_int();
+            if (status >= Ok || status == SwitchingProtocols) {
+                copyHead();
+                co_return true;
+            }
         }
-        copyHead();
-        co_return true;
+        m_hasExceededLimit = true;
+        m_parser.reset();
+        co_return false;
     }
 
+    // Returns all that has arrived, so that a body in small HTTP chunks takes no more reads than another one.
     asio::awaitable<BodyChunk> read(Duration timeout)
     {
         BodyChunk chunk;
@@ -110,13 +134,25 @@
         body.data = chunk.data.data();
         body.size = chunk.data.size();
         m_stream.expires_after(timeout);
-        const auto [error, size] = co_await beast::http::async_read_some(m_stream, m_buffer, *m_parser, Awaitable);
+        auto [error, size] = co_await beast::http::async_read_some(m_stream, m_buffer, *m_parser, Awaitable);
+        while (!error && !m_parser->is_done() && m_buffer.size() > 0) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        }
+        if (error == beast::http::error::need_more) {
+            error = {};
+        }
         chunk.data.resize(chunk.data.size() - body.size);
         chunk.isBroken = error && error != beast::http::error::need_buffer;
         chunk.isEnd = !chunk.isBroken && m_parser->is_done();
+        m_hasExceededLimit = isLimitError(error);
         co_return chunk;
     }
 
+    [[nodiscard]] bool hasExceededLimit() const
+    {
+        return m_hasExceededLimit;
+    }
+
     [[nodiscard]] const Response &head() const
     {
         return m_head;
@@ -168,6 +204,7 @@
         m_message->body() = request.body;
         m_message->prepare_payload();
         m_isSent = false;
+        m_hasExceededLimit = false;
         m_parser.reset();
     }
 
@@ -190,6 +227,7 @@
     beast::flat_buffer m_buffer;
     std::optional<beast::http::request<beast::http::string_body>> m_message;
     bool m_isSent = false;
+    bool m_hasExceededLimit = false;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     Response m_head;
     run::BodyFraming m_framing = run::BodyFraming::ContentLength;
@@ -250,6 +288,11 @@
     return m_impl->isReusable();
 }
 
+bool Connection::hasExceededLimit() const
+{
+    return m_impl->hasExceededLimit();
+}
+
 bool Connection::isIdle()
 {
     return m_impl->isIdle();
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -46,6 +46,7 @@
     Unreachable, ///< connecting failed
     Abandoned, ///< the caller disconnected or the deadline passed; no conclusion about the endpoint
     Expired, ///< cancelled because the endpoint's weights expired before it started; no conclusion about the endpoint
+    TooLong, ///< the answer was longer than any answer may be, or had no end; the endpoint is in trouble, whatever the request
 };
 
 [[nodiscard]] std::string_view toString(Outcome outcome);
--- a/lib/libburdock/include/burdock/retry/attempt_rule.hpp
+++ b/lib/libburdock/include/burdock/retry/attempt_rule.hpp
@@ -24,6 +24,7 @@
     u32 begun = 0; ///< endpoints that may have started the request
     u32 declined = 0; ///< endpoints that provably did not start it
     bool hasTimeLeft = true; ///< for another attempt
+    bool mustEnd = false; ///< the caller has received events that no other endpoint can continue
 };
 
 /**
--- a/lib/libburdock/include/burdock/run/sse_splitter.hpp
+++ b/lib/libburdock/include/burdock/run/sse_splitter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/run/body_framing.hpp>
+#include <burdock/types.hpp>
 
 #include <cstddef>
 #include <string>
@@ -29,6 +30,12 @@
     /** @brief Whether the end of the body can be the end of the stream, rather than a failure of the endpoint. */
     [[nodiscard]] bool isCompleteAt(BodyFraming framing) const;
 
+    /** @brief Bytes of the incomplete event that are kept. */
+    [[nodiscard]] std::size_t incompleteBytes() const;
+
+    /** @brief Number of complete events since beginRun(), empty ones included. */
+    [[nodiscard]] u64 eventCount() const;
+
     /** @brief The last id among the complete events; empty if there was none. */
     [[nodiscard]] const std::string &lastId() const;
 
@@ -42,6 +49,7 @@
     bool m_isAfterCr = false; ///< the last byte was CR; an LF that follows belongs to the same line end
     bool m_isEventEnd = false; ///< the last line end completed an event
     bool m_hasEvents = false; ///< since beginRun()
+    u64 m_eventCount = 0; ///< since beginRun()
 };
 
 } // namespace burdock::run
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> OutcomeNames{"answered", "declined", "failed", "broken", "unreachable", "abandoned", "expired"};
+constexpr std::array<std::string_view, 8> OutcomeNames{"answered",    "declined",  "failed",  "broken",
+                                                       "unreachable", "abandoned", "expired", "too_long"};
 
 /** Smoothing factor of the moving average of failed requests. */
 constexpr double FailureRateSmoothing = 0.2;
@@ -461,7 +462,8 @@
     }
     auto &endpoint = found->second;
     endpoint.ownLoad -= Load{1, remaining.memory, remaining.prefill};
-    const bool isFailure = outcome == Outcome::Failed || outcome == Outcome::Broken || outcome == Outcome::Unreachable;
+    const bool isFailure
+        = outcome == Outcome::Failed || outcome == Outcome::Broken || outcome == Outcome::Unreachable || outcome == Outcome::TooLong;
     if (outcome == Outcome::Answered || isFailure || outcome == Outcome::Declined) {
         const double sample = isFailure ? 1.0 : 0.0;
         endpoint.failureRate += FailureRateSmoothing * (sample - endpoint.failureRate);
@@ -476,7 +478,7 @@
         endpoint.waitingSince.reset();
     }
     const bool isUnresponsive = outcome == Outcome::Unreachable || fellSilent;
-    const bool isEjected = isUnresponsive || failsOften;
+    const bool isEjected = isUnresponsive || failsOften || outcome == Outcome::TooLong;
     endpoint.isEjectedAsUnresponsive = isEjected ? isUnresponsive : endpoint.isEjectedAsUnresponsive;
     const auto ejectedFor = isEjected ? eject(endpoint, now) : Duration::zero();
     if (outcome == Outcome::Declined) {
--- a/lib/libburdock/source/retry/attempt_rule.cpp
+++ b/lib/libburdock/source/retry/attempt_rule.cpp
@@ -35,7 +35,7 @@
     if (outcome == Outcome::Answered) {
         return NextStep::Deliver;
     }
-    if (outcome == Outcome::Abandoned || !history.hasTimeLeft) {
+    if (outcome == Outcome::Abandoned || !history.hasTimeLeft || history.mustEnd) {
         return finalStep(history, outcome);
     }
     if (isProvablyNotRun(outcome)) {
--- a/lib/libburdock/source/run/sse_splitter.cpp
+++ b/lib/libburdock/source/run/sse_splitter.cpp
@@ -29,6 +29,7 @@
     m_isAfterCr = false;
     m_isEventEnd = false;
     m_hasEvents = false;
+    m_eventCount = 0;
 }
 
 std::string SseSplitter::append(std::string_view bytes)
@@ -54,6 +55,16 @@
     return !isInsideEvent() && (m_hasEvents || framing != BodyFraming::UntilClose);
 }
 
+std::size_t SseSplitter::incompleteBytes() const
+{
+    return m_incompleteEvent.size();
+}
+
+u64 SseSplitter::eventCount() const
+{
+    return m_eventCount;
+}
+
 const std::string &SseSplitter::lastId() const
 {
     return m_lastId;
@@ -73,6 +84,7 @@
         }
         // The LF of a CR LF that ended an event belongs to that event.
         m_isEventEnd = isSecondHalf ? m_isEventEnd : m_isLineEmpty;
+        m_eventCount += m_isEventEnd && !isSecondHalf ? 1 : 0;
         m_isLineEmpty = true;
         if (m_isEventEnd) {
             end = i + 1;
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -4,6 +4,7 @@
 #include <burdock/gateway/gateway.hpp>
 #include <burdock/platform/http_platform_store.hpp>
 #include <burdock/platform/http_protocol_codec.hpp>
+#include <burdock/run/response_memory.hpp>
 #include <burdock/schema/document.hpp>
 
 #include <boost/asio/signal_set.hpp>
@@ -49,6 +50,7 @@
     settings.minOrderInterval = fromMilliseconds(document.order_pause_ms()) + Duration(1);
     settings.coldFactor = document.cold_factor() > 0 ? document.cold_factor() : settings.coldFactor;
     settings.coldSlack = document.cold_slack();
+    settings.responseBytes = run::responseMemoryBytes(static_cast<u32>(document.memory_mb()));
     settings.maxCallerConnections
         = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
     return settings;
--- a/tests/integration/endless_answers_test.cpp
+++ b/tests/integration/endless_answers_test.cpp
@@ -2,11 +2,14 @@
 #include <support/wait_until.hpp>
 
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <map>
 #include <thread>
 
@@ -26,6 +29,8 @@
 /** Far below the deadline of the calls, three seconds. */
 constexpr auto MaxAnswerTime = std::chrono::milliseconds(1500);
 constexpr auto MaxSoundTime = std::chrono::milliseconds(1000);
+/** Timeout of the routes of the calls. */
+constexpr auto CallDeadline = std::chrono::seconds(3);
 constexpr auto CloseTimeout = std::chrono::seconds(5);
 constexpr std::size_t WriteBytes = 32 * 1024;
 #if defined(__SANITIZE_ADDRESS__)
@@ -170,7 +175,8 @@
 }
 
 /** @brief Checks that a gateway whose endpoint answers without end stays within its memory, and serves other calls meanwhile. */
-void checkBounded(const EndlessAnswer &answer, const std::string &service, const std::string &path, u32 count)
+void checkBounded(const EndlessAnswer &answer, const std::string &service, const std::string &path, u32 count,
+                  Clock::duration maxTime = MaxAnswerTime)
 {
     GatewayDeployment gateway(R"({"memory_mb":110,"descriptors":4100})");
     EndlessEndpoint endpoint(answer);
@@ -206,7 +212,7 @@
     u32 slow = 0;
     u32 served = 0;
     for (const auto &result : results) {
-        slow += result.time > MaxAnswerTime ? 1 : 0;
+        slow += result.time > maxTime ? 1 : 0;
         served += result.status == 200 && result.isComplete ? 1 : 0;
     }
     CHECK(slow == 0);
@@ -244,6 +250,48 @@
     }
 }
 
+TEST_CASE("five hundred answers without end at once are broken off before their deadline, while other calls are served")
+{
+    for (const auto &[name, answer] : plainAnswers()) {
+        CAPTURE(name);
+        checkBounded(answer, "plain", "/once", 500, CallDeadline);
+    }
+    for (const auto &[name, answer] : streamAnswers()) {
+        CAPTURE(name);
+        checkBounded(answer, "engines", "/prompts", 500, CallDeadline);
+    }
+}
+
+// Guards against a call of the gateway's own, such as one for an engine's status, that never ends or fills the memory.
+TEST_CASE("a complete response is given up if it has no end, whether its bytes come fast or one by one")
+{
+    Replica fast([](const ReceivedRequest &request, ReplicaConnection &connection) {
+        connection.write(standins::unframedResponse(request, 200, ""));
+        while (!connection.waitForClose(Duration::zero())) {
+            connection.write(std::string(WriteBytes, 'x'));
+        }
+        return ConnectionAction::Close;
+    });
+    Replica slow([](const ReceivedRequest &request, ReplicaConnection &connection) {
+        connection.write(standins::unframedResponse(request, 200, ""));
+        while (!connection.waitForClose(std::chrono::milliseconds(20))) {
+            connection.write("x");
+        }
+        return ConnectionAction::Close;
+    });
+    runtime::WorkerPool pool(1);
+    for (const auto *replica : {&fast, &slow}) {
+        const auto address = runtime::http::parseAddress(replica->address());
+        const runtime::http::Request request;
+        auto result = boost::asio::co_spawn(pool.context(), runtime::http::exchange(address, request, std::chrono::milliseconds(100)),
+                                            boost::asio::use_future);
+        REQUIRE(result.wait_for(CloseTimeout) == std::future_status::ready);
+        CHECK(result.get().progress == runtime::http::Progress::MayBeSent);
+    }
+    pool.stop();
+    pool.wait();
+}
+
 // Guards against a caller who gets an error although another endpoint could have answered, and a request that is blamed for its endpoint.
 TEST_CASE("a request whose answer has no end is answered by another endpoint where it may be repeated")
 {
--- a/tests/unit/endpoint_table_test.cpp
+++ b/tests/unit/endpoint_table_test.cpp
@@ -387,6 +387,66 @@
     CHECK((table.choose(plainRequest(1), at(100ms)).reason == SelectionFailure::NoEndpoint));
 }
 
+TEST_CASE("an endpoint is ejected at once if its answer has no end")
+{
+    auto table = makeTable(1);
+    table.noteSent("engine-0", {}, at(0ms));
+    CHECK(table.noteEnd("engine-0", FirstStartTimeMs, {}, Outcome::TooLong, at(0ms)) > Duration::zero());
+    CHECK((table.choose(plainRequest(1), at(100ms)).reason == SelectionFailure::NoEndpoint));
+}
+
+// Guards against requests that wait, or that are refused without a time, because all endpoints have limits.
+TEST_CASE("if all endpoints have limits that are used up, callers are told when to come back, one after the other")
+{
+    auto table = makeTable(2);
+    table.permits().coordinators().setEntries({0}, 400ms);
+    for (const auto *id : {"engine-0", "engine-1"}) {
+        CHECK(table.permits().limits().noteResponse(table.find(id)->hash, FirstStartTimeMs, 2, at(0ms), at(0ms)));
+    }
+    const auto first = table.choose(plainRequest(1), at(10ms));
+    const auto second = table.choose(plainRequest(2), at(10ms));
+    CHECK((first.reason == SelectionFailure::Limited));
+    // Together they take four requests a second.
+    CHECK(first.retryAfter == 250ms);
+    CHECK(second.retryAfter == 500ms);
+    CHECK((table.choose(plainRequest(3), at(10ms)).permitNeededFor == std::nullopt));
+}
+
+TEST_CASE("a request goes to an endpoint without a limit if those with limits are used up")
+{
+    auto table = makeTable(2);
+    table.permits().coordinators().setEntries({0}, 400ms);
+    CHECK(table.permits().limits().noteResponse(table.find("engine-0")->hash, FirstStartTimeMs, 0, at(0ms), at(0ms)));
+    for (u64 i = 0; i < 20; ++i) {
+        const auto selection = table.choose(plainRequest(i), at(10ms));
+        CHECK((selection.reason == SelectionFailure::None));
+        CHECK(selection.id == "engine-1");
+    }
+}
+
+// Guards against prompts that queue for an engine in need because it has their parts in memory.
+TEST_CASE("parts in the memory of an engine with a limit draw no prompts there")
+{
+    auto table = makeTable(2);
+    auto request = promptRequest(1);
+    request.prefill = [](const Endpoint &endpoint) -> u64 {
+        return endpoint.registration.id == "engine-0" ? 10 : 10'000;
+    };
+    CHECK(table.choose(request, at(0ms)).id == "engine-0");
+    table.permits().coordinators().setEntries({0, 1}, 400ms);
+    table.permits().coordinators().noteHeard(1, at(0ms));
+    CHECK(table.permits().limits().noteResponse(table.find("engine-0")->hash, FirstStartTimeMs, 100, at(0ms), at(0ms)));
+    u32 atLimited = 0;
+    for (u64 i = 0; i < 100; ++i) {
+        request.random = i;
+        request.mayAskPermit = true;
+        const auto selection = table.choose(request, at(0ms));
+        atLimited += selection.id == "engine-0" ? 1 : 0;
+    }
+    CHECK(atLimited >= 30);
+    CHECK(atLimited <= 70);
+}
+
 // A cold replica crashes under its usual load. It can take only a few requests per second from all entries together.
 TEST_CASE("a cold endpoint gets no more from all entries together than it can take")
 {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -111,6 +111,26 @@
     }
 }
 
+// Guards against joining a stream to events of an endpoint in trouble that its caller has already received.
+TEST_CASE("a request whose answer was too long is tried elsewhere where it may be repeated, unless the caller has received events of it")
+{
+    CHECK((retry::nextStep({CallKind::Idempotent, false, 2, 1, 0, true}, Outcome::TooLong) == NextStep::TryElsewhere));
+    CHECK((retry::nextStep({CallKind::AtMostOnce, false, 2, 1, 0, true}, Outcome::TooLong) == NextStep::Fail));
+    CHECK((retry::nextStep({CallKind::Stream, true, 2, 1, 0, true}, Outcome::TooLong) == NextStep::TryElsewhere));
+    CHECK((retry::nextStep({CallKind::Stream, true, 2, 1, 0, true, true}, Outcome::TooLong) == NextStep::Fail));
+}
+
+TEST_CASE("the events of a run are counted, empty ones too, and what is kept of an incomplete one")
+{
+    run::SseSplitter events;
+    static_cast<void>(events.append("data: a\n\n\r\n\r\ndata: b"));
+    CHECK(events.eventCount() == 3);
+    CHECK(events.incompleteBytes() == 7);
+    events.beginRun();
+    CHECK(events.eventCount() == 0);
+    CHECK(events.incompleteBytes() == 0);
+}
+
 TEST_CASE("attempts end at the route's limit, at the deadline, or after too many declines")
 {
     CHECK((retry::nextStep({CallKind::Idempotent, false, 2, 2, 0, true}, Outcome::Broken) == NextStep::Fail));
