Describe the limits of endpoints and answers without end, and test gateways that die and stand still under a limit

The tests' wait for all gateways took a call that could not connect for a served one; it now looks at the whole exchange. A gateway without any limited endpoint does no work for them when it refuses a request.

--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -225,6 +225,9 @@
 // If all endpoints that could take the request have a limit, callers come back as these limits allow.
 void EndpointTable::applyLimits(Selection &selection, const SelectionRequest &request, TimePoint now)
 {
+    if (m_permits.limits().inForceCount() == 0) {
+        return;
+    }
     double perSecond = 0;
     bool isAnyUnlimited = false;
     for (const auto &[id, endpoint] : m_endpoints) {
--- a/tests/integration/endless_answers_test.cpp
+++ b/tests/integration/endless_answers_test.cpp
@@ -175,8 +175,7 @@
 }
 
 /** @brief Checks that a gateway whose endpoint answers without end stays within its memory, and serves other calls meanwhile. */
-void checkBounded(const EndlessAnswer &answer, const std::string &service, const std::string &path, u32 count,
-                  Clock::duration maxTime = MaxAnswerTime)
+void checkBounded(const EndlessAnswer &answer, const std::string &service, const std::string &path, u32 count, Clock::duration maxTime)
 {
     GatewayDeployment gateway(R"({"memory_mb":110,"descriptors":4100})");
     EndlessEndpoint endpoint(answer);
@@ -222,44 +221,37 @@
     }
 }
 
-} // namespace
-
-// Guards against an endpoint in trouble whose answer fills the gateway's memory, keeps it busy or holds its caller until the deadline.
-TEST_CASE("an answer without end is broken off in time, while other calls are served")
+void checkAllBounded(u32 count, Clock::duration maxTime)
 {
-    for (const auto &[name, answer] : plainAnswers()) {
+    for (const auto &entry : plainAnswers()) {
+        const auto &name = entry.first;
         CAPTURE(name);
-        checkBounded(answer, "plain", "/once", 1);
+        checkBounded(entry.second, "plain", "/once", count, maxTime);
     }
-    for (const auto &[name, answer] : streamAnswers()) {
+    for (const auto &entry : streamAnswers()) {
+        const auto &name = entry.first;
         CAPTURE(name);
-        checkBounded(answer, "engines", "/prompts", 1);
+        checkBounded(entry.second, "engines", "/prompts", count, maxTime);
     }
 }
 
+} // namespace
+
+// Guards against an endpoint in trouble whose answer fills the gateway's memory, keeps it busy or holds its caller until the deadline.
+TEST_CASE("an answer without end is broken off in time, while other calls are served")
+{
+    checkAllBounded(1, MaxAnswerTime);
+}
+
 // Guards against bounds that hold for one answer only.
 TEST_CASE("fifty answers without end at once are broken off in time, while other calls are served")
 {
-    for (const auto &[name, answer] : plainAnswers()) {
-        CAPTURE(name);
-        checkBounded(answer, "plain", "/once", 50);
-    }
-    for (const auto &[name, answer] : streamAnswers()) {
-        CAPTURE(name);
-        checkBounded(answer, "engines", "/prompts", 50);
-    }
+    checkAllBounded(50, MaxAnswerTime);
 }
 
 TEST_CASE("five hundred answers without end at once are broken off before their deadline, while other calls are served")
 {
-    for (const auto &[name, answer] : plainAnswers()) {
-        CAPTURE(name);
-        checkBounded(answer, "plain", "/once", 500, CallDeadline);
-    }
-    for (const auto &[name, answer] : streamAnswers()) {
-        CAPTURE(name);
-        checkBounded(answer, "engines", "/prompts", 500, CallDeadline);
-    }
+    checkAllBounded(500, CallDeadline);
 }
 
 // Guards against a call of the gateway's own, such as one for an engine's status, that never ends or fills the memory.
@@ -295,10 +287,11 @@
 // Guards against a caller who gets an error although another endpoint could have answered, and a request that is blamed for its endpoint.
 TEST_CASE("a request whose answer has no end is answered by another endpoint where it may be repeated")
 {
-    for (const auto &[name, answer] : plainAnswers()) {
+    for (const auto &entry : plainAnswers()) {
+        const auto &name = entry.first;
         CAPTURE(name);
         GatewayDeployment gateway;
-        EndlessEndpoint endpoint(answer);
+        EndlessEndpoint endpoint(entry.second);
         Replica sound([](const ReceivedRequest &request, ReplicaConnection &connection) {
             connection.write(standins::completeResponse(request, 200, "done"));
             return ConnectionAction::Keep;
--- a/tests/integration/endpoint_limits_test.cpp
+++ b/tests/integration/endpoint_limits_test.cpp
@@ -1,9 +1,10 @@
 #include <support/gateway_deployment.hpp>
-#include <support/platform_objects.hpp>
+#include <support/wait_until.hpp>
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <mutex>
@@ -131,7 +132,7 @@
     void awaitServing(const std::string &path)
     {
         for (u32 gateway = 0; gateway <= m_further.size(); ++gateway) {
-            REQUIRE(GatewayDeployment::waitFor([&] { return send(gateway, path).response.status == 200; }));
+            REQUIRE(GatewayDeployment::waitFor([&] { return isServed(send(gateway, path)); }));
         }
     }
 
@@ -148,8 +149,7 @@
         m_threads.emplace_back([this, gateway, path, interval] {
             while (!m_isStopping) {
                 const auto answer = send(gateway, path);
-                const bool isServed = answer.progress == runtime::http::Progress::Answered && answer.response.status == 200;
-                m_served += isServed ? 1 : 0;
+                m_served += isServed(answer) ? 1 : 0;
                 m_refused += answer.response.status == 503 ? 1 : 0;
                 std::this_thread::sleep_for(interval);
             }
@@ -191,6 +191,11 @@
         return m_refused;
     }
 
+    [[nodiscard]] static bool isServed(const runtime::http::Exchange &exchange)
+    {
+        return exchange.progress == runtime::http::Progress::Answered && exchange.response.status == 200;
+    }
+
 private:
     GatewayDeployment m_deployment;
     std::vector<GatewayProcess *> m_further;
@@ -258,3 +263,52 @@
     CHECK(load.refused() == 0);
     CHECK(load.served() > 0);
 }
+
+// Guards against permits of a gateway that was killed or stood still, and of those that take its place.
+TEST_CASE("the limit of an endpoint holds while gateways are killed and stand still")
+{
+    constexpr double Limit = 3;
+    Load load(3);
+    LimitedEndpoint endpoint("3");
+    load.addEndpoint("r1", "plain", endpoint);
+    load.awaitServing("/once");
+    const auto begun = Clock::now();
+    load.start("/once", std::chrono::milliseconds(30));
+    std::this_thread::sleep_for(TimeToReact);
+    load.further(1).process().signal(SIGSTOP);
+    std::this_thread::sleep_for(Window);
+    load.further(1).process().signal(SIGCONT);
+    std::this_thread::sleep_for(TimeToReact);
+    load.deployment().restart();
+    std::this_thread::sleep_for(Window);
+    load.stop();
+    const auto most = endpoint.mostArrivals(begun + TimeToReact, Window);
+    MESSAGE("requests in 4 s: " << most);
+    CHECK(most <= allowed(Limit));
+}
+
+// Guards against an answer that is lost because its limit can't be read, and a caller who isn't told when to come back.
+TEST_CASE("an answer with an unreadable limit is delivered, and a request beyond a limit is refused at once with a time")
+{
+    Load load(1);
+    LimitedEndpoint endpoint("many");
+    load.addEndpoint("r1", "plain", endpoint);
+    load.awaitServing("/once");
+    for (const std::string limit : {"", "-1", "nan", "inf", "1e999", "3\r\nServer-Limit: 3"}) {
+        CAPTURE(limit);
+        endpoint.setLimit(limit);
+        CHECK(load.send(0, "/once").response.body == "done");
+    }
+    CHECK(load.deployment().metrics().find("burdock_limited_endpoints 0\n") != std::string::npos);
+    endpoint.setLimit("0");
+    CHECK(Load::isServed(load.send(0, "/once")));
+    const auto before = Clock::now();
+    const auto refused = load.send(0, "/once").response;
+    CHECK(Clock::now() - before < std::chrono::milliseconds(500));
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("limited") != std::string::npos);
+    CHECK(std::stod(std::string(refused.header("Retry-After"))) >= 1);
+    endpoint.setLimit("");
+    CHECK(support::waitUntil([&] { return Load::isServed(load.send(0, "/once")); }, std::chrono::seconds(30)));
+    CHECK(Load::isServed(load.send(0, "/once")));
+}
--- a/tests/unit/permit_fleet_test.cpp
+++ b/tests/unit/permit_fleet_test.cpp
@@ -61,7 +61,7 @@
 class Fleet
 {
 public:
-    Fleet(const Parameters &parameters, std::vector<Trouble> troubles = {})
+    explicit Fleet(const Parameters &parameters, std::vector<Trouble> troubles = {})
         : m_parameters(parameters)
         , m_troubles(std::move(troubles))
         , m_random(parameters.seed)
