--- a/tests/integration/endless_answers_test.cpp
+++ b/tests/integration/endless_answers_test.cpp
@@ -249,6 +249,7 @@
     checkAllBounded(50, MaxAnswerTime);
 }
 
+// Guards against bounds that keep one answer short but not the sum of many.
 TEST_CASE("five hundred answers without end at once are broken off before their deadline, while other calls are served")
 {
     checkAllBounded(500, CallDeadline);
--- a/tests/unit/permit_fleet_test.cpp
+++ b/tests/unit/permit_fleet_test.cpp
@@ -459,6 +459,7 @@
     }
 }
 
+// Guards against gateways that keep to a limit that has changed or ended.
 TEST_CASE("all gateways learn that a limit has risen, fallen and ended")
 {
     for (const u32 gateways : {4U, 68U}) {
