Count HTTP chunks against the memory of a response

Callers saw: an answer without end in tiny HTTP chunks held its caller far longer than one with few.

Cause: such an answer ends when its bytes reach its share of the memory, and each chunk costs a parse, so 12.8 MB in chunks of eight bytes are 1.6 million parses.

A chunk now counts as 64 bytes of the share. The share is common to all responses, so the processor time of many such answers is bounded together. A stream counts the chunks since its last event. The memory takes an atomic count, so that processes with several threads may use it.

The unit test states the bound as chunks of 1, 50 and 500 answers; the function that it calls did not exist before.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -536,6 +536,7 @@
 
 boost::asio::awaitable<bool> RequestForwarder::readBody(const std::string &id, std::string &body)
 {
+    u64 httpChunks = 0;
     while (true) {
         const auto remaining = timeLeft();
         if (remaining <= Duration::zero()) {
@@ -547,7 +548,8 @@
             co_return false;
         }
         noteHeard(id);
-        if (!m_responseShare->tryResize(body.size() + chunk.data.size())) {
+        httpChunks += chunk.httpChunks;
+        if (!m_responseShare->tryResize(body.size() + chunk.data.size(), httpChunks)) {
             m_isResponseTooLong = true;
             co_return false;
         }
@@ -568,6 +570,7 @@
             co_return Outcome::Abandoned;
         }
     }
+    u64 httpChunks = 0; // since the last event
     while (true) {
         // The head may arrive before the engine has started the prompt.
         const auto until = m_isPrefillPending ? m_startDeadline : m_deadline;
@@ -584,7 +587,9 @@
         noteFirstEvent(id);
         m_crashGuard->noteEvent(m_dependencies.clock.now());
         const auto events = m_sseSplitter.append(chunk.data);
-        m_isResponseTooLong = !m_responseShare->tryResize(m_sseSplitter.incompleteBytes()) || m_sseSplitter.eventCount() > maxEvents();
+        httpChunks = events.empty() ? httpChunks + chunk.httpChunks : 0;
+        const bool hasMemory = m_responseShare->tryResize(m_sseSplitter.incompleteBytes(), httpChunks);
+        m_isResponseTooLong = !hasMemory || m_sseSplitter.eventCount() > maxEvents();
         if (m_isResponseTooLong) {
             co_return interruptionOutcome(until);
         }
--- a/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
@@ -15,6 +15,7 @@
 struct BodyChunk
 {
     std::string data;
+    u32 httpChunks = 0; ///< chunks of the chunked transfer coding that began in it
     bool isEnd = false; ///< the body is complete
     bool isBroken = false; ///< the connection failed before the end
 };
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <optional>
 #include <sys/socket.h>
 
@@ -99,6 +100,7 @@
             m_parser.emplace();
             m_parser->header_limit(MaxHeaderBytes);
             m_parser->body_limit(MaxBodyBytes);
+            m_parser->on_chunk_header(m_countChunk);
             m_stream.expires_at(deadline);
             const auto [error, size] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, Awaitable);
             if (error) {
@@ -133,6 +135,7 @@
         auto &body = m_parser->get().body();
         body.data = chunk.data.data();
         body.size = chunk.data.size();
+        m_httpChunks = 0;
         m_stream.expires_after(timeout);
         auto [error, size] = co_await beast::http::async_read_some(m_stream, m_buffer, *m_parser, Awaitable);
         while (!error && !m_parser->is_done() && m_buffer.size() > 0) {
@@ -142,6 +145,7 @@
             error = {};
         }
         chunk.data.resize(chunk.data.size() - body.size);
+        chunk.httpChunks = m_httpChunks;
         chunk.isBroken = error && error != beast::http::error::need_buffer;
         chunk.isEnd = !chunk.isBroken && m_parser->is_done();
         m_hasExceededLimit = isLimitError(error);
@@ -228,6 +232,11 @@
     std::optional<beast::http::request<beast::http::string_body>> m_message;
     bool m_isSent = false;
     bool m_hasExceededLimit = false;
+    u32 m_httpChunks = 0; // of the current read
+    std::function<void(u64, beast::string_view, boost::system::error_code &)> m_countChunk
+        = [this](u64, beast::string_view, boost::system::error_code &) {
+              ++m_httpChunks;
+          };
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     Response m_head;
     run::BodyFraming m_framing = run::BodyFraming::ContentLength;
--- a/lib/libburdock/include/burdock/run/response_memory.hpp
+++ b/lib/libburdock/include/burdock/run/response_memory.hpp
@@ -2,10 +2,12 @@
 
 #include <burdock/types.hpp>
 
+#include <atomic>
+
 namespace burdock::run {
 
 /**
- * @brief Shares the memory for responses that are read before they are forwarded. Not thread-safe.
+ * @brief Shares the memory for responses that are read before they are forwarded. Thread-safe.
  *
  * A response may grow to a quarter of what is free, so that many long ones at once leave room for short ones.
  */
@@ -20,10 +22,10 @@
     friend class ResponseShare;
 
     u64 m_totalBytes;
-    u64 m_usedBytes = 0;
+    std::atomic<u64> m_usedBytes{0};
 };
 
-/** @brief The memory of one response, which is returned at the end. */
+/** @brief The memory of one response, which is returned at the end. Not thread-safe. */
 class ResponseShare
 {
 public:
@@ -35,6 +37,13 @@
     /** @brief Takes or returns memory, so that the response has this much; returns false if it would be too much. */
     [[nodiscard]] bool tryResize(u64 bytes);
 
+    /**
+     * @brief As tryResize(), for bytes that came in that many HTTP chunks.
+     *
+     * A chunk takes as much processor time as some bytes, so it counts as these: many responses in tiny chunks don't keep a process busy.
+     */
+    [[nodiscard]] bool tryResize(u64 bytes, u64 httpChunks);
+
 private:
     ResponseMemory &m_memory;
     u64 m_bytes = 0;
--- a/lib/libburdock/source/run/response_memory.cpp
+++ b/lib/libburdock/source/run/response_memory.cpp
@@ -10,6 +10,7 @@
 constexpr u64 MemoryShare = 8;
 /** Share of the free memory to which one response may grow. */
 constexpr u64 GrowthShare = 4;
+constexpr u64 BytesPerHttpChunk = 64;
 
 } // namespace
 
@@ -35,16 +36,24 @@
 
 bool ResponseShare::tryResize(u64 bytes)
 {
-    const u64 used = m_memory.m_usedBytes - m_bytes + bytes;
-    const bool isTooMuch = bytes > m_bytes && (used > m_memory.m_totalBytes || bytes > (m_memory.m_totalBytes - used) / GrowthShare);
-    if (isTooMuch) {
-        return false;
-    }
-    m_memory.m_usedBytes = used;
+    u64 before = m_memory.m_usedBytes;
+    u64 used = 0;
+    do {
+        used = before - m_bytes + bytes;
+        const bool isTooMuch = bytes > m_bytes && (used > m_memory.m_totalBytes || bytes > (m_memory.m_totalBytes - used) / GrowthShare);
+        if (isTooMuch) {
+            return false;
+        }
+    } while (!m_memory.m_usedBytes.compare_exchange_weak(before, used));
     m_bytes = bytes;
     return true;
 }
 
+bool ResponseShare::tryResize(u64 bytes, u64 httpChunks)
+{
+    return tryResize(bytes + httpChunks * BytesPerHttpChunk);
+}
+
 u64 responseMemoryBytes(u32 memoryMegabytes)
 {
     return memoryMegabytes == 0 ? DefaultBytes : memoryMegabytes * BytesPerMegabyte / MemoryShare;
--- a/tests/unit/response_memory_test.cpp
+++ b/tests/unit/response_memory_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <memory>
+#include <numeric>
 #include <vector>
 
 using namespace burdock;
@@ -53,6 +54,33 @@
     }
 }
 
+// Guards against responses in tiny HTTP chunks that keep a process busy for as long as they take to reach their bytes.
+TEST_CASE("responses in tiny HTTP chunks end after far fewer bytes, however many there are")
+{
+    constexpr u64 ChunkBytes = 8;
+    constexpr u64 StepChunks = 128;
+    for (const u32 count : {1U, 50U, 500U}) {
+        CAPTURE(count);
+        ResponseMemory memory(TotalBytes);
+        std::vector<std::unique_ptr<ResponseShare>> shares;
+        for (u32 i = 0; i < count; ++i) {
+            shares.push_back(std::make_unique<ResponseShare>(memory));
+        }
+        std::vector<u64> chunks(count, StepChunks);
+        bool isAnyGrowing = true;
+        while (isAnyGrowing) {
+            isAnyGrowing = false;
+            for (u32 i = 0; i < count; ++i) {
+                const bool isGrowing = shares[i]->tryResize(chunks[i] * ChunkBytes, chunks[i]);
+                chunks[i] += isGrowing ? StepChunks : 0;
+                isAnyGrowing = isAnyGrowing || isGrowing;
+            }
+        }
+        const auto allChunks = std::accumulate(chunks.begin(), chunks.end(), u64{0});
+        CHECK(allChunks * ChunkBytes <= TotalBytes / 8 + count * StepChunks * ChunkBytes);
+    }
+}
+
 TEST_CASE("the memory for responses follows that of the process")
 {
     CHECK(responseMemoryBytes(128) == TotalBytes);
