Give up answers without end behind the endpoint processes

A test of it failed: 20 calls to a service whose answer never ends grew the process beside it by 370 to 600 MiB (bodies, chunks and events; GET and POST), where its VM has 128.

Cause: the process read on whatever its entry had taken, past the deadline, and kept the whole body, also of calls that may be repeated, of which nothing is recorded.

A call that may be repeated is now read as its entry takes it, until its deadline, and keeps no body. One that may not be repeated is still read without its caller, so that a later call with its key gets its answer, but within the shared memory of responses and a time. An engine's line ends at 1 MiB, and a ping returns to the run, which looks at its deadline.

The pings' deadline is shown at the client only.

--- a/lib/libburdock-clients/include/burdock/clients/engine.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/engine.hpp
@@ -46,6 +46,7 @@
 
 enum class GenerateEventKind : u8 {
     Text,
+    Ping, ///< the engine works on the run but has no output
     Done, ///< the response is complete
     Broken, ///< the response ended early or a line was malformed
 };
--- a/lib/libburdock-clients/source/http_engine.cpp
+++ b/lib/libburdock-clients/source/http_engine.cpp
@@ -12,6 +12,7 @@
 
 constexpr u16 Ok = 200;
 constexpr u16 Conflict = 409;
+constexpr std::size_t MaxLineBytes = 1024 * 1024;
 
 std::string toJson(const GenerateRequest &request)
 {
@@ -116,22 +117,19 @@
     boost::asio::awaitable<GenerateEvent> next() override
     {
         GenerateEvent event;
-        while (true) {
-            const auto line = co_await nextLine();
-            if (!line) {
-                co_return event;
-            }
-            if (line->contains("text")) {
-                event.kind = GenerateEventKind::Text;
-                event.text = textOf(*line, "text");
-                co_return event;
-            }
-            if (line->contains("done") && line->at("done").is_object()) {
-                event.kind = GenerateEventKind::Done;
-                event.outputTokens = static_cast<u32>(numberOf(line->at("done").get_object(), "output_tokens"));
-                co_return event;
-            }
+        const auto line = co_await nextLine();
+        if (!line) {
+            co_return event;
+        }
+        event.kind = GenerateEventKind::Ping;
+        if (line->contains("text")) {
+            event.kind = GenerateEventKind::Text;
+            event.text = textOf(*line, "text");
+        } else if (line->contains("done") && line->at("done").is_object()) {
+            event.kind = GenerateEventKind::Done;
+            event.outputTokens = static_cast<u32>(numberOf(line->at("done").get_object(), "output_tokens"));
         }
+        co_return event;
     }
 
 private:
@@ -148,7 +146,7 @@
                 }
                 co_return std::move(value.get_object());
             }
-            if (m_isAtEnd) {
+            if (m_isAtEnd || m_buffer.size() > MaxLineBytes) {
                 co_return std::nullopt;
             }
             const auto chunk = co_await m_call.read();
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <burdock/run/response_memory.hpp>
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/serving/endpoint/back_end_runner.hpp>
 #include <burdock/serving/endpoint/once_store.hpp>
 
 #include <map>
+#include <memory>
 
 namespace burdock::serving {
 
@@ -27,16 +29,20 @@
         OnceClaim claim;
         u32 status = 0;
         std::string contentType;
-        std::string body;
+        std::string body; ///< empty for a call that may be repeated, as nothing is recorded of it
+        std::unique_ptr<run::ResponseShare> memory; ///< for the body
     };
 
     [[nodiscard]] boost::asio::awaitable<BackEndResult> forwardCall(const schema::RunRequest &request, ResponseStream &response,
-                                                                    const runtime::SpanContext &span, CallRecord &record);
+                                                                    TimePoint deadline, const runtime::SpanContext &span,
+                                                                    CallRecord &record);
+    [[nodiscard]] boost::asio::awaitable<bool> mayReadOn(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline);
 
     Process &m_process;
     OnceStore &m_onceStore;
     runtime::http::Address m_backEnd;
     Duration m_idleTimeout;
+    run::ResponseMemory m_memory;
     runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex;
     std::map<std::string, CallRecord> m_unrecordedCalls; // by run id; removed by onEndSent()
 };
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -143,7 +143,8 @@
                                                           ResponseStream &response, TimePoint deadline)
 {
     while (true) {
-        if (!co_await response.waitForRoom(deadline)) {
+        const bool mayReadOn = m_process.clock.now() < deadline && co_await response.waitForRoom(deadline);
+        if (!mayReadOn) {
             co_return brokenResult(true, std::nullopt, "cancelled or out of time");
         }
         auto event = co_await generation.next();
@@ -157,7 +158,9 @@
             result.end.set_output_tokens(event.outputTokens);
             co_return result;
         }
-        response.sendData(event.text);
+        if (event.kind == clients::GenerateEventKind::Text) {
+            response.sendData(event.text);
+        }
     }
 }
 
--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -67,6 +67,7 @@
     , m_onceStore(onceStore)
     , m_backEnd(backEnd)
     , m_idleTimeout(idleTimeout)
+    , m_memory(run::responseMemoryBytes(0))
 {
 }
 
@@ -96,7 +97,7 @@
             co_return brokenResult(false, RunOutcome::Failure);
         }
     }
-    auto result = co_await forwardCall(request, response, span.context(), record);
+    auto result = co_await forwardCall(request, response, deadline, span.context(), record);
     if (!work.repeatable() && result.end.outcome() == schema::RunEnd::COMPLETE) {
         const std::lock_guard lock(m_mutex);
         m_unrecordedCalls[request.ref().run_id()] = std::move(record);
@@ -106,8 +107,18 @@
     co_return result;
 }
 
+// The answer to a call that may not be repeated is read on without its caller, as a later call with its key asks for it.
+boost::asio::awaitable<bool> ServiceRunner::mayReadOn(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline)
+{
+    const auto now = m_process.clock.now();
+    if (!request.service().repeatable()) {
+        co_return now < deadline + m_idleTimeout;
+    }
+    co_return now < deadline &&co_await response.waitForRoom(deadline);
+}
+
 boost::asio::awaitable<BackEndResult> ServiceRunner::forwardCall(const schema::RunRequest &request, ResponseStream &response,
-                                                                 const runtime::SpanContext &span, CallRecord &record)
+                                                                 TimePoint deadline, const runtime::SpanContext &span, CallRecord &record)
 {
     runtime::http::Call call(m_backEnd, m_idleTimeout);
     const auto progress = co_await call.send(toHttpRequest(request.service(), span));
@@ -123,13 +134,22 @@
     response.sendHead(head);
     const bool isEventStream = record.contentType.starts_with(EventStreamType);
     run::SseSplitter events;
-    while (true) {
+    const bool isRepeatable = request.service().repeatable();
+    record.memory = std::make_unique<run::ResponseShare>(m_memory);
+    u64 httpChunks = 0;
+    while (co_await mayReadOn(request, response, deadline)) {
         const auto chunk = co_await call.read();
-        response.sendData(chunk.data);
-        record.body += chunk.data;
         if (isEventStream) {
             static_cast<void>(events.append(chunk.data));
         }
+        if (!isRepeatable) {
+            record.body += chunk.data;
+            httpChunks += chunk.httpChunks;
+        }
+        if (!record.memory->tryResize(record.body.size() + events.incompleteBytes(), httpChunks)) {
+            co_return brokenResult(true, RunOutcome::Failure);
+        }
+        response.sendData(chunk.data);
         const bool isCutOff = chunk.isEnd && isEventStream && !events.isCompleteAt(call.framing());
         if (chunk.isBroken || isCutOff) {
             co_return brokenResult(true, RunOutcome::EndpointRestarted);
@@ -138,6 +158,7 @@
             co_return completeResult();
         }
     }
+    co_return brokenResult(true, RunOutcome::Failure);
 }
 
 boost::asio::awaitable<void> ServiceRunner::onEndSent(const schema::RunRequest &request)
--- a/tests/integration/endless_answers_test.cpp
+++ b/tests/integration/endless_answers_test.cpp
@@ -1,3 +1,4 @@
+#include <support/endless_endpoint.hpp>
 #include <support/gateway_deployment.hpp>
 #include <support/wait_until.hpp>
 
@@ -7,8 +8,6 @@
 #include <chrono>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
-#include <fstream>
-#include <functional>
 #include <future>
 #include <map>
 #include <thread>
@@ -39,13 +38,6 @@
 constexpr bool IsMemoryMeasured = true;
 #endif
 
-/** @brief An answer that never ends: how it begins, and what follows again and again. */
-struct EndlessAnswer
-{
-    std::function<std::string(const ReceivedRequest &)> begin;
-    std::string repeated;
-};
-
 std::string signedHead(const ReceivedRequest &request, const std::string &rest)
 {
     return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: seal\r\n{}", request.header("X-Attempt-Id"), rest);
@@ -80,64 +72,6 @@
     return s_answers;
 }
 
-/** @brief An endpoint in trouble, and how many of its answers were written until their connection was closed. */
-class EndlessEndpoint
-{
-public:
-    explicit EndlessEndpoint(const EndlessAnswer &answer)
-        : m_answer(answer)
-        , m_replica([this](const ReceivedRequest &request, ReplicaConnection &connection) { return serve(request, connection); })
-    {
-    }
-
-    [[nodiscard]] const Replica &replica() const
-    {
-        return m_replica;
-    }
-
-    [[nodiscard]] u32 begun() const
-    {
-        return m_begun;
-    }
-
-    [[nodiscard]] u32 closed() const
-    {
-        return m_closed;
-    }
-
-private:
-    ConnectionAction serve(const ReceivedRequest &request, ReplicaConnection &connection)
-    {
-        ++m_begun;
-        std::string block;
-        while (block.size() < WriteBytes) {
-            block += m_answer.repeated;
-        }
-        connection.write(m_answer.begin(request));
-        while (!connection.waitForClose(Duration::zero())) {
-            connection.write(block);
-        }
-        ++m_closed;
-        return ConnectionAction::Close;
-    }
-
-    EndlessAnswer m_answer;
-    std::atomic<u32> m_begun{0};
-    std::atomic<u32> m_closed{0};
-    Replica m_replica;
-};
-
-u64 peakKib(pid_t pid)
-{
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmHWM:")) {
-            return std::stoull(line.substr(6));
-        }
-    }
-    return 0;
-}
-
 GatewayCall numberedCall(const std::string &path, u32 number)
 {
     const auto attempt = fmt::format("c{}", number);
