Keep the slot of an abandoned run until its engine has stopped it

Cause: the endpoint process freed the slot when it closed the connection. An engine notices a closed connection only when it writes, and works on until then.

A slot is now kept until a report leaves no room for the abandoned run, where only runs that had certainly begun are taken off the report. An engine that doesn't report a number frees it with the next poll.

--- a/lib/libburdock-clients/include/burdock/clients/engine.hpp
+++ b/lib/libburdock-clients/include/burdock/clients/engine.hpp
@@ -42,6 +42,7 @@
     bool isReachable = false;
     std::string bootId;
     std::vector<std::string> loadedVersions; ///< `model@version`
+    std::optional<u32> running; ///< runs that the engine works on; not every engine reports it
 };
 
 enum class GenerateEventKind : u8 {
--- a/lib/libburdock-clients/source/http_engine.cpp
+++ b/lib/libburdock-clients/source/http_engine.cpp
@@ -67,6 +67,10 @@
     state.isReachable = body.contains("boot_id");
     state.bootId = textOf(body, "boot_id");
     state.loadedVersions = stringsOf(body, "loaded");
+    const auto *running = body.if_contains("running");
+    if (running != nullptr && running->is_int64()) {
+        state.running = static_cast<u32>(numberOf(body, "running"));
+    }
     return state;
 }
 
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/admission_gate.hpp
@@ -31,9 +31,18 @@
     [[nodiscard]] boost::asio::awaitable<Admission> waitForAdmission(admission::AdmissionRequest request,
                                                                      std::shared_ptr<RunSignals> signals, const ResponseStream &response);
 
-    /** @brief Frees the capacity of a run that has ended. */
+    /** @brief Records that the endpoint has begun a run that was admitted in this epoch. */
+    void noteBegun(admission::Epoch admittedIn);
+
+    /** @brief Frees the capacity of a run that has ended, unless the endpoint may still work on it. */
     void finishRun(const admission::FinishedRun &run);
 
+    /** @brief To be called before the endpoint is asked how many runs it works on. */
+    [[nodiscard]] admission::RunningQuery runningQuery() const;
+
+    /** @brief Frees the capacity of abandoned runs as far as the endpoint's report allows. */
+    void noteReportedRunning(const admission::RunningQuery &query, u64 running);
+
     /** @brief Records a sign that the endpoint has restarted. */
     void noteRestart();
 
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
@@ -14,6 +14,7 @@
 struct BackEndResult
 {
     admission::RunOutcome outcome = admission::RunOutcome::Success;
+    bool hasBegun = false; ///< the back end reported the begin of the run
     schema::RunEnd end;
     /** Set if the back end may have crashed during the run. */
     std::optional<retry::CrashEvidence> crash;
--- a/lib/libburdock-serving/source/endpoint/admission_gate.cpp
+++ b/lib/libburdock-serving/source/endpoint/admission_gate.cpp
@@ -60,6 +60,24 @@
     }
 }
 
+void AdmissionGate::noteBegun(admission::Epoch admittedIn)
+{
+    const std::lock_guard lock(m_mutex);
+    m_controller.noteBegun(admittedIn);
+}
+
+admission::RunningQuery AdmissionGate::runningQuery() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controller.runningQuery();
+}
+
+void AdmissionGate::noteReportedRunning(const admission::RunningQuery &query, u64 running)
+{
+    const std::lock_guard lock(m_mutex);
+    notifyAdmitted(m_controller.noteReportedRunning(query, running, m_process.clock.now()));
+}
+
 void AdmissionGate::finishRun(const admission::FinishedRun &run)
 {
     const std::lock_guard lock(m_mutex);
--- a/lib/libburdock-serving/source/endpoint/engine_watcher.cpp
+++ b/lib/libburdock-serving/source/endpoint/engine_watcher.cpp
@@ -30,9 +30,11 @@
 
 boost::asio::awaitable<bool> EngineWatcher::refresh()
 {
+    const auto query = m_gate.runningQuery();
     const auto state = co_await m_engine.state();
     if (state.isReachable) {
         noteBootId(state.bootId);
+        m_gate.noteReportedRunning(query, state.running.value_or(0));
         setLoadedWeights(state.loadedVersions);
     } else {
         noteUnreachable();
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -120,8 +120,11 @@
     if (head.status == VersionConflict || head.weightVersion != generateRequest.weightVersion) {
         // The refusal reports the weights that are loaded now, with which the entry may retry here.
         co_await m_engineWatcher.refresh();
-        co_return refusedResult(RefusalReason::WrongVersion, RetryAfterEngineNotReady);
+        auto refused = refusedResult(RefusalReason::WrongVersion, RetryAfterEngineNotReady);
+        refused.outcome = head.status == Ok ? RunOutcome::Abandoned : RunOutcome::Failure;
+        co_return refused;
     }
+    m_gate.noteBegun(admittedIn);
     schema::RunHead runHead;
     runHead.set_status(Ok);
     runHead.set_prompt_tokens(head.promptTokens);
@@ -133,6 +136,7 @@
     span.setAttribute("cached_tokens", std::to_string(head.cachedTokens));
     response.sendHead(runHead);
     auto result = co_await relay(head, *generation, response, deadline);
+    result.hasBegun = true;
     if (result.outcome == RunOutcome::Success) {
         m_cacheOffloader.noteRun(generateRequest.blockKeys, head.cachedTokens);
     }
@@ -188,7 +192,10 @@
 BackEndResult PromptRunner::brokenResult(bool mayHaveRun, std::optional<retry::CrashEvidence> crash, std::string detail)
 {
     BackEndResult result;
-    result.outcome = crash ? RunOutcome::EndpointRestarted : RunOutcome::Failure;
+    result.outcome = mayHaveRun ? RunOutcome::Abandoned : RunOutcome::Failure;
+    if (crash) {
+        result.outcome = RunOutcome::EndpointRestarted;
+    }
     result.crash = crash;
     result.end.set_outcome(schema::RunEnd::BROKEN);
     result.end.set_may_have_run(mayHaveRun);
--- a/lib/libburdock-serving/source/endpoint/run_registry.cpp
+++ b/lib/libburdock-serving/source/endpoint/run_registry.cpp
@@ -122,7 +122,7 @@
         auto result = co_await m_runner.run(request, admission.epoch, response, deadline, span);
         const Duration serviceTime = m_process.clock.now() - startTime;
         noteOutcome(request, startTime, result);
-        m_gate.finishRun({result.outcome, serviceTime, isSuspect, startTime});
+        m_gate.finishRun({result.outcome, serviceTime, isSuspect, startTime, admission.epoch, result.hasBegun});
         if (result.isAdmissionInvalid()) {
             m_process.metrics.count("burdock_readmissions_total");
             if (m_process.clock.now() >= deadline || response.isCancelled()) {
--- a/lib/libburdock/include/burdock/admission/admission_controller.hpp
+++ b/lib/libburdock/include/burdock/admission/admission_controller.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/admission/abandoned_runs.hpp>
 #include <burdock/admission/fair_queue.hpp>
 #include <burdock/admission/warm_up_limit.hpp>
 #include <burdock/verdict.hpp>
@@ -47,6 +48,7 @@
 enum class RunOutcome : u8 {
     Success,
     Failure,
+    Abandoned, ///< given up here; the endpoint may still work on it
     EndpointRestarted,
     NotStarted, ///< the admission was no longer valid when the run was about to start
 };
@@ -58,6 +60,8 @@
     Duration serviceTime{};
     bool wasSuspect = false;
     TimePoint startedAt{}; ///< when it began after its admission
+    Epoch admittedIn = 0;
+    bool hasBegun = false; ///< noteBegun() was called for it
 };
 
 /**
@@ -73,9 +77,18 @@
     /** @brief Admits, queues or refuses a request; may evict a queued one of another customer. */
     [[nodiscard]] AdmissionDecision request(const AdmissionRequest &request, TimePoint now);
 
-    /** @brief Releases the slot of a run that has ended, then expires and admits queued requests. */
+    /** @brief Records that the endpoint has begun a run that was admitted in this epoch. */
+    void noteBegun(Epoch admittedIn);
+
+    /** @brief Releases the slot of a run that has ended, unless it was abandoned, then expires and admits queued requests. */
     [[nodiscard]] AdmissionChanges finishRun(const FinishedRun &run, TimePoint now);
 
+    /** @brief To be called before the endpoint is asked how many runs it works on. */
+    [[nodiscard]] RunningQuery runningQuery() const;
+
+    /** @brief Releases the slots of abandoned runs as far as the endpoint's report allows, then expires and admits queued requests. */
+    [[nodiscard]] AdmissionChanges noteReportedRunning(const RunningQuery &query, u64 running, TimePoint now);
+
     /** @brief Removes queued requests whose deadline has passed, then admits others as far as the limit allows. */
     [[nodiscard]] AdmissionChanges expire(TimePoint now);
 
@@ -113,6 +126,7 @@
 
     void setPolicy(const AdmissionPolicy &policy);
 
+    /** @brief Number of slots in use, those of abandoned runs included. */
     [[nodiscard]] u32 running() const;
     [[nodiscard]] u32 queued() const;
     [[nodiscard]] u32 limit() const;
@@ -132,6 +146,7 @@
     FairQueue m_queue;
     std::deque<AdmissionRequest> m_suspects;
     u32 m_running = 0;
+    AbandonedRuns m_abandoned;
     u32 m_holdCount = 0;
     std::optional<TimePoint> m_restartedAt;
     Epoch m_epoch = 0;
--- a/lib/libburdock/source/admission/admission_controller.cpp
+++ b/lib/libburdock/source/admission/admission_controller.cpp
@@ -58,9 +58,24 @@
     return decision;
 }
 
+void AdmissionController::noteBegun(Epoch admittedIn)
+{
+    if (admittedIn == m_epoch) {
+        m_abandoned.noteBegun();
+    }
+}
+
 AdmissionChanges AdmissionController::finishRun(const FinishedRun &run, TimePoint now)
 {
     m_running -= std::min<u32>(m_running, 1);
+    if (run.admittedIn == m_epoch) {
+        if (run.hasBegun) {
+            m_abandoned.noteEnded();
+        }
+        if (run.outcome == RunOutcome::Abandoned) {
+            m_abandoned.noteAbandoned(now);
+        }
+    }
     if (run.wasSuspect) {
         m_isSuspectRunning = false;
     }
@@ -78,6 +93,17 @@
     return expire(now);
 }
 
+RunningQuery AdmissionController::runningQuery() const
+{
+    return m_abandoned.query();
+}
+
+AdmissionChanges AdmissionController::noteReportedRunning(const RunningQuery &query, u64 running, TimePoint now)
+{
+    m_abandoned.noteReport(query, running, now);
+    return expire(now);
+}
+
 AdmissionChanges AdmissionController::expire(TimePoint now)
 {
     AdmissionChanges changes;
@@ -126,6 +152,7 @@
 {
     ++m_epoch;
     m_restartedAt = now;
+    m_abandoned.forgetBegun();
     m_limit.noteRestart();
 }
 
@@ -138,6 +165,7 @@
     m_bootId = bootId;
     if (isRestart) {
         noteRestart(now);
+        m_abandoned.clear();
     }
     return isRestart;
 }
@@ -184,7 +212,7 @@
 
 u32 AdmissionController::running() const
 {
-    return m_running;
+    return m_running + m_abandoned.count();
 }
 
 u32 AdmissionController::queued() const
@@ -213,7 +241,7 @@
 
 bool AdmissionController::hasRoom() const
 {
-    return m_holdCount == 0 && m_running < m_limit.limit();
+    return m_holdCount == 0 && running() < m_limit.limit();
 }
 
 } // namespace burdock::admission
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -29,6 +29,7 @@
 }
 
 constexpr FinishedRun Success{RunOutcome::Success, std::chrono::milliseconds(100), false};
+constexpr FinishedRun Abandoned{RunOutcome::Abandoned, std::chrono::milliseconds(100), false, {}, 0, true};
 constexpr FinishedRun Restarted{RunOutcome::EndpointRestarted, std::chrono::milliseconds(100), false};
 
 } // namespace
@@ -284,3 +285,50 @@
     CHECK(controller.limit() == 1);
     CHECK(controller.running() == 1);
 }
+
+// Guards against overload by runs that take the slots of runs which were given up while their endpoint still works on these.
+TEST_CASE("the slot of an abandoned run is free only once its endpoint reports fewer runs")
+{
+    auto controller = controllerWith(2, 2, 10);
+    CHECK(controller.request(requestFrom("a", 1), Start).status == AdmissionStatus::Admitted);
+    CHECK(controller.request(requestFrom("a", 2), Start).status == AdmissionStatus::Admitted);
+    CHECK(controller.request(requestFrom("a", 3), Start).status == AdmissionStatus::Queued);
+    controller.noteBegun(controller.epoch());
+    controller.noteBegun(controller.epoch());
+    const auto early = controller.runningQuery();
+    CHECK(controller.finishRun(Abandoned, Start).admitted.empty());
+    CHECK(controller.running() == 2);
+
+    SUBCASE("a report that was asked for before the run was given up frees nothing")
+    {
+        CHECK(controller.noteReportedRunning(early, 0, Start).admitted.empty());
+    }
+    SUBCASE("the other run is not mistaken for it")
+    {
+        CHECK(controller.noteReportedRunning(controller.runningQuery(), 2, Start).admitted.empty());
+        const auto admitted = controller.noteReportedRunning(controller.runningQuery(), 1, Start).admitted;
+        CHECK(admitted == std::vector<Ticket>{3});
+    }
+    SUBCASE("a run that ended between question and report is not taken off the report")
+    {
+        const auto query = controller.runningQuery();
+        auto ended = Success;
+        ended.hasBegun = true;
+        CHECK(controller.finishRun(ended, Start).admitted.size() == 1);
+        CHECK(controller.noteReportedRunning(query, 1, Start).admitted.empty());
+        CHECK(controller.running() == 2);
+        static_cast<void>(controller.noteReportedRunning(controller.runningQuery(), 0, Start));
+        CHECK(controller.running() == 1);
+    }
+    SUBCASE("a restart ends it")
+    {
+        static_cast<void>(controller.noteBootId("first", Start));
+        CHECK(controller.running() == 2);
+        CHECK(controller.noteBootId("second", Start));
+        CHECK(controller.running() == 1);
+    }
+    SUBCASE("an endpoint that reports runs of others doesn't hold it for ever")
+    {
+        CHECK(controller.noteReportedRunning(controller.runningQuery(), 9, Start + std::chrono::minutes(2)).admitted.size() == 1);
+    }
+}
