Let processes take turns at trying what crashed endpoints

Cause: a refused feature was tried by one process only, chosen by hash. Where that process gets no request with the feature, or has ended but is still listed, all others refuse it until the crashes are forgotten after half an hour, and name no time, as a trial is due.

The processes now take turns of a second for parts of prompts and of five for whole requests, which may crash endpoints late. At each moment one process at most may begin a trial; its failure is told before the next turn. A refusal names the time until the own turn.

The new unit test failed before at 4, 29 and 300 processes (waits of zero at all, no trial), and passes.

--- a/lib/libburdock/include/burdock/retry/crash_attribution.hpp
+++ b/lib/libburdock/include/burdock/retry/crash_attribution.hpp
@@ -30,6 +30,12 @@
     Duration initialTrialDelay = std::chrono::seconds(10);
     /** The same for the first trial of a feature that requests succeeded with recently. */
     Duration trialDelayAfterSuccess = std::chrono::seconds(1);
+    /**
+     * Time in which one process may try a refused feature before the next may; all hear in it of a trial that crashed an endpoint. A
+     * request as a whole may crash its endpoint late.
+     */
+    Duration partTrialTurn = std::chrono::seconds(1);
+    Duration requestTrialTurn = std::chrono::seconds(5);
     /** Losses of connections to one endpoint within this time count as one crash. */
     Duration sameCrashWindow = std::chrono::milliseconds(1500);
     /** An endpoint that is heard from within this time after the loss of a connection, but not immediately, has not crashed. */
@@ -102,7 +108,7 @@
 
     explicit CrashAttribution(const CrashAttributionPolicy &policy);
 
-    /** @brief Sets the processes that share trials: each blamed feature is tried by only one of them, chosen by hash. */
+    /** @brief Sets the processes that share trials: each blamed feature is tried by one of them at a time, in turns ordered by hash. */
     void setMembers(std::string ownName, std::vector<std::string> members);
 
     /** @brief Whether a request may run. Starts the test or trial that it returns. */
@@ -216,7 +222,7 @@
     [[nodiscard]] bool canBeCause(u64 feature, const std::vector<Sighting> &crashes, TimePoint now);
     [[nodiscard]] Duration trialDelayOf(u64 id) const;
     [[nodiscard]] Duration timeUntilTrialOf(const Cause &cause, TimePoint now) const;
-    [[nodiscard]] bool isTrialOwner(const Cause &cause) const;
+    [[nodiscard]] Duration timeUntilTurn(const Cause &cause, Duration sinceDue) const;
     [[nodiscard]] bool isTested(const Cause &cause, const Features &features, TimePoint now) const;
     [[nodiscard]] FeatureRecord toRecord(u64 feature, const std::vector<Sighting> &crashes, TimePoint now) const;
     [[nodiscard]] bool hasSurvived(u64 endpoint, TimePoint lostAt) const;
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -56,8 +56,7 @@
             continue;
         }
         const bool isWhole = common == cause.size();
-        const bool isAllowed
-            = isWhole ? isTrialOwner(cause) && timeUntilTrialOf(cause, now) == Duration::zero() : !isTested(cause, features, now);
+        const bool isAllowed = isWhole ? timeUntilTrialOf(cause, now) == Duration::zero() : !isTested(cause, features, now);
         if (!isAllowed) {
             return RunPermission::Refused;
         }
@@ -473,19 +472,37 @@
 
 Duration CrashAttribution::timeUntilTrialOf(const Cause &cause, TimePoint now) const
 {
-    auto longest = Duration::zero();
+    TimePoint dueAt{};
     for (const u64 id : cause) {
         const auto &feature = m_features.at(id);
         const auto last = std::max(feature.crashes.back().at, feature.trialAt.value_or(TimePoint{}));
-        longest = std::max(longest, last + trialDelayOf(id) - now);
+        dueAt = std::max(dueAt, last + trialDelayOf(id));
     }
-    return longest;
+    const auto untilDue = std::max(Duration::zero(), dueAt - now);
+    return untilDue + timeUntilTurn(cause, now + untilDue - dueAt);
 }
 
-bool CrashAttribution::isTrialOwner(const Cause &cause) const
+// The processes take turns, since the one whose turn is first may get no requests with these features, or may have ended.
+Duration CrashAttribution::timeUntilTurn(const Cause &cause, Duration sinceDue) const
 {
-    const auto owner = membership::responsibleMembers(cause.front(), m_members, 1);
-    return owner.empty() || owner.front() == m_ownName;
+    if (m_members.size() <= 1) {
+        return Duration::zero();
+    }
+    const bool isPartOnly = std::all_of(cause.begin(), cause.end(), isPart);
+    const auto turn = isPartOnly ? m_policy.partTrialTurn : m_policy.requestTrialTurn;
+    const auto order = membership::responsibleMembers(cause.front(), m_members, m_members.size());
+    const auto rank = std::find(order.begin(), order.end(), m_ownName) - order.begin();
+    const auto round = turn * static_cast<i64>(order.size());
+    const auto inRound = sinceDue % round;
+    const auto begin = turn * rank;
+    const bool isListed = begin < round;
+    if (!isListed) {
+        return round - inRound;
+    }
+    if (inRound >= begin && inRound < begin + turn) {
+        return Duration::zero();
+    }
+    return (begin - inRound + round) % round;
 }
 
 bool CrashAttribution::isTested(const Cause &cause, const Features &features, TimePoint now) const
--- a/tests/unit/crash_attribution_test.cpp
+++ b/tests/unit/crash_attribution_test.cpp
@@ -1,5 +1,6 @@
 #include <burdock/retry/crash_attribution.hpp>
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <vector>
 
@@ -243,6 +244,36 @@
     CHECK(trials == 1);
 }
 
+// Guards against a feature that stays refused because the process that may try it gets no requests with it.
+TEST_CASE("a refused feature is tried at whatever process gets requests with it, at one of them at a time")
+{
+    for (const u32 count : {1U, 4U, 29U, 300U}) {
+        CAPTURE(count);
+        std::vector<std::string> names;
+        for (u32 i = 0; i < count; ++i) {
+            names.push_back("gateway-" + std::to_string(i));
+        }
+        std::vector<Duration> waits;
+        for (const auto &name : names) {
+            CrashAttribution attribution{CrashAttributionPolicy{}};
+            attribution.setMembers(name, names);
+            noteCrashes(attribution, 3, {CrashingPart});
+            const auto wait = attribution.timeUntilTrial({CrashingPart}, at(60s));
+            CHECK(wait <= count * 1s);
+            if (wait > Duration::zero()) {
+                CHECK(attribution.tryBegin({CrashingPart}, at(60s)) == RunPermission::Refused);
+            }
+            CHECK(attribution.tryBegin({CrashingPart}, at(60s) + wait) == RunPermission::Trial);
+            waits.push_back(wait);
+        }
+        std::sort(waits.begin(), waits.end());
+        CHECK(waits.front() == Duration::zero());
+        for (std::size_t i = 1; i < waits.size(); ++i) {
+            CHECK(waits[i] - waits[i - 1] >= (i == 1 ? Duration(1) : Duration(1s)));
+        }
+    }
+}
+
 // Guards against crashes that several processes see and none of them counts together.
 TEST_CASE("crashes that each of several processes observed alone add up, and the same crash counts once")
 {
