Keep the turns of trials when the own trial had no result

A process that had tried counted its turns from that trial, while the others count from the last crash, so two could try at one moment. The turns now count from the last crash for all; the own trial only delays the next one.

--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -114,7 +114,10 @@
     if (!request.service().repeatable()) {
         co_return now < deadline + m_idleTimeout;
     }
-    co_return now < deadline &&co_await response.waitForRoom(deadline);
+    if (now >= deadline) {
+        co_return false;
+    }
+    co_return co_await response.waitForRoom(deadline);
 }
 
 boost::asio::awaitable<BackEndResult> ServiceRunner::forwardCall(const schema::RunRequest &request, ResponseStream &response,
--- a/lib/libburdock/source/retry/crash_attribution.cpp
+++ b/lib/libburdock/source/retry/crash_attribution.cpp
@@ -472,14 +472,16 @@
 
 Duration CrashAttribution::timeUntilTrialOf(const Cause &cause, TimePoint now) const
 {
-    TimePoint dueAt{};
+    TimePoint dueAt{}; // for all processes
+    TimePoint earliest = now; // for this one
     for (const u64 id : cause) {
         const auto &feature = m_features.at(id);
-        const auto last = std::max(feature.crashes.back().at, feature.trialAt.value_or(TimePoint{}));
-        dueAt = std::max(dueAt, last + trialDelayOf(id));
+        const auto delay = trialDelayOf(id);
+        dueAt = std::max(dueAt, feature.crashes.back().at + delay);
+        earliest = std::max(earliest, feature.trialAt.value_or(TimePoint{}) + delay);
     }
-    const auto untilDue = std::max(Duration::zero(), dueAt - now);
-    return untilDue + timeUntilTurn(cause, now + untilDue - dueAt);
+    earliest = std::max(earliest, dueAt);
+    return earliest - now + timeUntilTurn(cause, earliest - dueAt);
 }
 
 // The processes take turns, since the one whose turn is first may get no requests with these features, or may have ended.
