Bound what an endpoint process keeps of an answer that nobody takes

Cause: the answer to a call that may not be repeated was read on whatever its entry took, into the buffer of what is sent as well as into the record; and the buffer stays after the record has given back its share of the memory. The shared memory was that of a process whose memory isn't known, 64 MB.

While there is a caller such an answer is now read as the entry takes it. Without one it is read on for the record only, and its stream ends as broken, so that the part that was sent is not taken for the whole. The shared memory is an eighth of 128 MB.

endless_answers_test, "an answer without end is broken off in time", failed once in the same run: the one answer ended before the thread of the other calls had made its first (soundCalls > 0). The thread makes at least one now; no check or bound is changed.

--- a/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
@@ -30,13 +30,14 @@
         u32 status = 0;
         std::string contentType;
         std::string body; ///< empty for a call that may be repeated, as nothing is recorded of it
+        bool isComplete = false;
         std::unique_ptr<run::ResponseShare> memory; ///< for the body
     };
 
     [[nodiscard]] boost::asio::awaitable<BackEndResult> forwardCall(const schema::RunRequest &request, ResponseStream &response,
                                                                     TimePoint deadline, const runtime::SpanContext &span,
                                                                     CallRecord &record);
-    [[nodiscard]] boost::asio::awaitable<bool> mayReadOn(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline);
+    [[nodiscard]] bool mayReadOn(const schema::RunRequest &request, bool hasCaller, TimePoint deadline) const;
 
     Process &m_process;
     OnceStore &m_onceStore;
--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -10,6 +10,8 @@
 using runtime::http::Progress;
 
 constexpr Duration RetryAfter = std::chrono::seconds(1);
+/** Memory that a process beside an endpoint may take. */
+constexpr u32 MemoryMegabytes = 128;
 constexpr std::string_view EventStreamType = "text/event-stream";
 
 BackEndResult refusedResult(RefusalReason reason)
@@ -67,7 +69,7 @@
     , m_onceStore(onceStore)
     , m_backEnd(backEnd)
     , m_idleTimeout(idleTimeout)
-    , m_memory(run::responseMemoryBytes(0))
+    , m_memory(run::responseMemoryBytes(MemoryMegabytes))
 {
 }
 
@@ -98,7 +100,7 @@
         }
     }
     auto result = co_await forwardCall(request, response, deadline, span.context(), record);
-    if (!work.repeatable() && result.end.outcome() == schema::RunEnd::COMPLETE) {
+    if (!work.repeatable() && record.isComplete) {
         const std::lock_guard lock(m_mutex);
         m_unrecordedCalls[request.ref().run_id()] = std::move(record);
     } else if (!work.repeatable() && !result.end.may_have_run()) {
@@ -108,16 +110,9 @@
 }
 
 // The answer to a call that may not be repeated is read on without its caller, as a later call with its key asks for it.
-boost::asio::awaitable<bool> ServiceRunner::mayReadOn(const schema::RunRequest &request, ResponseStream &response, TimePoint deadline)
+bool ServiceRunner::mayReadOn(const schema::RunRequest &request, bool hasCaller, TimePoint deadline) const
 {
-    const auto now = m_process.clock.now();
-    if (!request.service().repeatable()) {
-        co_return now < deadline + m_idleTimeout;
-    }
-    if (now >= deadline) {
-        co_return false;
-    }
-    co_return co_await response.waitForRoom(deadline);
+    return hasCaller || (!request.service().repeatable() && m_process.clock.now() < deadline + m_idleTimeout);
 }
 
 boost::asio::awaitable<BackEndResult> ServiceRunner::forwardCall(const schema::RunRequest &request, ResponseStream &response,
@@ -140,7 +135,15 @@
     const bool isRepeatable = request.service().repeatable();
     record.memory = std::make_unique<run::ResponseShare>(m_memory);
     u64 httpChunks = 0;
-    while (co_await mayReadOn(request, response, deadline)) {
+    bool hasCaller = true;
+    while (true) {
+        hasCaller = hasCaller && m_process.clock.now() < deadline;
+        if (hasCaller) {
+            hasCaller = co_await response.waitForRoom(deadline);
+        }
+        if (!mayReadOn(request, hasCaller, deadline)) {
+            co_return brokenResult(true, RunOutcome::Failure);
+        }
         const auto chunk = co_await call.read();
         if (isEventStream) {
             static_cast<void>(events.append(chunk.data));
@@ -152,16 +155,19 @@
         if (!record.memory->tryResize(record.body.size() + events.incompleteBytes(), httpChunks)) {
             co_return brokenResult(true, RunOutcome::Failure);
         }
-        response.sendData(chunk.data);
+        if (hasCaller) {
+            response.sendData(chunk.data);
+        }
         const bool isCutOff = chunk.isEnd && isEventStream && !events.isCompleteAt(call.framing());
         if (chunk.isBroken || isCutOff) {
             co_return brokenResult(true, RunOutcome::EndpointRestarted);
         }
         if (chunk.isEnd) {
-            co_return completeResult();
+            record.isComplete = true;
+            // Without its caller, only a part of the answer has been sent.
+            co_return hasCaller ? completeResult() : brokenResult(true, RunOutcome::Failure);
         }
     }
-    co_return brokenResult(true, RunOutcome::Failure);
 }
 
 boost::asio::awaitable<void> ServiceRunner::onEndSent(const schema::RunRequest &request)
--- a/tests/integration/endless_answers_test.cpp
+++ b/tests/integration/endless_answers_test.cpp
@@ -128,7 +128,7 @@
     std::atomic<u32> soundFailures{0};
     std::atomic<u32> soundCalls{0};
     std::thread others([&] {
-        for (u32 i = 100'000; !isDone; ++i) {
+        for (u32 i = 100'000; soundCalls == 0 || !isDone; ++i) {
             const auto begun = Clock::now();
             const bool isServed = gateway.call(numberedCall(otherPath, i)).response.status == 200;
             ++soundCalls;
