Let few gateways read the platform's store for all

Cause: every gateway asks the store the same four questions, and each change answers every gateway's watch.

Change: the first gateways by hash read, and tell the others what changed. The others ask how old that knowledge is; ages count from the question, so no clock is compared. A gateway that is told nothing reads for itself.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -31,6 +31,7 @@
     double coldFactor = 1;
     double coldSlack = 0;
     u64 responseBytes = 0; ///< memory for responses that are read before they are forwarded
+    bool isReadingShared = false; ///< few entries read the platform's store for all, if there are many
     u32 maxCallerConnections = 0; ///< further connections are closed; zero means unlimited
 };
 
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway_state.hpp"
 #include "load_exchange.hpp"
 #include "object_watcher.hpp"
+#include "reading_exchange.hpp"
 #include "request_forwarder.hpp"
 #include "weight_rollout_controller.hpp"
 
@@ -115,7 +116,8 @@
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
         , m_permits(m_dependencies, m_settings, m_state, m_peerSocket, m_limitObserver)
-        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits)
+        , m_reading(m_dependencies, m_settings, m_state, m_peerSocket)
+        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits, m_reading)
         , m_rolloutController(m_dependencies, m_settings, m_state, m_limitObserver, m_permits)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
@@ -125,12 +127,10 @@
     {
         m_state.bootId = dependencies.random.word();
         m_state.endpoints.coldAdmission().setLimit({settings.coldFactor, settings.coldSlack});
-        m_watchers.emplace_back(
-            std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Configuration, ConfigurationWait, configurationHandlers()));
-        m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Endpoints, EndpointWait, endpointHandlers()));
-        m_watchers.emplace_back(
-            std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Evacuations, EvacuationWait, evacuationHandlers()));
-        m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, ObjectKind::Weights, WeightWait, weightHandlers()));
+        addWatcher(ObjectKind::Configuration, ConfigurationWait, configurationHandlers());
+        addWatcher(ObjectKind::Endpoints, EndpointWait, endpointHandlers());
+        addWatcher(ObjectKind::Evacuations, EvacuationWait, evacuationHandlers());
+        addWatcher(ObjectKind::Weights, WeightWait, weightHandlers());
     }
 
     void start()
@@ -144,6 +144,7 @@
         spawn(maintainEntryList());
         spawn(m_loadExchange.send());
         spawn(m_loadExchange.receive());
+        spawn(m_reading.askOthers());
     }
 
     void drain()
@@ -163,6 +164,11 @@
     }
 
 private:
+    void addWatcher(ObjectKind kind, Duration wait, ObjectHandlers handlers)
+    {
+        m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, kind, wait, std::move(handlers), m_reading));
+    }
+
     [[nodiscard]] bool tryAdmit(std::size_t openConnections) override
     {
         const bool hasRoom = m_settings.maxCallerConnections == 0 || openConnections < m_settings.maxCallerConnections;
@@ -614,6 +620,7 @@
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
         m_state.crashes.setMembers(m_settings.name, m_state.entryNames);
+        m_reading.setEntries(m_state.entryNames);
         const auto reportPeriod = endpoints::LoadReporter::period(peers.size());
         m_state.endpoints.turns().setEntries(list.items.size(), reportPeriod);
         std::vector<u64> entries;
@@ -656,6 +663,7 @@
     OriginExchange m_origins;
     LimitObserver m_limitObserver;
     PermitExchange m_permits;
+    ReadingExchange m_reading;
     const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_permits};
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -38,13 +38,14 @@
 } // namespace
 
 LoadExchange::LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                           PeerSocket &socket, OriginExchange &origins, PermitExchange &permits)
+                           PeerSocket &socket, OriginExchange &origins, PermitExchange &permits, ReadingExchange &reading)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_state(state)
     , m_socket(socket)
     , m_origins(origins)
     , m_permits(permits)
+    , m_reading(reading)
     , m_startedAt(dependencies.clock.now())
 {
 }
@@ -253,6 +254,10 @@
         m_origins.handle(message, sender);
         return;
     }
+    if (ReadingExchange::isReadingMessage(message)) {
+        m_reading.handle(message, sender);
+        return;
+    }
     if (message.has_naming_answer()) {
         applyAnnouncementAnswer(message.entry(), message.naming_answer());
         return;
--- a/lib/libburdock-gateway/source/object_watcher.cpp
+++ b/lib/libburdock-gateway/source/object_watcher.cpp
@@ -30,12 +30,20 @@
     return KindNames.at(static_cast<std::size_t>(kind));
 }
 
-ObjectWatcher::ObjectWatcher(const GatewayDependencies &dependencies, ObjectKind kind, Duration wait, ObjectHandlers handlers)
+ObjectWatcher::ObjectWatcher(const GatewayDependencies &dependencies, ObjectKind kind, Duration wait, ObjectHandlers handlers,
+                             ReadingExchange &reading)
     : m_dependencies(dependencies)
     , m_kind(kind)
     , m_wait(wait)
     , m_handlers(std::move(handlers))
+    , m_reading(reading)
 {
+    const auto onConfirmed = [this](TimePoint asOf) {
+        if (m_handlers.onSynced) {
+            m_handlers.onSynced(asOf, SyncSource::Watch);
+        }
+    };
+    m_reading.follow(m_kind, {m_handlers.onChanges, onConfirmed});
 }
 
 boost::asio::awaitable<void> ObjectWatcher::run()
@@ -57,7 +65,7 @@
         co_return false;
     }
     noteSuccess();
-    m_revision = list.revision;
+    m_reading.noteListed(m_kind, list.revision, started);
     m_handlers.onList(list.items);
     if (m_handlers.onSynced) {
         m_handlers.onSynced(started, SyncSource::List);
@@ -68,13 +76,15 @@
 boost::asio::awaitable<void> ObjectWatcher::followChanges()
 {
     while (m_failures < FailuresToRelist) {
+        co_await m_reading.waitForTurn(m_kind);
         const auto started = m_dependencies.clock.now();
         // After a failure, or while requests are rejected until the store responds, an immediate response matters more than a long poll.
         const bool isUrgent = m_failures > 0 || (m_handlers.isUrgent && m_handlers.isUrgent());
-        const auto wait = isUrgent ? Duration::zero() : m_wait;
-        const auto changes = co_await m_dependencies.store.watch(m_kind, m_revision, wait);
+        const auto wait = isUrgent ? Duration::zero() : m_reading.watchTime(m_kind, m_wait);
+        const u64 since = m_reading.known(m_kind).revision();
+        const auto changes = co_await m_dependencies.store.watch(m_kind, since, wait);
         if (changes.status == StoreResult::Absent) {
-            m_dependencies.logger.event(runtime::LogLevel::Info, "history_gone", {{"kind", toString(m_kind)}, {"revision", m_revision}});
+            m_dependencies.logger.event(runtime::LogLevel::Info, "history_gone", {{"kind", toString(m_kind)}, {"revision", since}});
             co_return;
         }
         if (changes.status != StoreResult::Found) {
@@ -82,8 +92,11 @@
             continue;
         }
         noteSuccess();
-        m_revision = std::max(m_revision, changes.revision);
-        if (!changes.changed.empty() || !changes.removed.empty()) {
+        if (changes.revision < since) {
+            // Another entry told of a revision that the store doesn't have.
+            co_return;
+        }
+        if (m_reading.noteRead(m_kind, since, changes, started)) {
             m_handlers.onChanges(changes);
         }
         if (m_handlers.onSynced) {
@@ -95,6 +108,7 @@
         const bool isIdle = changes.changed.empty() && changes.removed.empty() && elapsed >= wait && elapsed < wait + MaxResponseDelay;
         if (m_handlers.onIdleWatch && isIdle) {
             m_handlers.onIdleWatch(started + wait);
+            m_reading.noteComplete(m_kind, started + wait);
         }
         if (!changes.changed.empty() || !changes.removed.empty()) {
             co_await runtime::sleepFor(BatchDelay);
--- a/lib/libburdock-gateway/source/object_watcher.hpp
+++ b/lib/libburdock-gateway/source/object_watcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway_state.hpp"
+#include "reading_exchange.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -26,12 +27,14 @@
 /**
  * @brief Tracks the objects of one kind until the process ends.
  *
- * Reads the full list again when the store no longer has the history since the last revision, and after repeated failures.
+ * Leaves the reading to other entries while these do it, see ReadingExchange. Reads the full list again when the store no longer has the
+ * history since the last revision, and after repeated failures.
  */
 class ObjectWatcher
 {
 public:
-    ObjectWatcher(const GatewayDependencies &dependencies, ObjectKind kind, Duration wait, ObjectHandlers handlers);
+    ObjectWatcher(const GatewayDependencies &dependencies, ObjectKind kind, Duration wait, ObjectHandlers handlers,
+                  ReadingExchange &reading);
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
@@ -45,7 +48,7 @@
     ObjectKind m_kind;
     Duration m_wait;
     ObjectHandlers m_handlers;
-    u64 m_revision = 0;
+    ReadingExchange &m_reading;
     u32 m_failures = 0;
 };
 
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -51,6 +51,7 @@
     settings.coldFactor = document.cold_factor() > 0 ? document.cold_factor() : settings.coldFactor;
     settings.coldSlack = document.cold_slack();
     settings.responseBytes = run::responseMemoryBytes(static_cast<u32>(document.memory_mb()));
+    settings.isReadingShared = document.shared_reading();
     settings.maxCallerConnections
         = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
     return settings;
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -95,9 +95,19 @@
 
 GatewayProcess &GatewayDeployment::addGateway()
 {
-    const auto name = "vm-" + std::to_string(m_furtherGateways.size() + 2);
-    auto &added = *m_furtherGateways.emplace_back(std::make_unique<GatewayProcess>(name, "zone-a", m_store.address()));
-    added.start();
+    return *addGateways(1, "{}").front();
+}
+
+std::vector<GatewayProcess *> GatewayDeployment::addGateways(std::size_t count, const std::string &settingsOverrides)
+{
+    const auto overrides = json::parse(settingsOverrides).as_object();
+    std::vector<GatewayProcess *> added;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto name = "vm-" + std::to_string(m_furtherGateways.size() + 2);
+        added.push_back(
+            m_furtherGateways.emplace_back(std::make_unique<GatewayProcess>(name, "zone-a", m_store.address(), overrides)).get());
+        added.back()->start();
+    }
     const auto expected = "burdock_entries " + std::to_string(m_furtherGateways.size() + 1) + "\n";
     const auto knowsAll = [this, &expected](const GatewayProcess &gateway) {
         return metricsOf(gateway).find(expected) != std::string::npos;
@@ -106,8 +116,11 @@
         return std::all_of(m_furtherGateways.begin(), m_furtherGateways.end(),
                            [&knowsAll](const auto &gateway) { return knowsAll(*gateway); });
     };
-    if (!waitFor([&] { return readinessOf(added) == 200 && knowsAll(m_gateway) && doOthersKnowAll(); })) {
-        throw std::runtime_error("the further gateway did not become ready: " + added.log());
+    const auto areReady = [this, &added] {
+        return std::all_of(added.begin(), added.end(), [this](const auto *gateway) { return readinessOf(*gateway) == 200; });
+    };
+    if (!waitFor([&] { return areReady() && knowsAll(m_gateway) && doOthersKnowAll(); })) {
+        throw std::runtime_error("a further gateway did not become ready: " + added.front()->log());
     }
     return added;
 }
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -62,6 +62,10 @@
     /** @brief Starts a further gateway with the same store and waits until all gateways know each other and it is ready. */
     GatewayProcess &addGateway();
 
+    /** @brief Starts further gateways with these settings, whose connections to the store don't pass storeProxy(); waits as addGateway()
+     * does. */
+    std::vector<GatewayProcess *> addGateways(std::size_t count, const std::string &settingsOverrides);
+
     /** @brief Waits until the gateway reports that it is ready; throws std::runtime_error if it does not within ten seconds. */
     void awaitReady();
 
