Free stored parts of weights that no engine serves any more

Change: a gateway that sees all engines at newer weights promises to fetch no older parts; when all have promised and the longest fetch has ended, they are freed.

--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -197,6 +197,27 @@
     return known.since;
 }
 
+void CacheFollower::notePromisedByAll(const std::string &model)
+{
+    auto others = m_state.entryNames;
+    std::erase(others, m_settings.name);
+    const auto &own = m_state.servedVersions.promises();
+    const auto version = own.find(model);
+    const u64 lowest = version == own.end() ? 0 : version->second;
+    const u64 promised = std::min(lowest, m_state.endpoints.peers().lowestVersionInUse(others, model));
+    auto &known = m_promisedByAll[model];
+    if (known.version != promised) {
+        known.version = promised;
+        known.since = promised > 0 ? std::optional(m_dependencies.clock.now()) : std::nullopt;
+    }
+}
+
+bool CacheFollower::mayFreeUnused(const std::string &model, u64 version) const
+{
+    const auto &promised = m_promisedByAll.at(model);
+    return version < promised.version && m_state.retirement.mayFreeUnused(promised.since, m_dependencies.clock.now());
+}
+
 boost::asio::awaitable<void> CacheFollower::freeSupersededParts()
 {
     const auto now = m_dependencies.clock.now();
@@ -208,8 +229,9 @@
         const auto &model = entry.first;
         const auto &announced = entry.second;
         const auto knownToAll = noteKnownToAll(model, announced.wanted());
+        notePromisedByAll(model);
         const auto mayFree = [&](u64 version, std::string_view part) {
-            return m_state.retirement.mayFree(announced, version, part, knownToAll, now);
+            return mayFreeUnused(model, version) || m_state.retirement.mayFree(announced, version, part, knownToAll, now);
         };
         const auto parts = m_state.parts.partsToFree(m_store, model, mayFree, MaxPartsPerFree);
         if (parts.parts.empty()) {
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -29,6 +29,8 @@
     [[nodiscard]] boost::asio::awaitable<bool> readChanges();
     [[nodiscard]] boost::asio::awaitable<void> freeSupersededParts();
     [[nodiscard]] std::optional<TimePoint> noteKnownToAll(const std::string &model, u64 version);
+    void notePromisedByAll(const std::string &model);
+    [[nodiscard]] bool mayFreeUnused(const std::string &model, u64 version) const;
     void applyEvents(const CacheEvents &events);
 
     const GatewayDependencies &m_dependencies;
@@ -43,6 +45,8 @@
         std::optional<TimePoint> since;
     };
     std::map<std::string, KnownVersion, std::less<>> m_knownToAll; ///< by model
+    /** By model: the version below which all entries promise to use no parts. */
+    std::map<std::string, KnownVersion, std::less<>> m_promisedByAll;
     TimePoint m_lastFreeAt{};
 };
 
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -76,6 +76,25 @@
     return now - configurationAsOf < settings.maxRevocationDelay * MaxKeyAgePercent / 100;
 }
 
+void GatewayState::updateServedVersions()
+{
+    for (const auto &[model, announced] : weights) {
+        if (announced.wanted() == 0) {
+            continue;
+        }
+        std::optional<u64> lowest;
+        for (const auto &[id, endpoint] : endpoints.all()) {
+            const auto version = endpoint.registration.weightVersions.find(model);
+            if (version != endpoint.registration.weightVersions.end()) {
+                lowest = std::min(lowest.value_or(version->second), version->second);
+            }
+        }
+        if (lowest) {
+            servedVersions.noteLowestServed(model, *lowest);
+        }
+    }
+}
+
 std::optional<u64> GatewayState::soleSoftware(std::string_view service, Duration before, TimePoint now) const
 {
     const bool isKnown = endpointsKnownSince && *endpointsKnownSince <= now - before;
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -11,6 +11,7 @@
 #include <burdock/run/response_memory.hpp>
 #include <burdock/run/stream_origins.hpp>
 #include <burdock/weights/announced_weights.hpp>
+#include <burdock/weights/served_versions.hpp>
 
 #include <functional>
 #include <map>
@@ -57,6 +58,9 @@
     /** @brief Returns until when requests may start on a version of a model's weights; nothing if no newer one was announced. */
     [[nodiscard]] std::optional<TimePoint> weightExpiry(std::string_view model, u64 version, const GatewaySettings &settings) const;
 
+    /** @brief Records the lowest versions that the known endpoints have of models with superseded weights. */
+    void updateServedVersions();
+
     /** @brief The software of all endpoints of a service in that time before now; nothing if unknown or if there was more than one. */
     [[nodiscard]] std::optional<u64> soleSoftware(std::string_view service, Duration before, TimePoint now) const;
 
@@ -75,6 +79,7 @@
     cache::PartRetirement retirement;
     cache::FetchCostEstimator fetchCosts;
     std::map<std::string, weights::AnnouncedWeights, std::less<>> weights; ///< by model
+    weights::ServedVersions servedVersions;
     TimePoint weightsAsOf{}; ///< all weights that were announced before this time are known
     bool hasWeightList = false; ///< the list of announced weights was received
     /** Lower bound, in ms, of how far the endpoints' clock is ahead of this process's, so that deadlines on it are not too late. */
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -116,6 +116,10 @@
     for (const auto &[model, announced] : m_state.weights) {
         (*message.mutable_named_weights())[model] = announced.wanted();
     }
+    m_state.updateServedVersions();
+    for (const auto &[model, version] : m_state.servedVersions.promises()) {
+        (*message.mutable_lowest_versions())[model] = version;
+    }
     if (needsAnnouncementTimes()) {
         message.set_naming_question(static_cast<u64>(m_dependencies.clock.now().time_since_epoch().count()));
     }
@@ -272,6 +276,10 @@
     for (const auto &[model, version] : message.named_weights()) {
         report.announcedWeights[model] = version;
     }
+    for (const auto &[model, version] : message.lowest_versions()) {
+        report.lowestVersions[model] = version;
+        m_state.servedVersions.notePromise(model, version);
+    }
     report.loading.insert(message.loading().begin(), message.loading().end());
     report.unresponsive.insert(message.unresponsive().begin(), message.unresponsive().end());
     for (const auto &storeEvents : message.store_events()) {
--- a/lib/libburdock-gateway/source/prompt_planner.cpp
+++ b/lib/libburdock-gateway/source/prompt_planner.cpp
@@ -188,7 +188,8 @@
         return isCurrent && mayFetchFrom(store);
     };
     rules.mayFetch = [&](std::string_view part) {
-        return options.fetchDeadlineMs && m_state.retirement.mayFetch(announced, weightVersion, part, m_state.weightsAsOf, now);
+        return options.fetchDeadlineMs && m_state.servedVersions.mayFetch(m_requestMetadata.model, weightVersion)
+            && m_state.retirement.mayFetch(announced, weightVersion, part, m_state.weightsAsOf, now);
     };
     rules.isResident = [&](std::size_t index) {
         return endpoint.memory.contains(parts.hashes[index]);
--- a/lib/libburdock/include/burdock/cache/part_retirement.hpp
+++ b/lib/libburdock/include/burdock/cache/part_retirement.hpp
@@ -50,6 +50,12 @@
     [[nodiscard]] bool mayFree(const weights::AnnouncedWeights &announced, u64 version, std::string_view part,
                                std::optional<TimePoint> knownToAllSince, TimePoint now) const;
 
+    /**
+     * @brief Returns whether parts may be freed that all entries have promised not to use, whatever their age.
+     * @param promisedSince time since which all entries are known to have promised it; nothing if some may not have
+     */
+    [[nodiscard]] bool mayFreeUnused(std::optional<TimePoint> promisedSince, TimePoint now) const;
+
     [[nodiscard]] const RetirementPolicy &policy() const;
 
 private:
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -46,6 +46,7 @@
         /** The report is complete. Otherwise the loads that it does not list, `loading` and `unresponsive` are unchanged. */
         bool isSnapshot = true;
         std::map<std::string, u64, std::less<>> announcedWeights; ///< newest version known to the entry, by model
+        std::map<std::string, u64, std::less<>> lowestVersions; ///< lowest version whose stored parts the entry may use, by model
         std::unordered_set<u64> loading; ///< endpoints that the entry ordered to load weights
         std::unordered_set<u64> unresponsive; ///< endpoints that do not respond to the entry
         bool isOverloaded = false; ///< the entry has more work than it can do
@@ -58,6 +59,9 @@
     /** @brief Whether valid reports of all these entries name this weight version of a model, or a newer one. */
     [[nodiscard]] bool allReportVersion(const std::vector<std::string> &entries, std::string_view model, u64 version) const;
 
+    /** @brief The lowest version of a model whose stored parts any of these entries may use; zero if one has no valid report. */
+    [[nodiscard]] u64 lowestVersionInUse(const std::vector<std::string> &entries, std::string_view model) const;
+
     /** @brief Removes expired reports. */
     void expire(TimePoint now);
 
--- a/lib/libburdock/source/cache/part_retirement.cpp
+++ b/lib/libburdock/source/cache/part_retirement.cpp
@@ -39,6 +39,11 @@
     return now >= std::max(retiredAt, knownAt) + m_policy.maxFetchTime + m_policy.safetyMargin;
 }
 
+bool PartRetirement::mayFreeUnused(std::optional<TimePoint> promisedSince, TimePoint now) const
+{
+    return promisedSince && now >= *promisedSince + m_policy.maxFetchTime + m_policy.safetyMargin;
+}
+
 const RetirementPolicy &PartRetirement::policy() const
 {
     return m_policy;
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -1,6 +1,7 @@
 #include <burdock/endpoints/peer_loads.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace burdock::endpoints {
 
@@ -63,6 +64,21 @@
     });
 }
 
+u64 PeerLoads::lowestVersionInUse(const std::vector<std::string> &entries, std::string_view model) const
+{
+    u64 lowest = std::numeric_limits<u64>::max();
+    for (const auto &entry : entries) {
+        const auto received = m_reports.find(entry);
+        if (received == m_reports.end()) {
+            return 0;
+        }
+        const auto &versions = received->second.report.lowestVersions;
+        const auto version = versions.find(model);
+        lowest = std::min(lowest, version == versions.end() ? 0 : version->second);
+    }
+    return lowest;
+}
+
 void PeerLoads::expire(TimePoint now)
 {
     for (auto report = m_reports.begin(); report != m_reports.end();) {
