--- a/lib/libburdock/include/burdock/rollout/rollout_order.hpp
+++ b/lib/libburdock/include/burdock/rollout/rollout_order.hpp
@@ -38,7 +38,7 @@
     Unrestricted, ///< there is no order
     Limited, ///< to the target as far as ExposureLimit permits
     None, ///< to all but the target
-    Only, ///< only to the target
+    Only, ///< only to the target, as the others are about to end
 };
 
 /**
@@ -62,7 +62,7 @@
     /**
      * @brief Takes a record. Older ones than the known one are ignored.
      */
-    Change observe(const OrderRecord &record);
+    Change observe(const OrderRecord &record, TimePoint now);
 
     /** @brief Records that the order is no more. Its target gets nothing until the deadline. */
     void noteWithdrawn();
@@ -92,7 +92,7 @@
     /** @brief Records that a status is being written. */
     void noteWriting();
     /** @brief Records that a write was acknowledged. */
-    void noteWritten(OrderState state, u64 revision);
+    void noteWritten(OrderState state, u64 revision, TimePoint now);
     /** @brief Records that the record had changed; observe() follows if the store returned it. */
     void noteConflict();
 
@@ -106,8 +106,11 @@
     [[nodiscard]] TimePoint deadline() const;
 
 private:
+    void noteRecord(TimePoint now);
+
     OrderRecord m_record;
     TimePoint m_knownSince;
+    std::optional<TimePoint> m_settledAt; ///< when the decision was first seen in the record
     OrderState m_state = OrderState::Active;
     bool m_isWithdrawn = false;
     bool m_mustRead = false;
--- a/lib/libburdock/source/rollout/rollout_order.cpp
+++ b/lib/libburdock/source/rollout/rollout_order.cpp
@@ -12,6 +12,9 @@
 /** Time before the deadline at which a version that isn't bad is completed, so that the write can fail and be repeated. */
 constexpr Duration CompletionLead = std::chrono::seconds(3);
 
+/** Time after a completion in which the others end. Later ones are versions like any other. */
+constexpr Duration SettleTime = std::chrono::seconds(5);
+
 } // namespace
 
 std::string_view toString(OrderState state)
@@ -32,11 +35,11 @@
 RolloutOrder::RolloutOrder(OrderRecord record, TimePoint learntAt)
     : m_record(std::move(record))
     , m_knownSince(learntAt)
-    , m_state(m_record.isDecided() ? *m_record.state : OrderState::Active)
 {
+    noteRecord(learntAt);
 }
 
-RolloutOrder::Change RolloutOrder::observe(const OrderRecord &record)
+RolloutOrder::Change RolloutOrder::observe(const OrderRecord &record, TimePoint now)
 {
     if (record.revision < m_record.revision) {
         return Change::None;
@@ -49,10 +52,16 @@
     m_record = record;
     m_isWithdrawn = false;
     m_mustRead = false;
+    noteRecord(now);
+    return Change::None;
+}
+
+void RolloutOrder::noteRecord(TimePoint now)
+{
     if (m_record.isDecided()) {
         m_state = *m_record.state;
+        m_settledAt = m_settledAt.value_or(now);
     }
-    return Change::None;
 }
 
 void RolloutOrder::noteWithdrawn()
@@ -110,13 +119,14 @@
     m_mustRead = true;
 }
 
-void RolloutOrder::noteWritten(OrderState state, u64 revision)
+void RolloutOrder::noteWritten(OrderState state, u64 revision, TimePoint now)
 {
     m_mustRead = false;
     if (revision > m_record.revision) {
         m_record.state = state;
         m_record.stateTarget = m_record.target;
         m_record.revision = revision;
+        noteRecord(now);
     }
 }
 
@@ -133,7 +143,10 @@
     switch (m_state) {
     case OrderState::Completed:
         // The others end only once the decision stands in the record, and until then the target's share holds.
-        return m_record.isDecided() ? TargetUse::Only : TargetUse::None;
+        if (!m_settledAt) {
+            return TargetUse::None;
+        }
+        return now < *m_settledAt + SettleTime ? TargetUse::Only : TargetUse::Unrestricted;
     case OrderState::Reverted:
         return TargetUse::None;
     default:
--- a/lib/libburdock/source/rollout/rollout_table.cpp
+++ b/lib/libburdock/source/rollout/rollout_table.cpp
@@ -10,7 +10,7 @@
         return Event::Started;
     }
     auto &entry = known->second;
-    if (entry.order.observe(record) == RolloutOrder::Change::None) {
+    if (entry.order.observe(record, now) == RolloutOrder::Change::None) {
         return Event::Known;
     }
     const bool wasUndecided = entry.order.state() == OrderState::Active;
--- a/tests/unit/rollout_order_test.cpp
+++ b/tests/unit/rollout_order_test.cpp
@@ -56,7 +56,7 @@
     RolloutOrder order(makeRecord(6), Start);
     CHECK((order.dueWrite() == OrderState::Active));
     order.noteWriting();
-    order.noteWritten(OrderState::Active, 7);
+    order.noteWritten(OrderState::Active, 7, Start + OrderTime);
     CHECK_FALSE(order.dueWrite().has_value());
     const auto verdict = makeVerdict(200, 2);
     order.decide(verdict, Start + OrderTime - 3001ms);
@@ -92,10 +92,18 @@
     order.decide(makeVerdict(200, 2), Start + OrderTime);
     CHECK((order.targetUse(Start + OrderTime) == TargetUse::None));
     order.noteWriting();
-    order.noteWritten(OrderState::Completed, 7);
+    order.noteWritten(OrderState::Completed, 7, Start + OrderTime);
     CHECK((order.targetUse(Start + OrderTime) == TargetUse::Only));
 }
 
+// Guards against a service without replicas to use, as a completed order still lies there when its replicas are replaced by later ones.
+TEST_CASE("a completed order doesn't keep later versions out")
+{
+    RolloutOrder order(makeRecord(6, OrderState::Completed), Start);
+    CHECK((order.targetUse(Start + 4s) == TargetUse::Only));
+    CHECK((order.targetUse(Start + 6s) == TargetUse::Unrestricted));
+}
+
 // Guards against a second write on top of one that was carried out without an answer.
 TEST_CASE("after a write without an answer nothing is written before the record was read")
 {
@@ -107,12 +115,12 @@
     CHECK_FALSE(order.dueWrite().has_value());
     SUBCASE("it wasn't carried out")
     {
-        order.observe(makeRecord(6, OrderState::Active));
+        order.observe(makeRecord(6, OrderState::Active), Start);
         CHECK((order.dueWrite() == OrderState::Reverted));
     }
     SUBCASE("it was carried out")
     {
-        order.observe(makeRecord(7, OrderState::Reverted));
+        order.observe(makeRecord(7, OrderState::Reverted), Start);
         CHECK_FALSE(order.dueWrite().has_value());
         CHECK((order.state() == OrderState::Reverted));
     }
@@ -126,7 +134,7 @@
     order.noteWriting();
     order.noteConflict();
     CHECK_FALSE(order.dueWrite().has_value());
-    order.observe(makeRecord(8, OrderState::Completed));
+    order.observe(makeRecord(8, OrderState::Completed), Start);
     CHECK((order.state() == OrderState::Completed));
     CHECK_FALSE(order.dueWrite().has_value());
     order.decide(makeVerdict(30, 20), Start + 2s);
@@ -139,9 +147,9 @@
 TEST_CASE("a decision stays when an older record is read")
 {
     RolloutOrder order(makeRecord(9, OrderState::Reverted), Start);
-    CHECK((order.observe(makeRecord(6)) == RolloutOrder::Change::None));
+    CHECK((order.observe(makeRecord(6), Start) == RolloutOrder::Change::None));
     CHECK((order.state() == OrderState::Reverted));
-    CHECK((order.observe(makeRecord(10, OrderState::Active)) == RolloutOrder::Change::None));
+    CHECK((order.observe(makeRecord(10, OrderState::Active), Start) == RolloutOrder::Change::None));
     CHECK((order.state() == OrderState::Reverted));
 }
 
