Follow orders to move a service to another software version

Cause: an order of the operator's API had no effect; replicas of a new version got traffic like all others from their first moment.

Change, only where the settings name roll-outs ("contracts", filled in by the platform): one watch of the orders more; RolloutTracker chooses endpoints by their version and tells the other gateways what it observed; RolloutTrial observes one request; RolloutController decides under a lease of its own and writes the status under the record's revision. Readiness waits for the list of orders. The stand-in for the platform's store knows statuses and creation revisions. Where the settings don't name roll-outs nothing is watched, and selection is called as before.

The template of deploy/ was not rendered here.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -30,6 +30,8 @@
     /** Requests that a cold endpoint may get in any second over all entries: its service's rate times coldFactor, plus coldSlack. */
     double coldFactor = 1;
     double coldSlack = 0;
+    bool followsRollouts = false; ///< whether orders to move a service to another software version are followed
+    double rolloutShare = 0.1; ///< largest share of a service's requests that may go to the target of an undecided order
     u64 responseBytes = 0; ///< memory for responses that are read before they are forwarded
     u32 maxCallerConnections = 0; ///< further connections are closed; zero means unlimited
 };
--- a/lib/libburdock-gateway/include/burdock/gateway/platform_store.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/platform_store.hpp
@@ -20,6 +20,7 @@
     Weights,
     Entries, ///< written by this project: the running entries
     Duties, ///< written by this project: leader leases
+    Rollouts, ///< orders to move a service to another software version; this project writes their status
 };
 
 /** @brief Returns the name of a kind in logs and metrics. */
@@ -30,6 +31,9 @@
     std::string name;
     u64 revision = 0; ///< of the object's last change
     boost::json::value spec;
+    boost::json::value status; ///< null if there is none; only read for kinds whose status matters
+    boost::json::value metadata; ///< as the store gave it, for writing the status; only read for these kinds
+    u64 createdRevision = 0; ///< of the store when the object was created; only read for these kinds
 };
 
 /** @brief Required consistency of a list. */
@@ -79,6 +83,11 @@
                                                                     const boost::json::value &spec, std::optional<u64> revision)
         = 0;
 
+    /** @brief Writes the status of an object, with the rest as it was read, if it still has the revision of that time. */
+    [[nodiscard]] virtual boost::asio::awaitable<ObjectWrite> writeStatus(ObjectKind kind, const StoredObject &object,
+                                                                          const boost::json::value &status)
+        = 0;
+
     [[nodiscard]] virtual boost::asio::awaitable<StoreResult> remove(ObjectKind kind, const std::string &name) = 0;
 };
 
--- a/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
@@ -2,6 +2,8 @@
 
 #include <burdock/cache/part_index.hpp>
 #include <burdock/endpoints/endpoint_table.hpp>
+#include <burdock/gateway/platform_store.hpp>
+#include <burdock/rollout/rollout_order.hpp>
 #include <burdock/routing/configuration.hpp>
 #include <burdock/runtime/http/message.hpp>
 #include <burdock/weights/leader_lease.hpp>
@@ -147,6 +149,10 @@
                                                                                   const boost::json::value &spec) const = 0;
     [[nodiscard]] virtual std::optional<AnnouncedWeights> readAnnouncedWeights(const boost::json::value &spec) const = 0;
 
+    /** @brief Reads an order to move a service to another software version. */
+    [[nodiscard]] virtual std::optional<rollout::OrderRecord> readRolloutOrder(const StoredObject &object) const = 0;
+    [[nodiscard]] virtual boost::json::value rolloutStatus(rollout::OrderState state, std::string_view target) const = 0;
+
     [[nodiscard]] virtual runtime::http::Request engineStatusRequest() const = 0;
     [[nodiscard]] virtual std::optional<EngineStatus> readEngineStatus(std::string_view body) const = 0;
     [[nodiscard]] virtual runtime::http::Request orderRequest(const WeightOrder &order) const = 0;
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -5,6 +5,7 @@
 #include "load_exchange.hpp"
 #include "object_watcher.hpp"
 #include "request_forwarder.hpp"
+#include "rollout_controller.hpp"
 #include "weight_rollout_controller.hpp"
 
 #include <burdock/clients/json_fields.hpp>
@@ -115,7 +116,9 @@
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
         , m_permits(m_dependencies, m_settings, m_state, m_peerSocket, m_limitObserver)
-        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits)
+        , m_rollouts(m_dependencies, m_settings, m_state)
+        , m_softwareController(m_dependencies, m_settings, m_state, m_rollouts)
+        , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits, m_rollouts)
         , m_rolloutController(m_dependencies, m_settings, m_state, m_limitObserver, m_permits)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
@@ -139,6 +142,11 @@
             spawn(watcher->run());
         }
         spawn(m_rolloutController.run());
+        if (m_settings.followsRollouts) {
+            spawn(m_softwareController.follow());
+            spawn(m_softwareController.decide());
+            spawn(m_softwareController.write());
+        }
         spawn(housekeeping());
         spawn(logStoreCalls());
         spawn(maintainEntryList());
@@ -220,7 +228,7 @@
     [[nodiscard]] bool isReady() const
     {
         const bool hasLists = m_state.routes && m_state.endpointsKnownSince && m_state.hasEvacuationList && m_state.hasWeightList;
-        return hasLists && !m_state.isDraining && m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings);
+        return hasLists && m_rollouts.isReady() && !m_state.isDraining && m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings);
     }
 
     [[nodiscard]] http::Response readinessResponse() const
@@ -656,7 +664,9 @@
     OriginExchange m_origins;
     LimitObserver m_limitObserver;
     PermitExchange m_permits;
-    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_permits};
+    RolloutTracker m_rollouts;
+    RolloutController m_softwareController;
+    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_permits, m_rollouts};
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
     std::set<std::string, std::less<>> m_evacuatedZones;
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -38,13 +38,14 @@
 } // namespace
 
 LoadExchange::LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                           PeerSocket &socket, OriginExchange &origins, PermitExchange &permits)
+                           PeerSocket &socket, OriginExchange &origins, PermitExchange &permits, RolloutTracker &rollouts)
     : m_dependencies(dependencies)
     , m_settings(settings)
     , m_state(state)
     , m_socket(socket)
     , m_origins(origins)
     , m_permits(permits)
+    , m_rollouts(rollouts)
     , m_startedAt(dependencies.clock.now())
 {
 }
@@ -53,7 +54,7 @@
 {
     while (true) {
         // Messages also carry other knowledge of this entry, so an idle entry keeps sending.
-        const bool isBusy = m_state.activeRequests > 0 || needsAnnouncementTimes();
+        const bool isBusy = m_state.activeRequests > 0 || needsAnnouncementTimes() || m_rollouts.needsHolder();
         const auto period = endpoints::LoadReporter::period(m_socket.peerCount());
         co_await runtime::sleepFor(isBusy ? period : std::max(IdlePeriod, period));
         const std::string message = nextMessage();
@@ -127,6 +128,7 @@
     }
     addCrashFeatures(message);
     m_permits.addLimits(message);
+    m_rollouts.addNews(message);
     for (const auto &placed : m_state.outgoingPlacements) {
         auto *out = message.add_placed();
         out->set_endpoint(placed.endpoint);
@@ -289,6 +291,7 @@
         }
     }
     m_permits.applyReport(message);
+    m_rollouts.applyNews(message);
     for (const auto &feature : message.crash_features()) {
         m_state.crashes.merge(schema::toRecord(feature), m_dependencies.clock.now());
     }
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "origin_exchange.hpp"
 #include "permit_exchange.hpp"
+#include "rollout_tracker.hpp"
 
 #include <burdock/endpoints/load_reporter.hpp>
 
@@ -20,9 +21,10 @@
     /**
      * @param origins handles the messages about streams
      * @param permits handles the messages about limits of endpoints
+     * @param rollouts tells and takes what is known of roll-outs
      */
     LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, PeerSocket &socket,
-                 OriginExchange &origins, PermitExchange &permits);
+                 OriginExchange &origins, PermitExchange &permits, RolloutTracker &rollouts);
 
     /** @brief Sends load messages to all peers until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> send();
@@ -45,6 +47,7 @@
     PeerSocket &m_socket;
     OriginExchange &m_origins;
     PermitExchange &m_permits;
+    RolloutTracker &m_rollouts;
     TimePoint m_startedAt;
     u64 m_sequence = 0;
     endpoints::LoadReporter m_loadReporter;
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -1,12 +1,13 @@
 #include "request_forwarder.hpp"
 
+#include "part_summary.hpp"
+
 #include <burdock/endpoints/prompt_memory.hpp>
 #include <burdock/hash/digest.hpp>
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
 #include <limits>
-#include <sstream>
 
 namespace burdock::gateway {
 
@@ -43,11 +44,6 @@
     return status >= StatusOk && status < StatusMultipleChoices;
 }
 
-u64 countNonEmpty(const std::vector<std::string> &addresses)
-{
-    return static_cast<u64>(std::count_if(addresses.begin(), addresses.end(), [](const std::string &address) { return !address.empty(); }));
-}
-
 Duration retryAfter(const endpoints::Selection &selection)
 {
     switch (selection.reason) {
@@ -65,17 +61,6 @@
     return framing ? toString(*framing) : std::string_view("none");
 }
 
-/** @brief Formats the shared parts of a prompt for the log: hash:tokens:disposition, with +save if the part is to be saved. */
-std::string formatParts(const cache::PartPlan &plan, const std::vector<cache::PromptPart> &parts, std::string_view salt)
-{
-    std::ostringstream text;
-    for (std::size_t i = 0; i < plan.dispositions.size(); ++i) {
-        text << (i == 0 ? "" : ",") << std::hex << cache::partHash(salt, parts[i].id) << std::dec;
-        text << ':' << parts[i].tokens << ':' << toString(plan.dispositions[i]) << (plan.saveTo[i].empty() ? "" : "+save");
-    }
-    return text.str();
-}
-
 } // namespace
 
 RequestForwarder::RequestForwarder(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
@@ -243,8 +228,7 @@
 {
     Attempt lastAttempt;
     while (true) {
-        const auto now = m_dependencies.clock.now();
-        m_selection = m_state.endpoints.choose(makeSelectionRequest(), now);
+        m_selection = m_services.rollouts.choose(makeSelectionRequest());
         if (m_selection.reason != endpoints::SelectionFailure::None) {
             const Rejection rejection{503, toString(m_selection.reason), retryAfter(m_selection)};
             co_await stopTrying(rejection, lastAttempt);
@@ -392,9 +376,11 @@
     m_responseShare.emplace(m_state.responseMemory);
     m_isResponseTooLong = false;
     m_state.endpoints.noteSent(id, m_selection.cost, m_sentAt);
+    m_rolloutTrial.noteSent(*endpoint, m_route->name, m_requestMetadata, m_selection, m_sentAt);
     attempt.outcome = co_await exchange(id, request, attempt);
     m_connection.reset();
     const auto now = m_dependencies.clock.now();
+    m_rolloutTrial.noteEnd(attempt.outcome, m_isCallerDisconnected, now);
     const endpoints::RequestCost remainingCost{m_selection.cost.memory, m_isPrefillPending ? m_selection.cost.prefill : 0};
     const auto ejectedFor = m_state.endpoints.noteEnd(id, m_selection.startTimeMs, remainingCost, attempt.outcome, now);
     if (ejectedFor > Duration::zero()) {
@@ -586,6 +572,7 @@
         noteHeard(id);
         noteFirstEvent(id);
         m_crashGuard->noteEvent(m_dependencies.clock.now());
+        m_rolloutTrial.noteEvent(m_dependencies.clock.now());
         const auto events = m_sseSplitter.append(chunk.data);
         httpChunks = events.empty() ? httpChunks + chunk.httpChunks : 0;
         const bool hasMemory = m_responseShare->tryResize(m_sseSplitter.incompleteBytes(), httpChunks);
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -5,6 +5,7 @@
 #include "origin_exchange.hpp"
 #include "permit_exchange.hpp"
 #include "prompt_planner.hpp"
+#include "rollout_trial.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
 #include <burdock/run/response_memory.hpp>
@@ -22,6 +23,7 @@
     OriginExchange &origins;
     LimitObserver &limits;
     PermitExchange &permits;
+    RolloutTracker &rollouts;
 };
 
 /** @brief Handles one request of a caller: validates it, forwards it to endpoints with retries, and sends the final response. */
@@ -105,6 +107,7 @@
     TimePoint m_sentAt{};
     TimePoint m_startDeadline{}; ///< of the current attempt: time by which the engine must have started the request
     bool m_isPrefillPending = false;
+    RolloutTrial m_rolloutTrial{m_services.rollouts};
     std::optional<CrashGuard> m_crashGuard; ///< set once the request has passed the first checks
     std::set<std::string, std::less<>> m_triedEndpoints;
     retry::AttemptHistory m_history;
--- a/lib/libburdock-gateway/source/weight_rollout_controller.cpp
+++ b/lib/libburdock-gateway/source/weight_rollout_controller.cpp
@@ -1,7 +1,5 @@
 #include "weight_rollout_controller.hpp"
 
-#include <burdock/clients/json_fields.hpp>
-#include <burdock/hash/digest.hpp>
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/runtime/sleep.hpp>
 
@@ -9,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/json.hpp>
 
 namespace burdock::gateway {
 
@@ -21,8 +18,6 @@
 /** Period of the main loop, with and without replicas to update. */
 constexpr Duration BusyPeriod = std::chrono::milliseconds(100);
 constexpr Duration IdlePeriod = std::chrono::milliseconds(300);
-/** How often processes other than the leader read the lease while there are replicas to update. */
-constexpr Duration LeaseReadPeriod = std::chrono::milliseconds(400);
 /** Time after which a replica that still lacks the ordered weights is ordered again. */
 constexpr Duration OrderRetryDelay = std::chrono::milliseconds(4000);
 /** How often replicas with a pending order are polled for their status. */
@@ -34,68 +29,6 @@
 constexpr Duration MaxClockSkew = std::chrono::milliseconds(2500);
 constexpr const char *LeaseName = "weights";
 
-boost::json::array toJson(const weights::AnnouncementHistory &history)
-{
-    boost::json::array items;
-    for (const auto &announcement : history) {
-        boost::json::object item{{"version", announcement.version}};
-        if (announcement.notBefore) {
-            item["unix_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*announcement.notBefore).count();
-        }
-        items.push_back(std::move(item));
-    }
-    return items;
-}
-
-weights::AnnouncementHistory parseHistory(const boost::json::array &items)
-{
-    weights::AnnouncementHistory history;
-    for (const auto &value : items) {
-        if (const auto *item = value.if_object()) {
-            const u64 unixMs = clients::numberOf(*item, "unix_ms");
-            const auto notBefore = unixMs > 0 ? std::optional<Duration>(std::chrono::milliseconds(unixMs)) : std::nullopt;
-            history.push_back({clients::numberOf(*item, "version"), notBefore});
-        }
-    }
-    return history;
-}
-
-boost::json::value toJson(const weights::LeaseRecord &record)
-{
-    boost::json::object announced;
-    for (const auto &[model, announcements] : record.announced) {
-        announced[model] = toJson(announcements);
-    }
-    boost::json::array subjects(record.subjects.begin(), record.subjects.end());
-    return {{"vm", record.vm},         {"boot", record.bootId},           {"token", record.token},
-            {"beat", record.renewals}, {"subjects", std::move(subjects)}, {"named", std::move(announced)}};
-}
-
-std::optional<weights::LeaseRecord> parseLease(const boost::json::value &spec)
-{
-    const auto *object = spec.if_object();
-    if (object == nullptr || clients::textOf(*object, "vm").empty()) {
-        return std::nullopt;
-    }
-    weights::LeaseRecord record{clients::textOf(*object, "vm"),
-                                clients::numberOf(*object, "boot"),
-                                clients::numberOf(*object, "token"),
-                                clients::numberOf(*object, "beat"),
-                                {},
-                                {}};
-    for (const auto &subject : clients::arrayOf(*object, "subjects")) {
-        if (const auto *text = subject.if_string()) {
-            record.subjects.emplace(*text);
-        }
-    }
-    for (const auto &[model, value] : clients::objectOf(*object, "named")) {
-        if (const auto *announcements = value.if_array()) {
-            record.announced[std::string(model)] = parseHistory(*announcements);
-        }
-    }
-    return record;
-}
-
 u64 weightVersionOf(const endpoints::Endpoint &endpoint, std::string_view model)
 {
     const auto version = endpoint.registration.weightVersions.find(model);
@@ -117,7 +50,7 @@
     , m_state(state)
     , m_limits(limits)
     , m_permits(permits)
-    , m_lease(settings.name, dependencies.random.word() >> 1, settings.minOrderInterval)
+    , m_keeper(dependencies, settings, state, LeaseName)
     , m_vmName(settings.name)
 {
 }
@@ -132,8 +65,8 @@
             continue;
         }
         const auto orders = dueOrders();
-        co_await maintainLease(orders);
-        noteLeadership();
+        co_await m_keeper.maintain(subjectsOf(orders));
+        m_isLeader = m_keeper.noteLeadership();
         if (m_isLeader) {
             pollOrderedReplicas();
             sendOrders(orders);
@@ -146,18 +79,18 @@
 // After all processes were killed at once, no process knows when weights were announced; the lease record holds approximate times.
 boost::asio::awaitable<void> WeightRolloutController::loadAnnouncementTimes()
 {
-    for (u32 tries = 0; tries < LeaseReadAttempts && m_lease.record() == nullptr; ++tries) {
-        co_await readLease();
+    for (u32 tries = 0; tries < LeaseReadAttempts && m_keeper.lease().record() == nullptr; ++tries) {
+        co_await m_keeper.read();
         co_await runtime::sleepFor(IdlePeriod);
     }
     while (!m_state.hasWeightList) {
         co_await runtime::sleepFor(IdlePeriod);
     }
-    if (m_lease.record() == nullptr) {
+    if (m_keeper.lease().record() == nullptr) {
         co_return;
     }
     const auto now = m_dependencies.clock.now();
-    for (const auto &[model, announced] : m_lease.record()->announced) {
+    for (const auto &[model, announced] : m_keeper.lease().record()->announced) {
         const auto estimate = weights::shiftedBy(announced, -wallClockOffset(now) - MaxClockSkew);
         m_state.weights[model].setEstimate(estimate, now);
         m_dependencies.logger.event(LogLevel::Info, "weights_age_learnt",
@@ -190,71 +123,13 @@
     return false;
 }
 
-boost::asio::awaitable<void> WeightRolloutController::maintainLease(const std::vector<DueOrder> &orders)
+std::vector<std::string> WeightRolloutController::subjectsOf(const std::vector<DueOrder> &orders)
 {
     std::vector<std::string> subjects;
     for (const auto &order : orders) {
         subjects.push_back(order.endpoint);
     }
-    const auto now = m_dependencies.clock.now();
-    // Entries that come first by hash read more often, so that the number of calls doesn't grow with the number of entries.
-    if (!m_lease.mayAct(now) && now - m_lastLeaseReadAt >= LeaseReadPeriod * (1 + rank())) {
-        co_await readLease();
-    }
-    const auto write = m_lease.nextWrite(subjects, m_dependencies.clock.now());
-    if (write) {
-        co_await writeLease(*write);
-    }
-}
-
-int WeightRolloutController::rank() const
-{
-    const auto score = [](const std::string &entry) {
-        return hash::hash64(entry);
-    };
-    return static_cast<int>(std::count_if(m_state.entryNames.begin(), m_state.entryNames.end(),
-                                          [&](const std::string &entry) { return score(entry) > score(m_vmName); }));
-}
-
-boost::asio::awaitable<void> WeightRolloutController::readLease()
-{
-    m_lastLeaseReadAt = m_dependencies.clock.now();
-    const auto list = co_await m_dependencies.store.list(ObjectKind::Duties, Freshness::Current);
-    if (list.status != StoreResult::Found) {
-        co_return;
-    }
-    std::optional<weights::LeaseRecord> record;
-    u64 revision = 0;
-    for (const auto &item : list.items) {
-        if (item.name == LeaseName) {
-            record = parseLease(item.spec);
-            revision = item.revision;
-        }
-    }
-    m_lease.observe(record, revision, m_dependencies.clock.now());
-}
-
-boost::asio::awaitable<void> WeightRolloutController::writeLease(const weights::LeaderLease::Write &write)
-{
-    const auto started = m_dependencies.clock.now();
-    const auto spec = toJson(write.record);
-    const auto result = co_await m_dependencies.store.write(ObjectKind::Duties, LeaseName, spec, write.revision);
-    const auto now = m_dependencies.clock.now();
-    if (result.status == StoreResult::Written) {
-        m_lease.noteWritten(write.record, result.revision, started, now);
-    } else if (result.present) {
-        m_lease.observe(parseLease(result.present->spec), result.present->revision, now);
-    }
-}
-
-void WeightRolloutController::noteLeadership()
-{
-    const bool isLeader = m_lease.mayAct(m_dependencies.clock.now());
-    if (isLeader != m_isLeader) {
-        m_isLeader = isLeader;
-        m_dependencies.logger.event(LogLevel::Info, isLeader ? "duty_gained" : "duty_lost",
-                                    {{"duty", LeaseName}, {"token", m_lease.token()}});
-    }
+    return subjects;
 }
 
 std::vector<WeightRolloutController::DueOrder> WeightRolloutController::dueOrders()
@@ -262,11 +137,11 @@
     const auto now = m_dependencies.clock.now();
     std::vector<DueOrder> orders;
     for (const auto &[model, announced] : m_state.weights) {
-        m_lease.setAnnounced(model, weights::shiftedBy(announced.history(), wallClockOffset(now)));
+        m_keeper.lease().setAnnounced(model, weights::shiftedBy(announced.history(), wallClockOffset(now)));
         auto &rollout = m_rollouts.try_emplace(model, OrderRetryDelay).first->second;
         auto replicas = replicasOf(model);
         for (const auto &id : rollout.nextReplicas(announced.wanted(), replicas, now)) {
-            if (!m_lease.isBlocked(id, now)) {
+            if (!m_keeper.lease().isBlocked(id, now)) {
                 orders.push_back({id, model, announced.wanted()});
             }
         }
@@ -279,10 +154,10 @@
     const auto now = m_dependencies.clock.now();
     for (const auto &order : orders) {
         const auto *endpoint = m_state.endpoints.find(order.endpoint);
-        if (endpoint == nullptr || !m_lease.mayActOn(order.endpoint, now)) {
+        if (endpoint == nullptr || !m_keeper.lease().mayActOn(order.endpoint, now)) {
             continue;
         }
-        m_lease.noteAct(order.endpoint, now);
+        m_keeper.lease().noteAct(order.endpoint, now);
         m_rollouts.at(order.model).noteOrdered(order.endpoint, order.version, now);
         auto work = sendOrder(order.endpoint, endpoint->registration.address, order.model, order.version);
         boost::asio::co_spawn(m_dependencies.context, std::move(work), boost::asio::detached);
@@ -327,11 +202,11 @@
         rollout.noteRefused(id, m_dependencies.clock.now());
         co_return;
     }
-    if (!m_lease.mayActOn(id, m_dependencies.clock.now())) {
+    if (!m_keeper.lease().mayActOn(id, m_dependencies.clock.now())) {
         rollout.noteRefused(id, m_dependencies.clock.now());
         co_return;
     }
-    const WeightOrder order{model, version, m_vmName, m_lease.token(), status->acceptedOrders, id};
+    const WeightOrder order{model, version, m_vmName, m_keeper.lease().token(), status->acceptedOrders, id};
     const auto request = m_dependencies.codec.orderRequest(order);
     const auto result = co_await callEngine(id, address, request);
     const auto orderResult = result.progress == http::Progress::Answered ? m_dependencies.codec.readOrderResult(result.response.status)
--- a/lib/libburdock-gateway/source/weight_rollout_controller.hpp
+++ b/lib/libburdock-gateway/source/weight_rollout_controller.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "lease_keeper.hpp"
 #include "permit_exchange.hpp"
 
 #include <burdock/runtime/http/client.hpp>
-#include <burdock/weights/leader_lease.hpp>
 #include <burdock/weights/weight_rollout.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -31,28 +31,23 @@
     [[nodiscard]] std::vector<weights::ReplicaWeights> replicasOf(std::string_view model) const;
     [[nodiscard]] boost::asio::awaitable<void> loadAnnouncementTimes();
     [[nodiscard]] bool hasOutdatedReplicas() const;
-    [[nodiscard]] boost::asio::awaitable<void> maintainLease(const std::vector<DueOrder> &orders);
-    [[nodiscard]] boost::asio::awaitable<void> readLease();
-    [[nodiscard]] boost::asio::awaitable<void> writeLease(const weights::LeaderLease::Write &write);
+    [[nodiscard]] static std::vector<std::string> subjectsOf(const std::vector<DueOrder> &orders);
     [[nodiscard]] std::vector<DueOrder> dueOrders();
     void sendOrders(const std::vector<DueOrder> &orders);
     void pollOrderedReplicas();
     void updateLoading();
-    [[nodiscard]] int rank() const;
     [[nodiscard]] boost::asio::awaitable<void> sendOrder(std::string id, std::string address, std::string model, u64 version);
     [[nodiscard]] boost::asio::awaitable<runtime::http::Exchange> callEngine(std::string id, std::string address,
                                                                              runtime::http::Request request);
     [[nodiscard]] boost::asio::awaitable<std::optional<EngineStatus>> readStatus(const std::string &id, const std::string &address);
     [[nodiscard]] boost::asio::awaitable<void> pollReplica(std::string id, std::string model);
-    void noteLeadership();
 
     const GatewayDependencies &m_dependencies;
     GatewayState &m_state;
     LimitObserver &m_limits;
     PermitExchange &m_permits;
-    weights::LeaderLease m_lease;
+    LeaseKeeper m_keeper;
     std::map<std::string, weights::WeightRollout, std::less<>> m_rollouts;
-    TimePoint m_lastLeaseReadAt{};
     TimePoint m_lastPolledAt{};
     bool m_isLeader = false;
     std::string m_vmName;
--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -253,6 +253,12 @@
     requireInRange(settings.cold_slack(), 0, MaxRequestCount, "$.cold_slack", faults);
     requireInRange(settings.descriptors(), 0, MaxDescriptors, "$.descriptors", faults);
     requireInRange(settings.memory_mb(), 0, MaxMemoryMegabytes, "$.memory_mb", faults);
+    const auto isShare = [](double share) {
+        return share >= 0 && share <= 1;
+    };
+    require(settings.expose_share_size() <= 1, "$.expose_share", "must have at most one value", faults);
+    require(std::all_of(settings.expose_share().begin(), settings.expose_share().end(), isShare), "$.expose_share", "must be from 0 to 1",
+            faults);
     require(settings.retry_share() >= 0 && settings.retry_share() <= 1, "$.retry_share", "must be from 0 to 1", faults);
 }
 
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -119,6 +119,11 @@
     u32 priority = 0; ///< 0 is the most urgent
     bool mayAskPermit = false; ///< whether the caller can ask another entry for a permit
     std::optional<u64> software; ///< if set, only endpoints with this Endpoint::software are selected
+    /** Whether an endpoint's software version may be used at all. May be empty, which means that all may. */
+    std::function<bool(const Endpoint &)> mayUse;
+
+    /** @brief Returns whether the request may be sent to an endpoint with that software. */
+    [[nodiscard]] bool acceptsSoftwareOf(const Endpoint &endpoint) const;
 };
 
 /** @brief Why no endpoint was selected. */
--- a/lib/libburdock/include/burdock/rollout/rollout_order.hpp
+++ b/lib/libburdock/include/burdock/rollout/rollout_order.hpp
@@ -99,6 +99,8 @@
     /** @brief Returns which replicas may be used now. */
     [[nodiscard]] TargetUse targetUse(TimePoint now) const;
 
+    [[nodiscard]] bool isWithdrawn() const;
+
     /** @brief Returns whether the order has no effect any more. */
     [[nodiscard]] bool isOver(TimePoint now) const;
 
--- a/lib/libburdock/include/burdock/rollout/rollout_table.hpp
+++ b/lib/libburdock/include/burdock/rollout/rollout_table.hpp
@@ -43,6 +43,7 @@
     void removeOld(TimePoint now);
 
     [[nodiscard]] RolloutOrder *find(std::string_view service);
+    [[nodiscard]] const RolloutOrder *find(std::string_view service) const;
     [[nodiscard]] std::vector<std::string> services() const;
 
     [[nodiscard]] SoftwareRule rule(std::string_view service, TimePoint now) const;
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -630,7 +630,7 @@
     if (registration.service != request.service || registration.isDraining || endpoint.isDeregistered) {
         return false;
     }
-    if (request.software && endpoint.software != *request.software) {
+    if (!request.acceptsSoftwareOf(endpoint)) {
         return false;
     }
     if (m_evacuatedZones.count(registration.zone) > 0 || request.tried.count(registration.id) > 0) {
--- /dev/null
+++ b/lib/libburdock/source/endpoints/selection_request.cpp
@@ -0,0 +1,10 @@
+#include <burdock/endpoints/endpoint_table.hpp>
+
+namespace burdock::endpoints {
+
+bool SelectionRequest::acceptsSoftwareOf(const Endpoint &endpoint) const
+{
+    return (!software || endpoint.software == *software) && (!mayUse || mayUse(endpoint));
+}
+
+} // namespace burdock::endpoints
--- a/lib/libburdock/source/rollout/rollout_order.cpp
+++ b/lib/libburdock/source/rollout/rollout_order.cpp
@@ -154,6 +154,11 @@
     }
 }
 
+bool RolloutOrder::isWithdrawn() const
+{
+    return m_isWithdrawn;
+}
+
 bool RolloutOrder::isOver(TimePoint now) const
 {
     return m_isWithdrawn && now >= deadline();
--- a/lib/libburdock/source/rollout/rollout_table.cpp
+++ b/lib/libburdock/source/rollout/rollout_table.cpp
@@ -61,6 +61,12 @@
     return known == m_entries.end() ? nullptr : &known->second.order;
 }
 
+const RolloutOrder *RolloutTable::find(std::string_view service) const
+{
+    const auto known = m_entries.find(service);
+    return known == m_entries.end() ? nullptr : &known->second.order;
+}
+
 std::vector<std::string> RolloutTable::services() const
 {
     std::vector<std::string> names;
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -2,11 +2,13 @@
 
 #include <burdock/admission/connection_shedding.hpp>
 #include <burdock/gateway/gateway.hpp>
+#include <burdock/platform/contract_names.hpp>
 #include <burdock/platform/http_platform_store.hpp>
 #include <burdock/platform/http_protocol_codec.hpp>
 #include <burdock/run/response_memory.hpp>
 #include <burdock/schema/document.hpp>
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <functional>
@@ -50,6 +52,9 @@
     settings.minOrderInterval = fromMilliseconds(document.order_pause_ms()) + Duration(1);
     settings.coldFactor = document.cold_factor() > 0 ? document.cold_factor() : settings.coldFactor;
     settings.coldSlack = document.cold_slack();
+    const auto &contracts = document.contracts();
+    settings.followsRollouts = std::find(contracts.begin(), contracts.end(), platform::RolloutContract) != contracts.end();
+    settings.rolloutShare = document.expose_share_size() > 0 ? document.expose_share(0) : settings.rolloutShare;
     settings.responseBytes = run::responseMemoryBytes(static_cast<u32>(document.memory_mb()));
     settings.maxCallerConnections
         = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -38,13 +38,17 @@
     void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
     void erase(const std::string &kind, const std::string &name);
     [[nodiscard]] boost::json::value spec(const std::string &kind, const std::string &name) const;
+    /** @brief Status of an object; null if there is none. Removed when the object is put again. */
+    [[nodiscard]] boost::json::value status(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::size_t count(const std::string &kind) const;
 
 private:
     struct Object
     {
         boost::json::value spec;
+        boost::json::value status;
         u64 revision = 0;
+        u64 createdRevision = 0;
     };
     struct Change
     {
@@ -52,7 +56,7 @@
         std::string kind;
         std::string name;
         bool isDeleted = false;
-        boost::json::value spec;
+        Object object;
     };
     using Key = std::pair<std::string, std::string>;
 
@@ -64,7 +68,8 @@
     [[nodiscard]] bool hasChanges(const std::string &kind, u64 revision) const;
     [[nodiscard]] runtime::http::Response write(const runtime::http::Request &request, const std::string &kind, const std::string &name);
     [[nodiscard]] runtime::http::Response remove(const std::string &kind, const std::string &name);
-    void noteChange(const std::string &kind, const std::string &name, bool isDeleted, const boost::json::value &spec);
+    void noteChange(const std::string &kind, const std::string &name, bool isDeleted, const boost::json::value &spec,
+                    const boost::json::value &status = nullptr);
 
     mutable std::mutex m_mutex;
     std::map<Key, Object> m_objects;
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -14,9 +14,17 @@
 
 constexpr Duration PollInterval = std::chrono::milliseconds(5);
 
-json::object objectJson(const std::string &name, u64 revision, const json::value &spec)
+template <typename Object>
+json::object objectJson(const std::string &name, const Object &object)
 {
-    return {{"metadata", {{"name", name}, {"revision", revision}, {"finalizers", json::array()}, {"deleting", false}}}, {"spec", spec}};
+    return {{"metadata",
+             {{"name", name},
+              {"revision", object.revision},
+              {"createRev", object.createdRevision},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", object.spec},
+            {"status", object.status}};
 }
 
 http::Response jsonResponse(u16 status, const json::value &body)
@@ -74,6 +82,13 @@
     return found == m_objects.end() ? json::value() : found->second.spec;
 }
 
+json::value ObjectStore::status(const std::string &kind, const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find({kind, name});
+    return found == m_objects.end() ? json::value() : found->second.status;
+}
+
 std::size_t ObjectStore::count(const std::string &kind) const
 {
     const std::lock_guard lock(m_mutex);
@@ -127,7 +142,7 @@
     json::array items;
     for (const auto &[key, object] : m_objects) {
         if (key.first == kind) {
-            items.push_back(objectJson(key.second, object.revision, object.spec));
+            items.push_back(objectJson(key.second, object));
         }
     }
     return jsonResponse(200, {{"items", items}, {"more", false}, {"storeRevision", m_revision}});
@@ -170,7 +185,7 @@
     json::array events;
     for (const auto &change : m_changes) {
         if (change.kind == kind && change.revision > revision) {
-            events.push_back({{"deleted", change.isDeleted}, {"object", objectJson(change.name, change.revision, change.spec)}});
+            events.push_back({{"deleted", change.isDeleted}, {"object", objectJson(change.name, change.object)}});
         }
     }
     return jsonResponse(200, {{"events", events}, {"storeRevision", m_revision}});
@@ -190,10 +205,11 @@
     const bool isCreate = request.method == "POST";
     const bool isStale = exists && !isCreate && clients::numberOf(metadata, "revision") != found->second.revision;
     if ((isCreate && exists) || isStale) {
-        return jsonResponse(409, objectJson(name, found->second.revision, found->second.spec));
+        return jsonResponse(409, objectJson(name, found->second));
     }
-    noteChange(kind, name, false, body.at("spec"));
-    return jsonResponse(200, objectJson(name, m_revision, body.at("spec")));
+    const auto *status = body.if_contains("status");
+    noteChange(kind, name, false, body.at("spec"), status == nullptr ? json::value() : *status);
+    return jsonResponse(200, objectJson(name, m_objects.at({kind, name})));
 }
 
 http::Response ObjectStore::remove(const std::string &kind, const std::string &name)
@@ -206,14 +222,17 @@
     return jsonResponse(200, json::object());
 }
 
-void ObjectStore::noteChange(const std::string &kind, const std::string &name, bool isDeleted, const json::value &spec)
+void ObjectStore::noteChange(const std::string &kind, const std::string &name, bool isDeleted, const json::value &spec,
+                             const json::value &status)
 {
     ++m_revision;
-    m_changes.push_back({m_revision, kind, name, isDeleted, spec});
+    const auto known = m_objects.find({kind, name});
+    const Object object{spec, status, m_revision, known == m_objects.end() ? m_revision : known->second.createdRevision};
+    m_changes.push_back({m_revision, kind, name, isDeleted, object});
     if (isDeleted) {
         m_objects.erase({kind, name});
     } else {
-        m_objects[{kind, name}] = Object{spec, m_revision};
+        m_objects[{kind, name}] = object;
     }
 }
 
