Take an answer for slow only if a caller could notice it

Where all answers take nearly the same time, a new connection or a few per cent shift most of them beyond it.

Change: an answer is slow beyond the third quartile by more than a quarter and 2 ms.

--- a/lib/libburdock-gateway/source/rollout_controller.cpp
+++ b/lib/libburdock-gateway/source/rollout_controller.cpp
@@ -20,7 +20,6 @@
 RolloutController::RolloutController(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
                                      RolloutTracker &tracker)
     : m_dependencies(dependencies)
-    , m_settings(settings)
     , m_state(state)
     , m_tracker(tracker)
     , m_keeper(dependencies, settings, state, LeaseName)
--- a/lib/libburdock-gateway/source/rollout_controller.hpp
+++ b/lib/libburdock-gateway/source/rollout_controller.hpp
@@ -29,7 +29,6 @@
     [[nodiscard]] boost::asio::awaitable<void> readOrders();
 
     const GatewayDependencies &m_dependencies;
-    const GatewaySettings &m_settings;
     GatewayState &m_state;
     RolloutTracker &m_tracker;
     LeaseKeeper m_keeper;
--- a/lib/libburdock/include/burdock/rollout/slowness_baseline.hpp
+++ b/lib/libburdock/include/burdock/rollout/slowness_baseline.hpp
@@ -15,7 +15,7 @@
     /** @brief Records the time of an answer. */
     void add(Duration time, TimePoint now);
 
-    /** @brief Returns whether a time is beyond the third quartile of the recent ones; nothing if these are too few. */
+    /** @brief Returns whether a time is clearly beyond the third quartile of the recent ones; nothing if these are too few. */
     [[nodiscard]] std::optional<bool> isSlow(Duration time, TimePoint now);
 
 private:
--- a/lib/libburdock/source/rollout/rollout_verdict.cpp
+++ b/lib/libburdock/source/rollout/rollout_verdict.cpp
@@ -42,7 +42,7 @@
 
 const std::array<RolloutVerdict::FaultModel, 2> RolloutVerdict::Models{{
     {Fault::Failures, 0.02, {0.03, 0.10, 0.40}},
-    {Fault::Slowness, 0.30, {0.20, 0.45, 0}},
+    {Fault::Slowness, 0.10, {0.20, 0.45, 0}},
 }};
 
 Judgement RolloutVerdict::update(const Evidence &totals, TimePoint now)
--- a/lib/libburdock/source/rollout/slowness_baseline.cpp
+++ b/lib/libburdock/source/rollout/slowness_baseline.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t MaxSamples = 400;
 /** Fewer samples give no quartile. */
 constexpr std::size_t MinSamples = 12;
+/** What an answer may take beyond the third quartile: a part of it that callers don't notice, and the time of a new connection. */
+constexpr int TolerancePercent = 25;
+constexpr Duration Tolerance = std::chrono::milliseconds(2);
 /** How long a quartile is used before it is computed anew. */
 constexpr Duration QuartileLifetime = std::chrono::milliseconds(100);
 
@@ -39,7 +42,7 @@
             m_quartile = *quartile;
         }
     }
-    return m_quartile ? std::optional(time > *m_quartile) : std::nullopt;
+    return m_quartile ? std::optional(time > *m_quartile + *m_quartile * TolerancePercent / 100 + Tolerance) : std::nullopt;
 }
 
 void SlownessBaseline::removeOld(TimePoint now)
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -34,6 +34,10 @@
     /** @brief Withholds responses about objects of this kind until called with another kind, or with an empty string for none. */
     void withholdResponses(const std::string &kind);
 
+    /** @brief Executes writes of objects of this kind without a response until called with another kind, or with an empty string for none.
+     */
+    void dropWriteResponses(const std::string &kind);
+
     /** @brief Writes unconditionally, as the operator or an endpoint would. */
     void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
     void erase(const std::string &kind, const std::string &name);
@@ -65,6 +69,7 @@
     boost::asio::awaitable<runtime::http::Response> watch(std::string kind, u64 revision, Duration wait);
     [[nodiscard]] runtime::http::Response changesSince(const std::string &kind, u64 revision) const;
     [[nodiscard]] bool isWithheld(const std::string &kind) const;
+    [[nodiscard]] bool isUnanswered(const std::string &kind) const;
     [[nodiscard]] bool hasChanges(const std::string &kind, u64 revision) const;
     [[nodiscard]] runtime::http::Response write(const runtime::http::Request &request, const std::string &kind, const std::string &name);
     [[nodiscard]] runtime::http::Response remove(const std::string &kind, const std::string &name);
@@ -76,6 +81,7 @@
     std::vector<Change> m_changes;
     u64 m_revision = 1;
     std::string m_withheldKind; ///< empty for none
+    std::string m_unansweredKind; ///< of which writes get no response; empty for none
     std::atomic<ObjectStoreMode> m_mode{ObjectStoreMode::Up};
     runtime::http::Server m_server;
 };
