Suspend a gateway for longer than its permission in the test of roll-outs

Cause: the case "a gateway that was suspended while a version turned bad and was reverted" failed in 3 of 12 runs: the version was reverted within less than a second, so that the gateway woke up while it was still permitted to send, and sent the four calls that waited in its sockets to the target. That is within what docs/design/rollouts.md promises: permission ends a second after the last word. The test claimed more than the code does.

Change: the gateway stays suspended for 1.2 s at least; the claim, that not one request reaches the target afterwards, is as before.

--- a/tests/integration/gateway_rollout_test.cpp
+++ b/tests/integration/gateway_rollout_test.cpp
@@ -19,6 +19,8 @@
 constexpr const char *RolloutSettings = R"({"contracts":["base","rollout"],"expose_share":[0.1]})";
 constexpr u32 CallerThreads = 4;
 constexpr Duration CallPause = std::chrono::milliseconds(10);
+/** Longer than a gateway may send to the target by what it knew before it was suspended. */
+constexpr Duration PermissionTime = std::chrono::milliseconds(1200);
 constexpr Duration DecisionTimeout = std::chrono::seconds(25);
 
 standins::ReplicaScript answering(const std::atomic<u16> &status)
@@ -254,9 +256,11 @@
     site.startCalls(sleeper);
     REQUIRE(GatewayDeployment::waitFor([&] { return site.targetRequests() > 5; }));
     sleeping.signal(SIGSTOP);
+    const auto stoppedAt = std::chrono::steady_clock::now();
     site.turnTargetBad();
     site.startCalls(holder);
     const bool isReverted = site.waitForState("reverted");
+    std::this_thread::sleep_until(stoppedAt + PermissionTime);
     const auto toTarget = site.targetRequests();
     sleeping.signal(SIGCONT);
     REQUIRE(isReverted);
