--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -3,6 +3,7 @@
 #include "origin_exchange.hpp"
 #include "permit_exchange.hpp"
 #include "reading_exchange.hpp"
+#include "rollout_tracker.hpp"
 
 #include <burdock/endpoints/load_reporter.hpp>
 
@@ -22,9 +23,10 @@
      * @param origins handles the messages about streams
      * @param permits handles the messages about limits of endpoints
      * @param reading handles the messages about the platform's store
+     * @param rollouts tells and takes what is known of roll-outs
      */
     LoadExchange(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, PeerSocket &socket,
-                 OriginExchange &origins, PermitExchange &permits, ReadingExchange &reading);
+                 OriginExchange &origins, PermitExchange &permits, ReadingExchange &reading, RolloutTracker &rollouts);
 
     /** @brief Sends load messages to all peers until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> send();
@@ -48,6 +50,7 @@
     OriginExchange &m_origins;
     PermitExchange &m_permits;
     ReadingExchange &m_reading;
+    RolloutTracker &m_rollouts;
     TimePoint m_startedAt;
     u64 m_sequence = 0;
     endpoints::LoadReporter m_loadReporter;
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -34,17 +34,25 @@
     /** @brief Withholds responses about objects of this kind until called with another kind, or with an empty string for none. */
     void withholdResponses(const std::string &kind);
 
+    /** @brief Executes writes of objects of this kind without a response until called with another kind, or with an empty string for none.
+     */
+    void dropWriteResponses(const std::string &kind);
+
     /** @brief Writes unconditionally, as the operator or an endpoint would. */
     void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
     void erase(const std::string &kind, const std::string &name);
     [[nodiscard]] boost::json::value spec(const std::string &kind, const std::string &name) const;
+    /** @brief Status of an object; null if there is none. Removed when the object is put again. */
+    [[nodiscard]] boost::json::value status(const std::string &kind, const std::string &name) const;
     [[nodiscard]] std::size_t count(const std::string &kind) const;
 
 private:
     struct Object
     {
         boost::json::value spec;
+        boost::json::value status;
         u64 revision = 0;
+        u64 createdRevision = 0;
     };
     struct Change
     {
@@ -52,7 +60,7 @@
         std::string kind;
         std::string name;
         bool isDeleted = false;
-        boost::json::value spec;
+        Object object;
     };
     using Key = std::pair<std::string, std::string>;
 
@@ -61,16 +69,19 @@
     boost::asio::awaitable<runtime::http::Response> watch(std::string kind, u64 revision, Duration wait);
     [[nodiscard]] runtime::http::Response changesSince(const std::string &kind, u64 revision) const;
     [[nodiscard]] bool isWithheld(const std::string &kind) const;
+    [[nodiscard]] bool isUnanswered(const std::string &kind) const;
     [[nodiscard]] bool hasChanges(const std::string &kind, u64 revision) const;
     [[nodiscard]] runtime::http::Response write(const runtime::http::Request &request, const std::string &kind, const std::string &name);
     [[nodiscard]] runtime::http::Response remove(const std::string &kind, const std::string &name);
-    void noteChange(const std::string &kind, const std::string &name, bool isDeleted, const boost::json::value &spec);
+    void noteChange(const std::string &kind, const std::string &name, bool isDeleted, const boost::json::value &spec,
+                    const boost::json::value &status = nullptr);
 
     mutable std::mutex m_mutex;
     std::map<Key, Object> m_objects;
     std::vector<Change> m_changes;
     u64 m_revision = 1;
     std::string m_withheldKind; ///< empty for none
+    std::string m_unansweredKind; ///< of which writes get no response; empty for none
     std::atomic<ObjectStoreMode> m_mode{ObjectStoreMode::Up};
     runtime::http::Server m_server;
 };
