--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -119,7 +119,7 @@
         , m_permits(m_dependencies, m_settings, m_state, m_peerSocket, m_limitObserver)
         , m_reading(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_rollouts(m_dependencies, m_settings, m_state)
-        , m_softwareController(m_dependencies, m_settings, m_state, m_rollouts)
+        , m_softwareController(m_dependencies, m_settings, m_state, m_rollouts, m_reading)
         , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits, m_reading, m_rollouts)
         , m_rolloutController(m_dependencies, m_settings, m_state, m_limitObserver, m_permits)
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
--- a/lib/libburdock-gateway/source/reading_exchange.cpp
+++ b/lib/libburdock-gateway/source/reading_exchange.cpp
@@ -40,7 +40,10 @@
         if (error) {
             return {};
         }
-        changes.changed.push_back({object.name(), object.revision(), std::move(spec)});
+        auto &changed = changes.changed.emplace_back();
+        changed.name = object.name();
+        changed.revision = object.revision();
+        changed.spec = std::move(spec);
     }
     changes.status = StoreResult::Found;
     return changes;
@@ -59,6 +62,11 @@
 {
 }
 
+bool ReadingExchange::isShared(ObjectKind kind) const
+{
+    return m_duty.isShared() && static_cast<std::size_t>(kind) < SharedKindCount;
+}
+
 ReadingExchange::Kind &ReadingExchange::at(ObjectKind kind)
 {
     return m_kinds.at(static_cast<std::size_t>(kind));
@@ -105,7 +113,7 @@
 
 Duration ReadingExchange::watchTime(ObjectKind kind, Duration ownWait) const
 {
-    if (!m_duty.isShared()) {
+    if (!isShared(kind)) {
         return ownWait;
     }
     return m_duty.isReader() ? readerWait(static_cast<std::size_t>(kind)) : Duration::zero();
@@ -113,6 +121,9 @@
 
 asio::awaitable<void> ReadingExchange::waitForTurn(ObjectKind kind)
 {
+    if (!isShared(kind)) {
+        co_return;
+    }
     auto &followed = at(kind);
     while (true) {
         const auto now = m_dependencies.clock.now();
@@ -123,7 +134,7 @@
         followed.turn->expires_after(due - now);
         co_await followed.turn->async_wait(Awaitable);
     }
-    if (m_duty.isShared() && !m_duty.isReader()) {
+    if (!m_duty.isReader()) {
         noteOwnRead(kind);
     }
 }
@@ -142,7 +153,7 @@
 void ReadingExchange::wakeDueReaders()
 {
     const auto now = m_dependencies.clock.now();
-    for (std::size_t i = 0; i < KindCount; ++i) {
+    for (std::size_t i = 0; i < SharedKindCount; ++i) {
         auto &kind = m_kinds.at(i);
         if (kind.turn && m_duty.nextRead(kind.known, readerWait(i), now) <= now) {
             kind.turn->cancel();
@@ -168,7 +179,7 @@
         known.noteUnchanged(changes.revision);
     }
     known.noteComplete(started);
-    if (isNew && m_duty.isReader()) {
+    if (isNew && isShared(kind) && m_duty.isReader()) {
         tellChanges(kind, since, changes);
     }
     return hasChanges && (isNew || isUntouched);
@@ -200,7 +211,7 @@
 
 bool ReadingExchange::isAnyOverdue(TimePoint now) const
 {
-    for (std::size_t i = 0; i < KindCount; ++i) {
+    for (std::size_t i = 0; i < SharedKindCount; ++i) {
         if (m_duty.isOverdue(m_kinds.at(i).known, readerWait(i), now)) {
             return true;
         }
@@ -269,7 +280,7 @@
     auto *out = message.mutable_reading_answer();
     out->set_asker_boot_id(askerBootId);
     out->set_asked(question.asked());
-    for (std::size_t i = 0; i < KindCount; ++i) {
+    for (std::size_t i = 0; i < SharedKindCount; ++i) {
         const auto confirmation = m_kinds.at(i).known.confirmation(m_dependencies.clock.now());
         if (confirmation) {
             auto *kind = out->add_kinds();
@@ -291,7 +302,7 @@
         return;
     }
     for (const auto &told : answer.kinds()) {
-        if (told.kind() >= KindCount) {
+        if (told.kind() >= SharedKindCount) {
             continue;
         }
         auto &kind = m_kinds.at(told.kind());
@@ -308,7 +319,7 @@
 
 void ReadingExchange::applyChanges(const schema::ObjectChangeSet &message)
 {
-    if (message.kind() >= KindCount) {
+    if (message.kind() >= SharedKindCount) {
         return;
     }
     auto &kind = m_kinds.at(message.kind());
--- a/lib/libburdock-gateway/source/reading_exchange.hpp
+++ b/lib/libburdock-gateway/source/reading_exchange.hpp
@@ -61,7 +61,8 @@
     void handle(const schema::EntryLoad &message, const PeerSocket::Endpoint &sender);
 
 private:
-    static constexpr std::size_t KindCount = 4; ///< of those that all entries follow
+    static constexpr std::size_t KindCount = 7; ///< of ObjectKind
+    static constexpr std::size_t SharedKindCount = 4; ///< the first kinds; all other ones each entry reads for itself
 
     using Role = std::pair<bool, bool>; ///< whether reading is shared, and whether this entry reads for others
 
@@ -72,6 +73,7 @@
         std::optional<boost::asio::steady_timer> turn; ///< expires when this entry has to read by itself
     };
 
+    [[nodiscard]] bool isShared(ObjectKind kind) const;
     [[nodiscard]] Kind &at(ObjectKind kind);
     [[nodiscard]] const Kind &at(ObjectKind kind) const;
     [[nodiscard]] bool isAnyOverdue(TimePoint now) const;
--- a/lib/libburdock-gateway/source/rollout_controller.cpp
+++ b/lib/libburdock-gateway/source/rollout_controller.cpp
@@ -18,12 +18,12 @@
 } // namespace
 
 RolloutController::RolloutController(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                                     RolloutTracker &tracker)
+                                     RolloutTracker &tracker, ReadingExchange &reading)
     : m_dependencies(dependencies)
     , m_state(state)
     , m_tracker(tracker)
     , m_keeper(dependencies, settings, state, LeaseName)
-    , m_watcher(dependencies, ObjectKind::Rollouts, WatchTime, handlers())
+    , m_watcher(dependencies, ObjectKind::Rollouts, WatchTime, handlers(), reading)
 {
 }
 
--- a/lib/libburdock-gateway/source/rollout_controller.hpp
+++ b/lib/libburdock-gateway/source/rollout_controller.hpp
@@ -11,7 +11,7 @@
 {
 public:
     RolloutController(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state,
-                      RolloutTracker &tracker);
+                      RolloutTracker &tracker, ReadingExchange &reading);
 
     /** @brief Follows the orders in the platform's store until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> follow();
