--- a/tests/unit/gateway_settings_test.cpp
+++ b/tests/unit/gateway_settings_test.cpp
@@ -60,3 +60,18 @@
         }
     }
 }
+
+// Guards against a gateway that doesn't start, or follows orders by a senseless share, where the platform gives the settings of roll-outs.
+TEST_CASE("the settings of roll-outs are optional, and the share is checked")
+{
+    const auto without = schema::parseGatewaySettings("settings.json", json::serialize(exampleSettings()));
+    REQUIRE(without.document);
+    CHECK(without.document->contracts().empty());
+    CHECK(parseWith("contracts", json::array{}).document);
+    CHECK(parseWith("contracts", json::array{"base", "rollout", "unknown"}).document);
+    CHECK(parseWith("expose_share", json::array{}).document);
+    CHECK(parseWith("expose_share", json::array{0.1}).document);
+    CHECK_FALSE(parseWith("expose_share", json::array{1.5}).document);
+    CHECK_FALSE(parseWith("expose_share", json::array{-0.1}).document);
+    CHECK_FALSE(parseWith("expose_share", json::array{0.1, 0.2}).document);
+}
