Find slow versions also where many gateways see few requests each

Cause: a gateway compared times only with twelve answers of the other versions on the route within five seconds. At 68 gateways and 150 requests a second none of them ever had as many.

Change: eight answers within 20 seconds.

--- a/lib/libburdock/source/rollout/slowness_baseline.cpp
+++ b/lib/libburdock/source/rollout/slowness_baseline.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Duration MaxSampleAge = std::chrono::seconds(5);
+constexpr Duration MaxSampleAge = std::chrono::seconds(20);
 constexpr std::size_t MaxSamples = 400;
 /** Fewer samples give no quartile. */
-constexpr std::size_t MinSamples = 12;
+constexpr std::size_t MinSamples = 8;
 /** What an answer may take beyond the third quartile: a part of it that callers don't notice, and the time of a new connection. */
 constexpr int TolerancePercent = 25;
 constexpr Duration Tolerance = std::chrono::milliseconds(2);
--- a/tests/unit/rollout_verdict_test.cpp
+++ b/tests/unit/rollout_verdict_test.cpp
@@ -360,3 +360,17 @@
         CHECK(outcome.badAnswers < 50);
     }
 }
+
+// Guards against slowness that no gateway sees, as each of many has few answers to compare with.
+TEST_CASE("a slow version is found at each number of gateways")
+{
+    for (const u32 gateways : {1U, 4U, 29U, 68U}) {
+        CAPTURE(gateways);
+        auto replay = replayWith([](Duration, u32, Side side) { return Conditions{0.01, side == Side::Target ? 3.0 : 1.0}; });
+        replay.gateways = gateways;
+        replay.requestsPerSecond = 150;
+        for (u32 seed = 0; seed < 5; ++seed) {
+            CHECK(play(replay, seed).badAfter.has_value());
+        }
+    }
+}
