Keep lists that arrive late and promises that were interrupted from being believed

Cause, found in review: a list that was answered before changes that another gateway told, but read after them, put the state back and kept the younger age. Promises to use no older parts were only sampled, so a gateway that restarted between two checks went unnoticed; before the list of gateways is known one gateway counted as all of them.

Change: such a list is read again, and a list that is older than what was known makes it as old as itself; a promise counts from the last check at which all held it without a restart; the answer with the ages of announcements carries the promises as well. A reader announces a list that it had to read, and changes are told since the last change of their kind.

--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -199,23 +199,20 @@
 
 void CacheFollower::notePromisedByAll(const std::string &model)
 {
+    const auto &peers = m_state.endpoints.peers();
     auto others = m_state.entryNames;
-    std::erase(others, m_settings.name);
+    const bool isListKnown = std::erase(others, m_settings.name) > 0;
     const auto &own = m_state.servedVersions.promises();
     const auto version = own.find(model);
-    const u64 lowest = version == own.end() ? 0 : version->second;
-    const u64 promised = std::min(lowest, m_state.endpoints.peers().lowestVersionInUse(others, model));
-    auto &known = m_promisedByAll[model];
-    if (known.version != promised) {
-        known.version = promised;
-        known.since = promised > 0 ? std::optional(m_dependencies.clock.now()) : std::nullopt;
-    }
+    const u64 lowest = version == own.end() || !isListKnown ? 0 : version->second;
+    const u64 promised = std::min(lowest, peers.lowestVersionInUse(others, model));
+    m_promisedByAll[model].note(promised, peers.generation(), m_dependencies.clock.now());
 }
 
 bool CacheFollower::mayFreeUnused(const std::string &model, u64 version) const
 {
     const auto &promised = m_promisedByAll.at(model);
-    return version < promised.version && m_state.retirement.mayFreeUnused(promised.since, m_dependencies.clock.now());
+    return version < promised.version() && m_state.retirement.mayFreeUnused(promised.since(), m_dependencies.clock.now());
 }
 
 boost::asio::awaitable<void> CacheFollower::freeSupersededParts()
@@ -225,11 +222,13 @@
         co_return;
     }
     m_lastFreeAt = now;
+    for (const auto &entry : m_state.weights) {
+        notePromisedByAll(entry.first);
+    }
     for (const auto &entry : m_state.weights) {
         const auto &model = entry.first;
         const auto &announced = entry.second;
         const auto knownToAll = noteKnownToAll(model, announced.wanted());
-        notePromisedByAll(model);
         const auto mayFree = [&](u64 version, std::string_view part) {
             return mayFreeUnused(model, version) || m_state.retirement.mayFree(announced, version, part, knownToAll, now);
         };
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -2,6 +2,8 @@
 
 #include "gateway_state.hpp"
 
+#include <burdock/weights/kept_promise.hpp>
+
 #include <burdock/runtime/http/client.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -45,8 +47,7 @@
         std::optional<TimePoint> since;
     };
     std::map<std::string, KnownVersion, std::less<>> m_knownToAll; ///< by model
-    /** By model: the version below which all entries promise to use no parts. */
-    std::map<std::string, KnownVersion, std::less<>> m_promisedByAll;
+    std::map<std::string, weights::KeptPromise, std::less<>> m_promisedByAll; ///< by model
     TimePoint m_lastFreeAt{};
 };
 
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -120,9 +120,7 @@
         (*message.mutable_named_weights())[model] = announced.wanted();
     }
     m_state.updateServedVersions();
-    for (const auto &[model, version] : m_state.servedVersions.promises()) {
-        (*message.mutable_lowest_versions())[model] = version;
-    }
+    addPromises(message);
     if (needsAnnouncementTimes()) {
         message.set_naming_question(static_cast<u64>(m_dependencies.clock.now().time_since_epoch().count()));
     }
@@ -157,6 +155,13 @@
     return message.SerializeAsString();
 }
 
+void LoadExchange::addPromises(schema::EntryLoad &message) const
+{
+    for (const auto &[model, version] : m_state.servedVersions.promises()) {
+        (*message.mutable_lowest_versions())[model] = version;
+    }
+}
+
 // Crashes are sent at once and repeated in case a message is lost, as callers retry later than the next message. Blamed features are
 // repeated in each snapshot, for entries that start later.
 void LoadExchange::addCrashFeatures(schema::EntryLoad &message)
@@ -212,6 +217,8 @@
             }
         }
     }
+    // A gateway that learns the ages of announcements here may fetch by them, so it has to know the promises as well.
+    addPromises(message);
     m_socket.sendTo(askingEntry, message.SerializeAsString());
 }
 
@@ -265,6 +272,9 @@
         m_reading.handle(message, sender);
         return;
     }
+    for (const auto &[model, version] : message.lowest_versions()) {
+        m_state.servedVersions.notePromise(model, version);
+    }
     if (message.has_naming_answer()) {
         applyAnnouncementAnswer(message.entry(), message.naming_answer());
         return;
@@ -284,10 +294,7 @@
     for (const auto &[model, version] : message.named_weights()) {
         report.announcedWeights[model] = version;
     }
-    for (const auto &[model, version] : message.lowest_versions()) {
-        report.lowestVersions[model] = version;
-        m_state.servedVersions.notePromise(model, version);
-    }
+    report.lowestVersions.insert(message.lowest_versions().begin(), message.lowest_versions().end());
     report.loading.insert(message.loading().begin(), message.loading().end());
     report.unresponsive.insert(message.unresponsive().begin(), message.unresponsive().end());
     for (const auto &storeEvents : message.store_events()) {
--- a/lib/libburdock-gateway/source/load_exchange.hpp
+++ b/lib/libburdock-gateway/source/load_exchange.hpp
@@ -36,6 +36,7 @@
 
 private:
     [[nodiscard]] std::string nextMessage();
+    void addPromises(schema::EntryLoad &message) const;
     void addCrashFeatures(schema::EntryLoad &message);
     void handleMessage(std::string_view datagram, const PeerSocket::Endpoint &sender);
     [[nodiscard]] bool needsAnnouncementTimes() const;
--- a/lib/libburdock-gateway/source/object_watcher.cpp
+++ b/lib/libburdock-gateway/source/object_watcher.cpp
@@ -59,6 +59,10 @@
 
 boost::asio::awaitable<bool> ObjectWatcher::readList()
 {
+    if (!m_mustList) {
+        co_await m_reading.waitForTurn(m_kind);
+    }
+    const u64 before = m_reading.known(m_kind).revision();
     const auto started = m_dependencies.clock.now();
     const auto list = co_await m_dependencies.store.list(m_kind, Freshness::Current);
     if (list.status != StoreResult::Found) {
@@ -66,6 +70,12 @@
         co_return false;
     }
     noteSuccess();
+    const u64 known = m_reading.known(m_kind).revision();
+    if (known > before && list.revision < known) {
+        // Another entry told of newer changes meanwhile.
+        co_return false;
+    }
+    m_mustList = false;
     m_reading.noteListed(m_kind, list.revision, started);
     m_handlers.onList(list.items);
     if (m_handlers.onSynced) {
@@ -86,6 +96,7 @@
         const auto changes = co_await m_dependencies.store.watch(m_kind, since, wait);
         if (changes.status == StoreResult::Absent) {
             m_dependencies.logger.event(runtime::LogLevel::Info, "history_gone", {{"kind", toString(m_kind)}, {"revision", since}});
+            m_mustList = true;
             co_return;
         }
         if (changes.status != StoreResult::Found) {
@@ -93,8 +104,10 @@
             continue;
         }
         noteSuccess();
-        if (changes.revision < since) {
+        if (changes.revision < since && m_reading.isShared(m_kind)) {
             // Another entry told of a revision that the store doesn't have.
+            m_mustList = true;
+            co_await runtime::sleepFor(FirstRetryDelay);
             co_return;
         }
         if (m_reading.noteRead(m_kind, since, changes, started)) {
--- a/lib/libburdock-gateway/source/object_watcher.hpp
+++ b/lib/libburdock-gateway/source/object_watcher.hpp
@@ -50,6 +50,7 @@
     ObjectHandlers m_handlers;
     ReadingExchange &m_reading;
     u32 m_failures = 0;
+    bool m_mustList = true; ///< what others know can't replace a list
 };
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/reading_exchange.cpp
+++ b/lib/libburdock-gateway/source/reading_exchange.cpp
@@ -17,8 +17,8 @@
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 /** How long a reader's watch waits, by kind: short enough that its end, two losses of a question and a read stay within the kind's bound.
  */
-constexpr std::array<Duration, 4> ReaderWaits{std::chrono::milliseconds(800), std::chrono::milliseconds(800),
-                                              std::chrono::milliseconds(1600), std::chrono::milliseconds(1500)};
+constexpr std::array<Duration, static_cast<std::size_t>(ObjectKind::Weights) + 1> ReaderWaits{
+    std::chrono::milliseconds(800), std::chrono::milliseconds(800), std::chrono::milliseconds(1600), std::chrono::milliseconds(1500)};
 /** Larger changes are only announced, as each entry would have to be sent all of them. */
 constexpr std::size_t MaxToldBytes = 8 * 1024;
 /** Longer ages are treated as this one. */
@@ -163,7 +163,12 @@
 
 void ReadingExchange::noteListed(ObjectKind kind, u64 revision, TimePoint started)
 {
-    at(kind).known.noteListed(revision, started);
+    auto &known = at(kind).known;
+    const bool isFirst = !known.asOf();
+    known.noteListed(revision, started);
+    if (!isFirst && isShared(kind) && m_duty.isReader()) {
+        announce(kind, revision);
+    }
 }
 
 bool ReadingExchange::noteRead(ObjectKind kind, u64 since, const ObjectChanges &changes, TimePoint started)
@@ -172,6 +177,8 @@
     const bool hasChanges = !changes.changed.empty() || !changes.removed.empty();
     // Another entry may have told of these changes, and of later ones, while this one read them.
     const bool isUntouched = known.revision() == since;
+    // Nothing of this kind changed between these revisions, so the changes also continue what an entry knows that is that far back.
+    const u64 tellSince = std::min(since, known.unchangedSince());
     bool isNew = false;
     if (hasChanges) {
         isNew = known.noteChanges(since, changes.revision) == reading::Continuity::New;
@@ -180,7 +187,7 @@
     }
     known.noteComplete(started);
     if (isNew && isShared(kind) && m_duty.isReader()) {
-        tellChanges(kind, since, changes);
+        tellChanges(kind, tellSince, changes);
     }
     return hasChanges && (isNew || isUntouched);
 }
@@ -246,13 +253,22 @@
         out->add_removed(name);
     }
     if (message.ByteSizeLong() > MaxToldBytes) {
-        out->clear_changed();
-        out->clear_removed();
-        out->set_is_announcement(true);
+        announce(kind, changes.revision);
+        return;
     }
     m_socket.sendToAll(message.SerializeAsString());
 }
 
+void ReadingExchange::announce(ObjectKind kind, u64 revision)
+{
+    auto message = makeMessage();
+    auto *out = message.mutable_object_changes();
+    out->set_kind(static_cast<u32>(kind));
+    out->set_revision(revision);
+    out->set_is_announcement(true);
+    m_socket.sendToAll(message.SerializeAsString());
+}
+
 bool ReadingExchange::isReadingMessage(const schema::EntryLoad &message)
 {
     return message.has_reading_question() || message.has_reading_answer() || message.has_object_changes();
--- a/lib/libburdock-gateway/source/reading_exchange.hpp
+++ b/lib/libburdock-gateway/source/reading_exchange.hpp
@@ -40,6 +40,10 @@
     /** @brief Waits until this entry has to read this kind; returns at once if nobody does it instead. */
     [[nodiscard]] boost::asio::awaitable<void> waitForTurn(ObjectKind kind);
 
+    /** @brief Whether others may read this kind for this entry, or this entry for others. */
+    [[nodiscard]] bool isShared(ObjectKind kind) const;
+
+    /** @brief Records a complete list, and announces it if this entry reads for others and may have missed changes before. */
     void noteListed(ObjectKind kind, u64 revision, TimePoint started);
 
     /**
@@ -61,10 +65,17 @@
     void handle(const schema::EntryLoad &message, const PeerSocket::Endpoint &sender);
 
 private:
-    static constexpr std::size_t KindCount = 7; ///< of ObjectKind
-    static constexpr std::size_t SharedKindCount = 4; ///< the first kinds; all other ones each entry reads for itself
+    static constexpr std::size_t KindCount = static_cast<std::size_t>(ObjectKind::Rollouts) + 1;
+    /** The kinds up to this number are shared; all other ones each entry reads for itself. */
+    static constexpr std::size_t SharedKindCount = static_cast<std::size_t>(ObjectKind::Weights) + 1;
+
+    struct Role
+    {
+        bool isShared = false;
+        bool isReader = false;
 
-    using Role = std::pair<bool, bool>; ///< whether reading is shared, and whether this entry reads for others
+        bool operator==(const Role &other) const = default;
+    };
 
     struct Kind
     {
@@ -73,7 +84,6 @@
         std::optional<boost::asio::steady_timer> turn; ///< expires when this entry has to read by itself
     };
 
-    [[nodiscard]] bool isShared(ObjectKind kind) const;
     [[nodiscard]] Kind &at(ObjectKind kind);
     [[nodiscard]] const Kind &at(ObjectKind kind) const;
     [[nodiscard]] bool isAnyOverdue(TimePoint now) const;
@@ -81,6 +91,7 @@
     void noteOwnRead(ObjectKind kind);
     void wakeDueReaders();
     void tellChanges(ObjectKind kind, u64 since, const ObjectChanges &changes);
+    void announce(ObjectKind kind, u64 revision);
     void answer(const schema::ReadingQuestion &question, u64 askerBootId, const PeerSocket::Endpoint &asker);
     void applyAnswer(const schema::ReadingAnswer &answer);
     void applyChanges(const schema::ObjectChangeSet &message);
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -62,6 +62,9 @@
     /** @brief The lowest version of a model whose stored parts any of these entries may use; zero if one has no valid report. */
     [[nodiscard]] u64 lowestVersionInUse(const std::vector<std::string> &entries, std::string_view model) const;
 
+    /** @brief Changes whenever an entry is heard from for the first time, again after its report expired, or after it restarted. */
+    [[nodiscard]] u64 generation() const;
+
     /** @brief Removes expired reports. */
     void expire(TimePoint now);
 
@@ -96,6 +99,7 @@
     Duration m_reportLifetime;
     std::map<std::string, ReceivedReport, std::less<>> m_reports;
     LoadsById m_sums;
+    u64 m_generation = 0;
 };
 
 } // namespace burdock::endpoints
--- a/lib/libburdock/include/burdock/reading/followed_kind.hpp
+++ b/lib/libburdock/include/burdock/reading/followed_kind.hpp
@@ -28,7 +28,7 @@
 class FollowedKind
 {
 public:
-    /** @brief Records a complete list, read from the store. */
+    /** @brief Records a complete list, read from the store; if it is older than what was known, so is all that is known from then on. */
     void noteListed(u64 revision, TimePoint started);
 
     /**
@@ -57,6 +57,8 @@
     [[nodiscard]] std::optional<Confirmation> confirmation(TimePoint now) const;
 
     [[nodiscard]] u64 revision() const;
+    /** @brief Revision after which no change is known up to revision(). */
+    [[nodiscard]] u64 unchangedSince() const;
     /** @brief All changes before this time are known; nothing before the first list. */
     [[nodiscard]] std::optional<TimePoint> asOf() const;
     /** @brief Whether another entry knows of a change that this one doesn't. */
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -28,11 +28,13 @@
 
 void PeerLoads::apply(const std::string &peer, Report report, TimePoint now)
 {
-    auto &received = m_reports[peer];
+    const auto [entry, isNew] = m_reports.try_emplace(peer);
+    auto &received = entry->second;
     const bool isStale = received.report.bootId == report.bootId && report.sequence <= received.report.sequence;
     if (isStale) {
         return;
     }
+    m_generation += isNew || received.report.bootId != report.bootId ? 1 : 0;
     if (report.isSnapshot || received.report.bootId != report.bootId) {
         subtract(received.report.loads);
         received.report.loads.clear();
@@ -79,6 +81,11 @@
     return lowest;
 }
 
+u64 PeerLoads::generation() const
+{
+    return m_generation;
+}
+
 void PeerLoads::expire(TimePoint now)
 {
     for (auto report = m_reports.begin(); report != m_reports.end();) {
--- a/lib/libburdock/source/reading/followed_kind.cpp
+++ b/lib/libburdock/source/reading/followed_kind.cpp
@@ -6,12 +6,13 @@
 
 void FollowedKind::noteListed(u64 revision, TimePoint started)
 {
+    const bool isOlder = revision < m_revision;
+    m_asOf = isOlder ? started : std::max(m_asOf.value_or(started), started);
     m_revision = revision;
     m_followedSince = revision;
     m_lastChange = 0;
     // Changes that were told of may have been made by a store that has since lost them, or may be nonsense.
     m_toldChange = 0;
-    m_asOf = std::max(m_asOf.value_or(started), started);
 }
 
 Continuity FollowedKind::noteChanges(u64 since, u64 revision)
@@ -71,6 +72,11 @@
     return m_revision;
 }
 
+u64 FollowedKind::unchangedSince() const
+{
+    return std::max(m_followedSince, m_lastChange);
+}
+
 std::optional<TimePoint> FollowedKind::asOf() const
 {
     return m_asOf;
--- a/tests/unit/followed_kind_test.cpp
+++ b/tests/unit/followed_kind_test.cpp
@@ -78,6 +78,28 @@
     CHECK(kind.noteConfirmation({11, 0, 20, 0ms}, at(2s)) == at(2s));
 }
 
+// Guards against an entry that goes back to an older state, but still says that it is as current as before.
+TEST_CASE("a list that is older than what was known makes all that is known as old as the list")
+{
+    FollowedKind kind;
+    kind.noteListed(10, at(1s));
+    CHECK(kind.noteChanges(10, 12) == Continuity::New);
+    CHECK(kind.noteConfirmation({5, 12, 13, 0ms}, at(3s)) == at(3s));
+    kind.noteListed(11, at(2s));
+    CHECK(kind.revision() == 11);
+    CHECK(kind.asOf() == at(2s));
+}
+
+TEST_CASE("changes continue what is known since the last change, however far other kinds of objects have moved the revision")
+{
+    FollowedKind reader;
+    reader.noteListed(10, at(1s));
+    reader.noteUnchanged(45);
+    CHECK(reader.unchangedSince() == 10);
+    CHECK(reader.noteChanges(45, 50) == Continuity::New);
+    CHECK(reader.unchangedSince() == 50);
+}
+
 TEST_CASE("a list ends what others told of changes that the store doesn't have")
 {
     FollowedKind kind;
--- a/tests/unit/served_versions_test.cpp
+++ b/tests/unit/served_versions_test.cpp
@@ -1,5 +1,6 @@
 #include <burdock/cache/part_retirement.hpp>
 #include <burdock/endpoints/peer_loads.hpp>
+#include <burdock/weights/kept_promise.hpp>
 #include <burdock/weights/served_versions.hpp>
 
 #include <algorithm>
@@ -28,14 +29,14 @@
         , m_peers(1500ms)
         , m_lostShare(lostShare)
         , m_random(seed)
+        , m_boots(entries, 1)
     {
         for (std::size_t i = 1; i < entries; ++i) {
             m_others.push_back("entry-" + std::to_string(i));
         }
     }
 
-    /** @brief Returns when parts of the old version are freed; nothing if they aren't within the time. */
-    std::optional<TimePoint> run(const std::vector<TimePoint> &engineChanges, std::optional<TimePoint> oldEngineReturns, Duration length)
+    void run(const std::vector<TimePoint> &engineChanges, std::optional<TimePoint> oldEngineReturns, Duration length)
     {
         for (TimePoint now{}; now < TimePoint(length); now += Step) {
             const auto oldEngines = std::count_if(engineChanges.begin(), engineChanges.end(), [now](TimePoint at) { return at > now; });
@@ -44,13 +45,19 @@
                 step(i, isOldServed, now);
             }
             m_peers.expire(now);
-            if (isFreed(now)) {
-                return now;
+            if (!m_freed && isFreed(now)) {
+                m_freed = now;
             }
         }
-        return std::nullopt;
     }
 
+    /** @brief When parts of the old version were freed; nothing if they weren't. */
+    [[nodiscard]] std::optional<TimePoint> freed() const
+    {
+        return m_freed;
+    }
+
+    /** @brief When an entry last requested a fetch of such a part, also after they were freed. */
     [[nodiscard]] TimePoint lastFetch() const
     {
         return m_lastFetch;
@@ -66,6 +73,12 @@
             return;
         }
         auto &served = m_served[index];
+        if (index > 0 && chance(m_lostShare * 0.005)) {
+            // A restarted entry knows nothing of before, but hears the promises of others before it may fetch.
+            served = {};
+            ++m_boots[index];
+            served.notePromise(Model, m_served[0].promises().empty() ? 0 : m_served[0].promises().at(Model));
+        }
         // Each entry learns of changes at endpoints late, by up to a second.
         const bool seesOld = isOldServed || chance(0.05);
         served.noteLowestServed(Model, seesOld ? OldVersion : NewVersion);
@@ -76,7 +89,7 @@
             return;
         }
         endpoints::PeerLoads::Report report;
-        report.bootId = 1;
+        report.bootId = m_boots[index];
         report.sequence = ++m_sequence;
         report.lowestVersions = served.promises();
         m_peers.apply(m_others[index - 1], std::move(report), now);
@@ -86,11 +99,8 @@
     {
         const auto &own = m_served[0].promises();
         const auto promised = std::min(own.empty() ? 0 : own.at(Model), m_peers.lowestVersionInUse(m_others, Model));
-        if (promised != m_promised) {
-            m_promised = promised;
-            m_since = now;
-        }
-        return promised > OldVersion && m_retirement.mayFreeUnused(m_since, now);
+        m_promise.note(promised, m_peers.generation(), now);
+        return promised > OldVersion && m_retirement.mayFreeUnused(m_promise.since(), now);
     }
 
     bool chance(double share)
@@ -105,9 +115,10 @@
     cache::PartRetirement m_retirement{cache::RetirementPolicy{}};
     double m_lostShare;
     std::mt19937 m_random;
+    std::vector<u64> m_boots; ///< of each entry
     u64 m_sequence = 0;
-    u64 m_promised = 0;
-    TimePoint m_since{};
+    KeptPromise m_promise;
+    std::optional<TimePoint> m_freed;
     TimePoint m_lastFetch{};
 };
 
@@ -142,9 +153,9 @@
     for (const std::size_t entries : {1, 4, 11, 31, 68, 300}) {
         CAPTURE(entries);
         Fleet fleet(entries, 0, 1);
-        const auto freed = fleet.run(rollout(50), std::nullopt, 30s);
-        REQUIRE(freed);
-        CHECK(*freed < TimePoint(150ms * 50) + 5s);
+        fleet.run(rollout(50), std::nullopt, 30s);
+        REQUIRE(fleet.freed());
+        CHECK(*fleet.freed() < TimePoint(150ms * 50) + 5s);
     }
 }
 
@@ -153,15 +164,30 @@
 TEST_CASE("no part of older weights is freed while an entry may still have it fetched")
 {
     const cache::RetirementPolicy policy;
+    u32 freedFleets = 0;
     for (u32 seed = 0; seed < 60; ++seed) {
         CAPTURE(seed);
         Fleet fleet(seed % 2 == 0 ? 11 : 31, 0.3, seed);
         const auto returns = TimePoint(Duration(7500ms) + Duration(100ms) * seed);
-        const auto freed = fleet.run(rollout(50), returns, 40s);
-        if (freed) {
-            CHECK(*freed >= fleet.lastFetch() + policy.maxFetchTime);
-        }
+        fleet.run(rollout(50), returns, 40s);
+        freedFleets += fleet.freed() ? 1 : 0;
+        CHECK((!fleet.freed() || *fleet.freed() >= fleet.lastFetch() + policy.maxFetchTime));
     }
+    CHECK(freedFleets > 0);
+}
+
+TEST_CASE("a promise counts anew after an entry has restarted, and after a pause between the checks")
+{
+    KeptPromise promise;
+    promise.note(2, 7, TimePoint(1s));
+    promise.note(2, 7, TimePoint(1500ms));
+    CHECK(promise.since() == TimePoint(1s));
+    promise.note(2, 8, TimePoint(2s));
+    CHECK(promise.since() == TimePoint(2s));
+    promise.note(2, 8, TimePoint(4s));
+    CHECK(promise.since() == TimePoint(4s));
+    promise.note(0, 8, TimePoint(4500ms));
+    CHECK_FALSE(promise.since());
 }
 
 // Guards against parts that are freed while an entry that wasn't heard from still has them fetched.
--- a/tests/unit/shared_reading_test.cpp
+++ b/tests/unit/shared_reading_test.cpp
@@ -25,6 +25,7 @@
     bool areReadersStopped = false; ///< from `from` on
     bool isStoreDown = false; ///< from `from` on
     double turnedAwayShare = 0; ///< of the entries that the store doesn't serve from `from` on
+    double listShare = 0; ///< of the reads that are lists
     double suspendedShare = 0; ///< of the entries, for a second at a time
     Duration from = 10s;
 };
@@ -42,7 +43,7 @@
             names.push_back("entry-" + std::to_string(i));
         }
         for (std::size_t i = 0; i < count; ++i) {
-            m_entries.push_back({ReadingDuty({}, names[i]), {}, {}, {}, {}, false});
+            m_entries.push_back(Entry{ReadingDuty({}, names[i])});
             m_entries.back().duty.setEntries(names);
             m_index[names[i]] = i;
         }
@@ -52,8 +53,10 @@
     {
         for (; m_now < TimePoint(length); m_now += Step) {
             if (chance(0.01)) {
-                m_changes.push_back(m_now);
+                m_changes.push_back({m_now, ++m_revision});
             }
+            // Objects of other kinds change as well.
+            m_revision += chance(0.05) ? 1 : 0;
             deliver();
             for (std::size_t i = 0; i < m_entries.size(); ++i) {
                 step(i);
@@ -80,9 +83,15 @@
 private:
     struct Entry
     {
+        explicit Entry(ReadingDuty own)
+            : duty(std::move(own))
+        {
+        }
+
         ReadingDuty duty;
         FollowedKind known;
         std::optional<TimePoint> readStarted; ///< of the watch under way
+        u64 readSince = 0; ///< revision from which it began
         TimePoint suspendedUntil{};
         TimePoint nextQuestion{};
         bool isStopped = false;
@@ -107,10 +116,11 @@
         return std::uniform_real_distribution<>(0, 1)(m_random) < share;
     }
 
-    [[nodiscard]] u64 storeRevision() const
+    struct Change
     {
-        return 1 + m_changes.size();
-    }
+        TimePoint made;
+        u64 revision = 0;
+    };
 
     void send(Message message)
     {
@@ -174,25 +184,29 @@
                 return;
             }
             entry.readStarted = m_now;
+            entry.readSince = entry.known.revision();
             m_calls += isRefused ? 0 : 1;
         }
         if (isRefused) {
             entry.readStarted.reset();
             return;
         }
-        const u64 since = entry.known.revision();
-        const u64 revision = storeRevision();
-        const bool hasChanges = revision > since;
+        const u64 since = entry.readSince;
+        const bool hasChanges = !m_changes.empty() && m_changes.back().revision > since;
         const auto wait = entry.duty.isReader() ? ReaderWait : Duration::zero();
         if (!hasChanges && m_now - *entry.readStarted < wait) {
             return;
         }
-        if (!entry.known.asOf()) {
-            entry.known.noteListed(revision, *entry.readStarted);
-        } else if (hasChanges && entry.known.noteChanges(since, revision) == Continuity::New && entry.duty.isReader()) {
+        const u64 tellSince = std::min(since, entry.known.unchangedSince());
+        const bool mustList = !entry.known.asOf() || chance(m_faults.listShare);
+        if (mustList) {
+            entry.known.noteListed(m_revision, *entry.readStarted);
+        } else if (!hasChanges) {
+            entry.known.noteUnchanged(m_revision);
+        } else if (entry.known.noteChanges(since, m_revision) == Continuity::New && entry.duty.isReader()) {
             for (std::size_t other = 0; other < m_entries.size(); ++other) {
                 if (other != index) {
-                    send({Kind::Changes, index, other, {}, {}, {}, since, revision});
+                    send({Kind::Changes, index, other, {}, {}, {}, tellSince, m_revision});
                 }
             }
         }
@@ -221,9 +235,12 @@
         if (!entry.known.asOf()) {
             return;
         }
-        const auto known = entry.known.revision() - 1;
-        const auto made = std::lower_bound(m_changes.begin(), m_changes.end(), *entry.known.asOf()) - m_changes.begin();
-        m_falseClaims += known < static_cast<u64>(made) ? 1 : 0;
+        const auto isAfter = [](const Change &change, TimePoint time) {
+            return change.made < time;
+        };
+        const auto next = std::lower_bound(m_changes.begin(), m_changes.end(), *entry.known.asOf(), isAfter);
+        const bool misses = next != m_changes.begin() && std::prev(next)->revision > entry.known.revision();
+        m_falseClaims += misses ? 1 : 0;
         if (m_now > TimePoint(2s)) {
             m_greatestAge = std::max(m_greatestAge, m_now - *entry.known.asOf());
         }
@@ -233,7 +250,8 @@
     std::mt19937 m_random;
     std::vector<Entry> m_entries;
     std::map<std::string, std::size_t> m_index;
-    std::vector<TimePoint> m_changes; ///< when the store's objects changed
+    std::vector<Change> m_changes; ///< of the followed objects
+    u64 m_revision = 1; ///< of the store
     std::vector<Message> m_messages;
     TimePoint m_now{};
     u64 m_calls = 0;
@@ -273,6 +291,7 @@
         faults.lostShare = 0.3;
         faults.maxDelay = 900ms;
         faults.suspendedShare = 0.3;
+        faults.listShare = 0.1;
         ReadingFleet fleet(seed % 2 == 0 ? 31 : 11, faults, seed);
         fleet.run(20s);
         CHECK(fleet.falseClaims() == 0);
