--- a/lib/libburdock-gateway/source/lease_keeper.cpp
+++ b/lib/libburdock-gateway/source/lease_keeper.cpp
@@ -12,7 +12,7 @@
 
 using runtime::LogLevel;
 
-/** How often processes other than the leader read the lease while there are replicas to update. */
+/** How often processes other than the leader read the lease while there is something to decide or to order. */
 constexpr Duration LeaseReadPeriod = std::chrono::milliseconds(400);
 
 boost::json::array toJson(const weights::AnnouncementHistory &history)
--- a/lib/libburdock-gateway/source/lease_keeper.hpp
+++ b/lib/libburdock-gateway/source/lease_keeper.hpp
@@ -12,7 +12,7 @@
 class LeaseKeeper
 {
 public:
-    /** @param name name of the lease in the store and in logs; must outlive this object */
+    /** @param name name of the lease in the store and in logs */
     LeaseKeeper(const GatewayDependencies &dependencies, const GatewaySettings &settings, GatewayState &state, std::string_view name);
 
     [[nodiscard]] weights::LeaderLease &lease();
