Let the gateways of the roll-out tests last until their callers have ended

Cause: the callers' threads used the address of a further gateway after the test case had destroyed it: heap-use-after-free, seen under AddressSanitizer in the first sanitized run of gateway_rollout_test.

Change: the test's site owns further gateways and ends its callers first.

--- a/tests/integration/gateway_rollout_test.cpp
+++ b/tests/integration/gateway_rollout_test.cpp
@@ -61,6 +61,18 @@
         return m_deployment;
     }
 
+    /** @brief Starts a further gateway that lasts until the callers have ended. */
+    GatewayProcess &addGateway(const std::string &name)
+    {
+        auto &store = m_deployment.store();
+        const auto known = store.count("burdock-entries");
+        const auto settings = boost::json::parse(RolloutSettings).as_object();
+        auto &added = *m_gateways.emplace_back(std::make_unique<GatewayProcess>(name, "zone-a", store.address(), settings));
+        added.start();
+        REQUIRE(GatewayDeployment::waitFor([&] { return store.count("burdock-entries") == known + 1; }));
+        return added;
+    }
+
     void startTarget()
     {
         for (std::size_t i = 0; i < m_target.size(); ++i) {
@@ -139,6 +151,7 @@
     }
 
     GatewayDeployment m_deployment;
+    std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
     const std::atomic<u16> m_othersStatus{200};
     std::atomic<u16> m_targetStatus;
     std::array<std::unique_ptr<Replica>, 3> m_others{std::make_unique<Replica>(answering(m_othersStatus)),
@@ -152,16 +165,6 @@
     std::vector<std::thread> m_callers;
 };
 
-std::unique_ptr<GatewayProcess> startGateway(RolloutSite &site, const std::string &name)
-{
-    auto &store = site.deployment().store();
-    const auto known = store.count("burdock-entries");
-    auto gateway = std::make_unique<GatewayProcess>(name, "zone-a", store.address(), boost::json::parse(RolloutSettings).as_object());
-    gateway->start();
-    REQUIRE(GatewayDeployment::waitFor([&] { return store.count("burdock-entries") == known + 1; }));
-    return gateway;
-}
-
 bool holdsLease(const GatewayProcess &gateway)
 {
     return gateway.log().find(R"("event":"duty_gained","duty":"rollouts")") != std::string::npos;
@@ -210,8 +213,7 @@
 TEST_CASE("another gateway decides when the holder of the lease is killed in the middle")
 {
     RolloutSite site(RolloutSettings, 200);
-    const auto added = startGateway(site, "vm-2");
-    auto &other = *added;
+    auto &other = site.addGateway("vm-2");
     site.order(12);
     REQUIRE(GatewayDeployment::waitFor([&] { return holdsLease(site.deployment().gateway()) || holdsLease(other); }));
     const bool isOtherHolder = holdsLease(other);
@@ -228,13 +230,13 @@
 TEST_CASE("three gateways keep to the share together and complete a sound version")
 {
     RolloutSite site(RolloutSettings, 200);
-    const auto second = startGateway(site, "vm-2");
-    const auto third = startGateway(site, "vm-3");
+    const auto &second = site.addGateway("vm-2");
+    const auto &third = site.addGateway("vm-3");
     site.order(12);
     site.startTarget();
     site.startCalls(site.deployment().gateway());
-    site.startCalls(*second);
-    site.startCalls(*third);
+    site.startCalls(second);
+    site.startCalls(third);
     REQUIRE(site.waitForState("completed"));
     const auto toTarget = site.targetRequests();
     CHECK(toTarget >= 20);
@@ -245,13 +247,13 @@
 TEST_CASE("a gateway that was suspended while a version turned bad and was reverted sends it nothing")
 {
     RolloutSite site(RolloutSettings, 200);
-    const auto added = startGateway(site, "vm-2");
+    auto &added = site.addGateway("vm-2");
     site.order(30);
-    REQUIRE(GatewayDeployment::waitFor([&] { return holdsLease(site.deployment().gateway()) || holdsLease(*added); }));
-    const bool isAddedHolder = holdsLease(*added);
-    const auto &holder = isAddedHolder ? *added : site.deployment().gateway();
-    const auto &sleeper = isAddedHolder ? site.deployment().gateway() : *added;
-    auto &sleeping = isAddedHolder ? site.deployment().process() : added->process();
+    REQUIRE(GatewayDeployment::waitFor([&] { return holdsLease(site.deployment().gateway()) || holdsLease(added); }));
+    const bool isAddedHolder = holdsLease(added);
+    const auto &holder = isAddedHolder ? added : site.deployment().gateway();
+    const auto &sleeper = isAddedHolder ? site.deployment().gateway() : added;
+    auto &sleeping = isAddedHolder ? site.deployment().process() : added.process();
     site.startTarget();
     site.startCalls(sleeper);
     REQUIRE(GatewayDeployment::waitFor([&] { return site.targetRequests() > 5; }));
