--- a/lib/libburdock-runtime/source/http/message.cpp
+++ b/lib/libburdock-runtime/source/http/message.cpp
@@ -66,7 +66,11 @@
     }
     Address address{std::string(text.substr(0, colon)), 0};
     const auto digits = text.substr(colon + 1);
-    std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
+    const auto *end = digits.data() + digits.size();
+    const auto [rest, error] = std::from_chars(digits.data(), end, address.port);
+    if (error != std::errc() || rest != end) {
+        address.port = 0;
+    }
     return address;
 }
 
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -40,6 +40,8 @@
 
     /** @brief Writes unconditionally, as the operator or an endpoint would. */
     void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
+    /** @brief Writes an object whose spec is sent as this JSON text, which no parser need be able to read. */
+    void putText(const std::string &kind, const std::string &name, const std::string &specText);
     void erase(const std::string &kind, const std::string &name);
     [[nodiscard]] boost::json::value spec(const std::string &kind, const std::string &name) const;
     /** @brief Status of an object; null if there is none. Removed when the object is put again. */
@@ -68,6 +70,7 @@
     [[nodiscard]] runtime::http::Response list(const std::string &kind) const;
     boost::asio::awaitable<runtime::http::Response> watch(std::string kind, u64 revision, Duration wait);
     [[nodiscard]] runtime::http::Response changesSince(const std::string &kind, u64 revision) const;
+    [[nodiscard]] runtime::http::Response withSpecTexts(runtime::http::Response response) const;
     [[nodiscard]] bool isWithheld(const std::string &kind) const;
     [[nodiscard]] bool isUnanswered(const std::string &kind) const;
     [[nodiscard]] bool hasChanges(const std::string &kind, u64 revision) const;
@@ -79,6 +82,7 @@
     mutable std::mutex m_mutex;
     std::map<Key, Object> m_objects;
     std::vector<Change> m_changes;
+    std::map<std::string, std::string> m_specTexts; ///< by the serialized spec that they replace
     u64 m_revision = 1;
     std::string m_withheldKind; ///< empty for none
     std::string m_unansweredKind; ///< of which writes get no response; empty for none
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -75,6 +75,24 @@
     noteChange(kind, name, false, spec);
 }
 
+void ObjectStore::putText(const std::string &kind, const std::string &name, const std::string &specText)
+{
+    const std::lock_guard lock(m_mutex);
+    const json::value placeholder(json::string("text of " + kind + "/" + name));
+    m_specTexts[json::serialize(placeholder)] = specText;
+    noteChange(kind, name, false, placeholder);
+}
+
+http::Response ObjectStore::withSpecTexts(http::Response response) const
+{
+    for (const auto &[placeholder, text] : m_specTexts) {
+        for (auto at = response.body.find(placeholder); at != std::string::npos; at = response.body.find(placeholder, at + text.size())) {
+            response.body.replace(at, placeholder.size(), text);
+        }
+    }
+    return response;
+}
+
 void ObjectStore::erase(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
@@ -151,7 +169,7 @@
             items.push_back(objectJson(key.second, object));
         }
     }
-    return jsonResponse(200, {{"items", items}, {"more", false}, {"storeRevision", m_revision}});
+    return withSpecTexts(jsonResponse(200, {{"items", items}, {"more", false}, {"storeRevision", m_revision}}));
 }
 
 boost::asio::awaitable<http::Response> ObjectStore::watch(std::string kind, u64 revision, Duration wait)
@@ -200,7 +218,7 @@
             events.push_back({{"deleted", change.isDeleted}, {"object", objectJson(change.name, change.object)}});
         }
     }
-    return jsonResponse(200, {{"events", events}, {"storeRevision", m_revision}});
+    return withSpecTexts(jsonResponse(200, {{"events", events}, {"storeRevision", m_revision}}));
 }
 
 http::Response ObjectStore::write(const http::Request &request, const std::string &kind, const std::string &pathName)
