Join no stream from two software versions after a kill or by a gateway that is out of step

What callers saw: streams that broke off and were taken up, answered 200 and run to their end, but with the first part from one version and the rest from another (reports from systems like ours).

Cause: a stream whose caller doesn't name the attempt continued if one version was registered at the moment, by the gateway's own view. That view says nothing of versions that left before the process began, or that came since the last answer of the store.

Now it continues only if no other version was registered for as long as the route's timeout. A read of the changes in the store that begins after the caller came back, one for all callers who wait, closes the gap to the present. For the time before the process began, or before a list that replaced lost history, a record in the store counts: a version is written there before streams begin with it, by one gateway for all, and removed once it was gone for the timeout. So streams of one version also go on after all gateways were killed, where named ones were refused before. States of entries that one answer of the store supersedes count as seen.

--- a/lib/libburdock-gateway/include/burdock/gateway/platform_store.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/platform_store.hpp
@@ -21,6 +21,7 @@
     Entries, ///< written by this project: the running entries
     Duties, ///< written by this project: leader leases
     Rollouts, ///< orders to move a service to another software version; this project writes their status
+    Software, ///< written by this project: software with which streams of a service may have begun
 };
 
 /** @brief Returns the name of a kind in logs and metrics. */
@@ -57,6 +58,7 @@
     u64 revision = 0; ///< from which to watch next
     std::vector<StoredObject> changed;
     std::vector<std::string> removed;
+    std::vector<StoredObject> superseded; ///< states of objects that have changed or were removed since; only where the store gives them
 };
 
 /** @brief Result of a write. */
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -120,6 +120,7 @@
         , m_permits(m_dependencies, m_settings, m_state, m_peerSocket, m_limitObserver)
         , m_reading(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_rollouts(m_dependencies, m_settings, m_state)
+        , m_software(m_dependencies, m_settings, m_state, m_reading)
         , m_softwareController(m_dependencies, m_settings, m_state, m_rollouts, m_reading)
         , m_loadExchange(m_dependencies, m_settings, m_state, m_peerSocket, m_origins, m_permits, m_reading, m_rollouts)
         , m_rolloutController(m_dependencies, m_settings, m_state, m_limitObserver, m_permits)
@@ -143,6 +144,7 @@
             spawn(watcher->run());
         }
         spawn(m_rolloutController.run());
+        spawn(m_software.run());
         if (m_settings.followsRollouts) {
             spawn(m_softwareController.follow());
             spawn(m_softwareController.decide());
@@ -384,9 +386,15 @@
             }
             const auto now = m_dependencies.clock.now();
             m_state.endpoints.keepOnly(ids, now);
-            m_state.endpointsKnownSince = m_state.endpointsKnownSince.value_or(now);
+            // What came and went between the last change and a list isn't known.
+            m_state.endpointsKnownSince = now;
         };
         const auto applyChanges = [this](const ObjectChanges &changes) {
+            for (const auto &object : changes.superseded) {
+                if (const auto registration = m_dependencies.codec.readRegistration(object.name, object.spec)) {
+                    m_state.endpoints.noteSoftwareSeen(*registration, m_dependencies.clock.now());
+                }
+            }
             for (const auto &object : changes.changed) {
                 applyRegistration(object);
             }
@@ -682,8 +690,9 @@
     PermitExchange m_permits;
     ReadingExchange m_reading;
     RolloutTracker m_rollouts;
+    SoftwareKeeper m_software;
     RolloutController m_softwareController;
-    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_noticeObserver, m_permits, m_rollouts};
+    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_noticeObserver, m_permits, m_rollouts, m_software};
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
     std::set<std::string, std::less<>> m_evacuatedZones;
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -95,12 +95,6 @@
     }
 }
 
-std::optional<u64> GatewayState::soleSoftware(std::string_view service, Duration before, TimePoint now) const
-{
-    const bool isKnown = endpointsKnownSince && *endpointsKnownSince <= now - before;
-    return isKnown ? endpoints.softwareHistory().sole(service, now - before) : std::nullopt;
-}
-
 std::optional<u64> GatewayState::endpointClockMs(TimePoint time) const
 {
     if (!endpointClockOffsetMs) {
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -61,9 +61,6 @@
     /** @brief Records the lowest versions that the known endpoints have of models with superseded weights. */
     void updateServedVersions();
 
-    /** @brief The software of all endpoints of a service in that time before now; nothing if unknown or if there was more than one. */
-    [[nodiscard]] std::optional<u64> soleSoftware(std::string_view service, Duration before, TimePoint now) const;
-
     /** @brief Converts a time to ms on the endpoints' clock; nothing if that clock is unknown. */
     [[nodiscard]] std::optional<u64> endpointClockMs(TimePoint time) const;
 
@@ -96,7 +93,7 @@
     std::vector<PlacedParts> outgoingPlacements; ///< sent with the next message to the other entries
     std::map<std::string, std::function<void(const CacheEvents &)>> storeListeners; ///< by store; called with events from other entries
     u32 activeRequests = 0;
-    std::optional<TimePoint> endpointsKnownSince; ///< when the first list of endpoints was received
+    std::optional<TimePoint> endpointsKnownSince; ///< from when on no change of the endpoints was missed
     bool hasEvacuationList = false; ///< the list of evacuated zones was received
     bool isDraining = false;
     TimePoint acceptUntil{}; ///< while draining: later requests are rejected, as they may not finish in time
--- a/lib/libburdock-gateway/source/object_watcher.cpp
+++ b/lib/libburdock-gateway/source/object_watcher.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> KindNames{"configuration", "endpoints", "evacuations", "weights",
-                                                    "entries",       "duties",    "rollouts"};
+constexpr std::array<std::string_view, 8> KindNames{"configuration", "endpoints", "evacuations", "weights",
+                                                    "entries",       "duties",    "rollouts",    "software"};
 
 /** Delay after a failed call; doubles with each consecutive failure. */
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(100);
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <burdock/endpoints/prompt_memory.hpp>
 #include <burdock/hash/digest.hpp>
+#include <burdock/runtime/sleep.hpp>
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
@@ -30,6 +31,8 @@
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(20);
 /** Entries that are asked for a permit before the request goes to an endpoint without a limit, or is refused. */
 constexpr u32 MaxPermitQuestions = 3;
+/** How often a stream that waits for software to be recorded looks for an endpoint. */
+constexpr Duration RecordPollPeriod = std::chrono::milliseconds(20);
 /** Late answers to earlier requests that may precede the answer on a connection. */
 constexpr u32 MaxForeignAnswers = 8;
 /** Larger numbers of output tokens in a request are treated as this one. */
@@ -122,11 +125,9 @@
         known.recorded = search.software;
         known.haveAllAnswered = search.haveAllAnswered;
     }
-    const auto now = m_dependencies.clock.now();
-    // A gateway that is cut off from the platform doesn't learn of new endpoints.
-    const bool isUpToDate = m_state.areKeysCurrent(now, m_settings);
-    known.soleNow = m_state.soleSoftware(m_service, Duration::zero(), now);
-    known.soleAllAlong = isUpToDate ? m_state.soleSoftware(m_service, m_route->timeout, now) : std::nullopt;
+    if (!known.recorded) {
+        known.soleAllAlong = co_await m_services.software.findSole(m_service, m_route->timeout);
+    }
     m_streamSoftware = run::softwareToContinueWith(known);
     co_return m_streamSoftware.has_value();
 }
@@ -230,7 +231,12 @@
     Attempt lastAttempt;
     while (true) {
         m_selection = m_services.rollouts.choose(makeSelectionRequest());
-        if (m_selection.reason != endpoints::SelectionFailure::None) {
+        const bool isRefused = m_selection.reason != endpoints::SelectionFailure::None;
+        if (isRefused && mustRecordSoftware() && m_services.software.isRecording(m_service) && timeLeft() > MinAttemptTime) {
+            co_await runtime::sleepFor(RecordPollPeriod);
+            continue;
+        }
+        if (isRefused) {
             const Rejection rejection{503, toString(m_selection.reason), retryAfter(m_selection)};
             co_await stopTrying(rejection, lastAttempt);
             co_return;
@@ -287,6 +293,12 @@
     co_await finish(step, lastAttempt);
 }
 
+// Gateways that start after this one has ended must learn with which software the stream can have begun.
+bool RequestForwarder::mustRecordSoftware() const
+{
+    return m_route->isResumable && !m_streamSoftware;
+}
+
 endpoints::SelectionRequest RequestForwarder::makeSelectionRequest() const
 {
     endpoints::SelectionRequest selectionRequest;
@@ -314,6 +326,11 @@
     }
     selectionRequest.tried = m_triedEndpoints;
     selectionRequest.software = m_streamSoftware;
+    if (mustRecordSoftware()) {
+        selectionRequest.mayBegin = [this](const endpoints::Endpoint &endpoint) {
+            return m_services.software.mayBegin(endpoint.registration.service, endpoint.software);
+        };
+    }
     selectionRequest.priority = priority();
     selectionRequest.mayAskPermit = m_permitQuestions < MaxPermitQuestions && timeLeft() > 2 * MinAttemptTime;
     return selectionRequest;
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -7,6 +7,7 @@
 #include "permit_exchange.hpp"
 #include "prompt_planner.hpp"
 #include "rollout_trial.hpp"
+#include "software_keeper.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
 #include <burdock/run/response_memory.hpp>
@@ -26,6 +27,7 @@
     NoticeObserver &notices;
     PermitExchange &permits;
     RolloutTracker &rollouts;
+    SoftwareKeeper &software;
 };
 
 /** @brief Handles one request of a caller: validates it, forwards it to endpoints with retries, and sends the final response. */
@@ -63,6 +65,7 @@
     void noteOrigin();
     [[nodiscard]] boost::asio::awaitable<void> tryEndpoints();
     [[nodiscard]] boost::asio::awaitable<void> stopTrying(const Rejection &rejection, const Attempt &lastAttempt);
+    [[nodiscard]] bool mustRecordSoftware() const;
     [[nodiscard]] endpoints::SelectionRequest makeSelectionRequest() const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
     [[nodiscard]] endpoints::Outcome interruptionOutcome(TimePoint waitDeadline) const;
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -120,6 +120,8 @@
     u32 priority = 0; ///< 0 is the most urgent
     bool mayAskPermit = false; ///< whether the caller can ask another entry for a permit
     std::optional<u64> software; ///< if set, only endpoints with this Endpoint::software are selected
+    /** Whether a stream may begin with an endpoint's software. May be empty, which means that it may. */
+    std::function<bool(const Endpoint &)> mayBegin;
     /** Whether an endpoint's software version may be used at all. May be empty, which means that all may. */
     std::function<bool(const Endpoint &)> mayUse;
 
@@ -237,6 +239,9 @@
     /** @brief Which Endpoint::software the registered endpoints have and had. */
     [[nodiscard]] const SoftwareHistory &softwareHistory() const;
 
+    /** @brief Records the software of an endpoint that was registered at a time, without following the endpoint. */
+    void noteSoftwareSeen(const Registration &registration, TimePoint now);
+
     /** @brief Selects an endpoint. The caller records the request with noteSent(). */
     [[nodiscard]] Selection choose(const SelectionRequest &request, TimePoint now);
 
--- a/lib/libburdock/include/burdock/endpoints/software_history.hpp
+++ b/lib/libburdock/include/burdock/endpoints/software_history.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,15 @@
     /** @brief Records that an endpoint is no longer registered. */
     void remove(std::string_view endpoint, TimePoint now);
 
+    /** @brief Records software that an endpoint had at a time at which it wasn't followed. */
+    void noteSeen(std::string_view service, u64 software, TimePoint now);
+
+    /** @brief The software of the endpoints of a service that are registered. */
+    [[nodiscard]] std::set<u64> registered(std::string_view service) const;
+
+    /** @brief The software that endpoints of a service have, or had since that time. */
+    [[nodiscard]] std::set<u64> softwareSince(std::string_view service, TimePoint since) const;
+
     /** @brief The software of all endpoints of a service since that time; nothing if there was none, or more than one. */
     [[nodiscard]] std::optional<u64> sole(std::string_view service, TimePoint since) const;
 
--- a/lib/libburdock/include/burdock/run/stream_origins.hpp
+++ b/lib/libburdock/include/burdock/run/stream_origins.hpp
@@ -45,7 +45,6 @@
     bool isNamed = false; ///< the caller names the attempt that began the stream
     std::optional<u64> recorded; ///< software with which the stream began, as recorded by any entry
     bool haveAllAnswered = false; ///< all entries that may have a record were asked and have answered
-    std::optional<u64> soleNow; ///< software of all endpoints, if it is the same
     std::optional<u64> soleAllAlong; ///< software of all endpoints, if there was no other for as long as the stream can be old
 };
 
--- a/lib/libburdock/source/endpoints/endpoint_table.cpp
+++ b/lib/libburdock/source/endpoints/endpoint_table.cpp
@@ -50,6 +50,11 @@
     return request.memory - std::min(request.memory - 1, residentTokens);
 }
 
+u64 softwareOf(const Registration &registration)
+{
+    return hash::hash64(registration.softwareVersion, hash::hash64(registration.service));
+}
+
 bool isRemovable(const Endpoint &endpoint)
 {
     return endpoint.isDeregistered && endpoint.ownLoad.running == 0;
@@ -107,7 +112,7 @@
     endpoint.hash = hash::hash64(registration.id);
     m_permits.limits().noteInstance(endpoint.hash, registration.startTimeMs);
     m_notices.noteInstance(endpoint.hash, registration.startTimeMs);
-    endpoint.software = hash::hash64(registration.softwareVersion, hash::hash64(registration.service));
+    endpoint.software = softwareOf(registration);
     m_softwareHistory.set(registration.id, registration.service, endpoint.software, now);
     m_byHash[endpoint.hash] = &endpoint;
     endpoint.isDeregistered = false;
@@ -184,6 +189,11 @@
     return m_softwareHistory;
 }
 
+void EndpointTable::noteSoftwareSeen(const Registration &registration, TimePoint now)
+{
+    m_softwareHistory.noteSeen(registration.service, softwareOf(registration), now);
+}
+
 Selection EndpointTable::choose(const SelectionRequest &request, TimePoint now)
 {
     return request.memory == 0 ? choosePlain(request, now) : choosePrompt(request, now);
--- a/lib/libburdock/source/endpoints/selection_request.cpp
+++ b/lib/libburdock/source/endpoints/selection_request.cpp
@@ -4,7 +4,7 @@
 
 bool SelectionRequest::acceptsSoftwareOf(const Endpoint &endpoint) const
 {
-    return (!software || endpoint.software == *software) && (!mayUse || mayUse(endpoint));
+    return (!software || endpoint.software == *software) && (!mayUse || mayUse(endpoint)) && (!mayBegin || mayBegin(endpoint));
 }
 
 } // namespace burdock::endpoints
--- a/lib/libburdock/source/endpoints/software_history.cpp
+++ b/lib/libburdock/source/endpoints/software_history.cpp
@@ -1,5 +1,7 @@
 #include <burdock/endpoints/software_history.hpp>
 
+#include <algorithm>
+
 namespace burdock::endpoints {
 
 void SoftwareHistory::set(std::string_view endpoint, std::string_view service, u64 software, TimePoint now)
@@ -25,23 +27,36 @@
     m_registered.erase(known);
 }
 
-std::optional<u64> SoftwareHistory::sole(std::string_view service, TimePoint since) const
+void SoftwareHistory::noteSeen(std::string_view service, u64 software, TimePoint now)
 {
-    const auto found = m_presence.find(service);
-    std::optional<u64> sole;
-    if (found == m_presence.end()) {
-        return sole;
+    auto &presence = m_presence[std::string(service)][software];
+    presence.lastSeen = std::max(presence.lastSeen, now);
+}
+
+std::set<u64> SoftwareHistory::registered(std::string_view service) const
+{
+    return softwareSince(service, TimePoint::max());
+}
+
+std::set<u64> SoftwareHistory::softwareSince(std::string_view service, TimePoint since) const
+{
+    std::set<u64> found;
+    const auto known = m_presence.find(service);
+    if (known == m_presence.end()) {
+        return found;
     }
-    for (const auto &[software, presence] : found->second) {
-        if (presence.endpoints == 0 && presence.lastSeen < since) {
-            continue;
-        }
-        if (sole) {
-            return std::nullopt;
+    for (const auto &[software, presence] : known->second) {
+        if (presence.endpoints > 0 || presence.lastSeen >= since) {
+            found.insert(software);
         }
-        sole = software;
     }
-    return sole;
+    return found;
+}
+
+std::optional<u64> SoftwareHistory::sole(std::string_view service, TimePoint since) const
+{
+    const auto software = softwareSince(service, since);
+    return software.size() == 1 ? std::optional(*software.begin()) : std::nullopt;
 }
 
 } // namespace burdock::endpoints
--- a/lib/libburdock/source/run/stream_origins.cpp
+++ b/lib/libburdock/source/run/stream_origins.cpp
@@ -35,10 +35,8 @@
     if (known.recorded) {
         return known.recorded;
     }
-    if (!known.isNamed) {
-        return known.soleNow;
-    }
-    return known.haveAllAnswered ? known.soleAllAlong : std::nullopt;
+    const bool mayBeRecorded = known.isNamed && !known.haveAllAnswered;
+    return mayBeRecorded ? std::nullopt : known.soleAllAlong;
 }
 
 } // namespace burdock::run
--- a/tests/integration/stream_versions_test.cpp
+++ b/tests/integration/stream_versions_test.cpp
@@ -210,3 +210,93 @@
     }
     CHECK(first.resumedCount() + second.resumedCount() == 1);
 }
+
+// Guards against gateways that know nothing of before they were killed and join what two software versions wrote.
+TEST_CASE("after all gateways were killed, a stream is not joined from two software versions")
+{
+    const std::atomic<bool> isReleased{false};
+    BreakingEngine before(isReleased);
+    BreakingEngine after(isReleased);
+    GatewayDeployment gateway;
+    gateway.configure(3);
+    gateway.registerEngine("e1", before.address(), "v1");
+    gateway.awaitReady();
+    auto streams = startStreams(gateway, {&before});
+    std::string versionAfter = "v2";
+    SUBCASE("while the versions change")
+    {
+        gateway.process().signal(SIGKILL);
+    }
+    SUBCASE("after both versions have served side by side")
+    {
+        gateway.registerEngine("e2", after.address(), versionAfter);
+        REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find("\"e2\"") != std::string::npos; }));
+        gateway.store().erase("servers", "e1");
+        REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find("endpoint_gone") != std::string::npos; }));
+        gateway.process().signal(SIGKILL);
+    }
+    SUBCASE("while one version serves")
+    {
+        versionAfter = "v1";
+        gateway.process().signal(SIGKILL);
+    }
+    for (auto &stream : streams) {
+        static_cast<void>(stream.get());
+    }
+    gateway.store().erase("servers", "e1");
+    gateway.registerEngine("e2", after.address(), versionAfter);
+    gateway.restart();
+    gateway.awaitReady();
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.log().find("\"e2\"") != std::string::npos; }));
+    for (u32 i = 0; i < StreamCount; ++i) {
+        const std::string resumes = i % 2 == 0 ? "" : attemptName(i);
+        const auto answer = gateway.call(resumingCall("r" + attemptName(i), resumes, i));
+        CHECK(isComplete(answer) == (versionAfter == "v1"));
+        CHECK((isComplete(answer) || answer.response.body.find("stream_origin_unknown") != std::string::npos));
+    }
+    CHECK(after.resumedCount() == (versionAfter == "v1" ? StreamCount : 0));
+}
+
+// Guards against a gateway that doesn't know of a software version yet with which others have begun streams.
+TEST_CASE("a gateway that is out of step during a release doesn't continue streams of the new software version with the old one")
+{
+    const std::atomic<bool> isReleased{true};
+    BreakingEngine older(isReleased);
+    BreakingEngine newer(isReleased);
+    GatewayDeployment gateway;
+    gateway.configure(3);
+    gateway.registerEngine("e1", older.address(), "v1");
+    gateway.awaitReady();
+    auto &other = gateway.addGateway();
+    CHECK(isComplete(gateway.call(resumingCall("r1", ""))));
+    bool isSuspended = false;
+    SUBCASE("as it stood still")
+    {
+        isSuspended = true;
+        gateway.process().signal(SIGSTOP);
+    }
+    SUBCASE("as it is cut off from the store")
+    {
+        gateway.storeProxy().stallConnections();
+        gateway.storeProxy().setRefusing(true);
+    }
+    gateway.registerEngine("e2", newer.address(), "v2");
+    REQUIRE(GatewayDeployment::waitFor([&] { return other.log().find("\"e2\"") != std::string::npos; }));
+    std::vector<u32> begun;
+    for (u32 i = 0; i < StreamCount; ++i) {
+        static_cast<void>(gateway.call(streamCall(attemptName(i), i), other));
+        if (newer.hasBegun(attemptName(i))) {
+            begun.push_back(i);
+        }
+    }
+    REQUIRE(!begun.empty());
+    if (isSuspended) {
+        gateway.process().signal(SIGCONT);
+    }
+    const auto before = older.resumedCount();
+    for (const u32 i : begun) {
+        const auto answer = gateway.call(resumingCall("t" + attemptName(i), "", i));
+        CHECK_FALSE(isComplete(answer));
+    }
+    CHECK(older.resumedCount() == before);
+}
--- a/tests/unit/stream_origins_test.cpp
+++ b/tests/unit/stream_origins_test.cpp
@@ -1,5 +1,6 @@
 #include <burdock/endpoints/software_history.hpp>
 #include <burdock/membership/rendezvous.hpp>
+#include <burdock/run/software_record.hpp>
 #include <burdock/run/stream_origins.hpp>
 
 #include <algorithm>
@@ -51,7 +52,6 @@
     run::OriginKnowledge known;
     known.isNamed = true;
     CHECK(run::softwareToContinueWith(known) == std::nullopt);
-    known.soleNow = 100;
     known.haveAllAnswered = true;
     CHECK(run::softwareToContinueWith(known) == std::nullopt);
     known.soleAllAlong = 100;
@@ -62,7 +62,7 @@
     CHECK(run::softwareToContinueWith(known) == 300);
     run::OriginKnowledge unnamed;
     CHECK(run::softwareToContinueWith(unnamed) == std::nullopt);
-    unnamed.soleNow = 100;
+    unnamed.soleAllAlong = 100;
     CHECK(run::softwareToContinueWith(unnamed) == 100);
 }
 
@@ -111,3 +111,37 @@
     CHECK(membership::responsibleMembers(1, {}, Responsible).empty());
     CHECK(membership::responsibleMembers(1, entryNames(2), Responsible).size() == 2);
 }
+
+// Guards against a version that is forgotten while streams that began with it can still be taken up, or of which only one entry knows.
+TEST_CASE("software is recorded before it is used, and removed once no endpoint has had it for as long as a stream can be old")
+{
+    constexpr Duration Retention = 10s;
+    run::SoftwareRecord record;
+    CHECK(record.next({100}, std::nullopt, Retention, at(0s)) == run::SoftwareSet{100});
+    record.noteStored({100}, 5, at(0s));
+    CHECK_FALSE(record.next({100}, std::nullopt, Retention, at(60s)));
+    CHECK(record.next({200}, std::nullopt, Retention, at(60s)) == run::SoftwareSet{100, 200});
+    record.noteStored({100, 200}, 6, at(60s));
+    CHECK_FALSE(record.next({200}, run::SoftwareSet{100, 200}, Retention, at(80s)));
+    CHECK(record.next({200}, run::SoftwareSet{200}, Retention, at(80s)) == run::SoftwareSet{200});
+    // Another entry has just recorded 300, of which this one hasn't heard otherwise.
+    record.noteStored({100, 200, 300}, 7, at(80s));
+    CHECK_FALSE(record.next({200}, run::SoftwareSet{200}, Retention, at(89s)));
+    CHECK(record.next({200, 300}, run::SoftwareSet{200, 300}, Retention, at(90s)) == run::SoftwareSet{200, 300});
+    // Read again unchanged, the record is as old as before.
+    record.noteStored({100, 200, 300}, 7, at(95s));
+    CHECK(record.next({}, run::SoftwareSet{}, Retention, at(95s)) == run::SoftwareSet{});
+}
+
+// Guards against software that came and went between two reads of the list.
+TEST_CASE("software that was only seen counts as gone at that time")
+{
+    endpoints::SoftwareHistory history;
+    history.set("a", "s", 100, at(0s));
+    history.noteSeen("s", 200, at(5s));
+    CHECK(history.registered("s") == std::set<u64>{100});
+    CHECK(history.softwareSince("s", at(5s)) == std::set<u64>{100, 200});
+    CHECK(history.softwareSince("s", at(6s)) == std::set<u64>{100});
+    CHECK(history.sole("s", at(5s)) == std::nullopt);
+    CHECK(history.registered("other").empty());
+}
