--- a/lib/libburdock-gateway/source/software_keeper.cpp
+++ b/lib/libburdock-gateway/source/software_keeper.cpp
@@ -13,6 +13,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <utility>
 
 namespace burdock::gateway {
 
@@ -234,28 +235,25 @@
 asio::awaitable<bool> SoftwareKeeper::confirmEndpoints()
 {
     const auto executor = co_await asio::this_coro::executor;
-    const auto waiter = m_waiters.insert(m_waiters.end(), Waiter{asio::steady_timer(executor, asio::steady_timer::time_point::max())});
+    const auto waiter = std::make_shared<Waiter>(Waiter{asio::steady_timer(executor, ConfirmTimeout)});
+    m_waiters.push_back(waiter);
     if (!m_isServingWaiters) {
         m_isServingWaiters = true;
         asio::co_spawn(executor, serveWaiters(), asio::detached);
     }
     static_cast<void>(co_await waiter->done.async_wait(Awaitable));
-    const bool isConfirmed = waiter->isConfirmed;
-    m_servedWaiters.erase(waiter);
-    co_return isConfirmed;
+    co_return waiter->isConfirmed;
 }
 
 asio::awaitable<void> SoftwareKeeper::serveWaiters()
 {
     while (!m_waiters.empty()) {
-        std::list<Waiter> batch;
-        batch.swap(m_waiters);
+        const auto batch = std::exchange(m_waiters, {});
         const bool isConfirmed = co_await readChanges();
-        for (auto &waiter : batch) {
-            waiter.isConfirmed = isConfirmed;
-            waiter.done.cancel();
+        for (const auto &waiter : batch) {
+            waiter->isConfirmed = isConfirmed;
+            waiter->done.cancel();
         }
-        m_servedWaiters.splice(m_servedWaiters.end(), batch);
     }
     m_isServingWaiters = false;
 }
--- a/lib/libburdock-gateway/source/software_keeper.hpp
+++ b/lib/libburdock-gateway/source/software_keeper.hpp
@@ -7,7 +7,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <list>
+#include <memory>
+#include <vector>
 
 namespace burdock::gateway {
 
@@ -60,8 +61,7 @@
     std::optional<TimePoint> m_readAt; ///< start of the last read of all records
     std::map<std::string, TimePoint, std::less<>> m_wrongSince; ///< since when the record of a service has to be changed
     std::map<u64, TimePoint> m_unrecordedSince; ///< since when streams wait for software to be recorded
-    std::list<Waiter> m_waiters;
-    std::list<Waiter> m_servedWaiters; ///< of the read that is under way
+    std::vector<std::shared_ptr<Waiter>> m_waiters; ///< for the next read; shared, as a caller may give up during the read
     bool m_isServingWaiters = false;
 };
 
