Promise "not run" to callers only where that is proved

Cause: whether a request has run was decided by the endpoint's own statement, but the response was then delivered as it was, and callers take 408, 421, 429 and 503 for the promise that it hasn't. The same on related paths: 408 and 429; a success that states that it wasn't run, relayed as a stream; a service's statuses in the product's own interface; any status of an engine but 200 and 409, also after it had begun; a run begun on other weights and refused as not run.

Change: a response with such a status that doesn't prove it is answered with 502 of the gateway's (endpoint_failed) or the entry's (back_end_failed), which promises nothing. Nothing else delivers a back end's status, and refusals with proof are never delivered, so no status of a back end can make a promise any more.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -5,6 +5,7 @@
 #include <burdock/endpoints/prompt_memory.hpp>
 #include <burdock/hash/digest.hpp>
 #include <burdock/runtime/sleep.hpp>
+#include <burdock/verdict.hpp>
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
@@ -465,7 +466,7 @@
     if (m_isStreamStarted && !isSuccess(status)) {
         co_return responseMetadata.isDeclined ? Outcome::Declined : Outcome::Broken;
     }
-    if (isSuccess(status) && m_route->kind == routing::CallKind::Stream) {
+    if (isSuccess(status) && m_route->kind == routing::CallKind::Stream && !responseMetadata.isDeclined) {
         const auto outcome = co_await relayStream(id);
         if (outcome == Outcome::Answered) {
             returnToPool(id, responseMetadata);
@@ -693,6 +694,15 @@
         }
         co_return;
     }
+    if (step == NextStep::Deliver && promisesNotRun(attempt.response.status)) {
+        // An endpoint that has not run a request says so, and its response is not delivered. So this request may have run.
+        m_dependencies.logger.event(
+            LogLevel::Warning, "false_refusal",
+            {{"id", m_requestMetadata.attemptId}, {"endpoint", m_selection.id}, {"status", u64{attempt.response.status}}});
+        const Rejection rejection{502, "endpoint_failed", {}};
+        co_await reject(rejection);
+        co_return;
+    }
     if (step == NextStep::Deliver) {
         if (isSuccess(attempt.response.status)) {
             noteAnswered(attempt);
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/back_end_runner.hpp
@@ -18,7 +18,7 @@
     schema::RunEnd end;
     /** Set if the back end may have crashed during the run. */
     std::optional<retry::CrashEvidence> crash;
-    /** Set if this attempt did not run at the back end; `end` is then ignored. */
+    /** Set if this attempt is refused; `end` is then ignored. */
     std::optional<Refusal> refusal;
 
     /** @brief Whether the run has to be admitted again; nothing of it has run, and the other members are then ignored. */
--- a/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/prompt_runner.cpp
@@ -13,6 +13,9 @@
 
 constexpr u16 Ok = 200;
 constexpr u16 VersionConflict = 409;
+/** Statuses by which an engine states that it has not taken a run. */
+constexpr u16 TooManyRequests = 429;
+constexpr u16 ServiceUnavailable = 503;
 constexpr u32 BytesPerToken = 4;
 constexpr Duration RetryAfterEngineNotReady = std::chrono::milliseconds(500);
 constexpr Duration RetryAfterEngineFull = std::chrono::milliseconds(500);
@@ -112,15 +115,21 @@
         co_return brokenResult(true, crash, "engine cut the connection");
     }
     m_engineWatcher.noteBootId(head.bootId);
-    if (head.status != Ok && head.status != VersionConflict) {
+    if (head.status == TooManyRequests || head.status == ServiceUnavailable) {
         co_return refusedResult(RefusalReason::Overloaded, RetryAfterEngineFull);
     }
+    if (head.status != Ok && head.status != VersionConflict) {
+        auto failed = brokenResult(true, std::nullopt, "engine failed");
+        failed.outcome = RunOutcome::Failure;
+        co_return failed;
+    }
     // The engine may have swapped weights between the check and the start of the run, in which case the head of its response names
-    // other weights than the request. The response can be dropped, as nothing of it has been forwarded yet.
+    // other weights than the request. The response can be dropped, as nothing of it has been forwarded yet, but the run has begun.
     if (head.status == VersionConflict || head.weightVersion != generateRequest.weightVersion) {
         // The refusal reports the weights that are loaded now, with which the entry may retry here.
         co_await m_engineWatcher.refresh();
         auto refused = refusedResult(RefusalReason::WrongVersion, RetryAfterEngineNotReady);
+        refused.refusal->mayHaveRun = head.status == Ok;
         refused.outcome = head.status == Ok ? RunOutcome::Abandoned : RunOutcome::Failure;
         co_return refused;
     }
--- a/lib/libburdock-serving/source/endpoint/response_stream.cpp
+++ b/lib/libburdock-serving/source/endpoint/response_stream.cpp
@@ -57,6 +57,7 @@
     m_refused->set_reason(static_cast<u32>(refusal.reason));
     m_refused->set_retry_after_ms(static_cast<u32>(toMilliseconds(refusal.retryAfter)));
     m_refused->set_config_version(configVersion);
+    m_refused->set_may_have_run(refusal.mayHaveRun);
     *m_refused->mutable_load() = load;
     sendOutcome();
 }
--- a/lib/libburdock-serving/source/entry/attempt.cpp
+++ b/lib/libburdock-serving/source/entry/attempt.cpp
@@ -100,7 +100,9 @@
 Attempt::Outcome Attempt::onRefused(const schema::RunRefused &refused)
 {
     const auto reason = refusalReasonFrom(refused.reason()).value_or(RefusalReason::BackEndLost);
-    return notRun(AttemptStatus::NotRun, reason, std::chrono::milliseconds(refused.retry_after_ms()));
+    auto result = notRun(AttemptStatus::NotRun, reason, std::chrono::milliseconds(refused.retry_after_ms()));
+    result.refusal.mayHaveRun = refused.may_have_run();
+    return result;
 }
 
 std::string_view Attempt::newData(const schema::RunChunk &chunk)
--- a/lib/libburdock-serving/source/entry/attempt.hpp
+++ b/lib/libburdock-serving/source/entry/attempt.hpp
@@ -20,7 +20,7 @@
 enum class AttemptStatus : u8 {
     Complete,
     NotSent, ///< provably not received by an endpoint process
-    NotRun, ///< refused by an endpoint process or its back end
+    NotRun, ///< refused by an endpoint process or its back end; Refusal::mayHaveRun tells whether it had begun
     Lost, ///< may have run in full or in part
     NoResponse, ///< like Lost, but nothing was received in time; the run may still be active
     CallerDisconnected,
--- a/lib/libburdock-serving/source/entry/caller_handler.cpp
+++ b/lib/libburdock-serving/source/entry/caller_handler.cpp
@@ -341,9 +341,18 @@
     BufferingSink buffered;
     const auto result = co_await m_coordinator.run(spec, buffered, context.span.context());
     m_process.metrics.observe("burdock_request_seconds", m_process.clock.now() - startTime, {{"kind", "service"}});
+    const auto status = static_cast<u16>(buffered.head().status());
+    if (result.status == RunStatus::Complete && promisesNotRun(status)) {
+        m_process.logger.event(runtime::LogLevel::Warning, "false_refusal",
+                               {{"service", std::string_view(service->name())},
+                                {"status", u64{status}},
+                                {"trace_id", std::string_view(context.span.context().traceId)}});
+        co_await sendRefusal(context, {RefusalReason::BackEndFailed, Duration::zero()});
+        co_return;
+    }
     if (result.status == RunStatus::Complete) {
         http::Response response;
-        response.status = static_cast<u16>(buffered.head().status());
+        response.status = status;
         response.headers.emplace_back("Content-Type", buffered.head().content_type());
         response.body = buffered.body();
         co_await context.reply.send(response);
--- a/lib/libburdock-serving/source/entry/run_coordinator.cpp
+++ b/lib/libburdock-serving/source/entry/run_coordinator.cpp
@@ -210,6 +210,7 @@
 
 bool RunCoordinator::handleFailedAttempt(const RunSpec &spec, Progress &progress, const AttemptResult &attemptResult)
 {
+    progress.mayHaveRun = progress.mayHaveRun || attemptResult.refusal.mayHaveRun;
     if (attemptResult.status == AttemptStatus::NotSent || attemptResult.refusal.reason == RefusalReason::StaleConfig) {
         // The attempt put no load on a back end, so it does not count as a retry, and the retry taken for it covers the next one.
         // The endpoint is not at fault either: if it has a newer configuration, it sends it before its next answer at the latest.
--- a/lib/libburdock/include/burdock/verdict.hpp
+++ b/lib/libburdock/include/burdock/verdict.hpp
@@ -41,6 +41,7 @@
     UnknownCustomer = 19,
     UnknownModel = 20,
     UnknownService = 21,
+    BackEndFailed = 22,
 };
 
 /** @brief Properties of a refusal reason. */
@@ -62,12 +63,21 @@
 /** @brief Converts a link protocol value to a reason; nothing for None and for unknown values. */
 [[nodiscard]] std::optional<RefusalReason> refusalReasonFrom(u32 value);
 
+/**
+ * @brief Whether callers take a response with this HTTP status as the promise that their request has not run and never will.
+ *
+ * A back end may use such a status for a request that it has run, so it must not be passed on without proof.
+ */
+[[nodiscard]] bool promisesNotRun(u16 httpStatus);
+
 /** @brief Refusal to be sent to the caller. */
 struct Refusal
 {
     RefusalReason reason = RefusalReason::None;
     /** Time after which to retry; zero if a retry can't succeed. */
     Duration retryAfter{};
+    /** The back end had begun the request before it was refused, so the verdict of the reason doesn't hold for it. */
+    bool mayHaveRun = false;
 };
 
 } // namespace burdock
--- a/lib/libburdock/source/verdict.cpp
+++ b/lib/libburdock/source/verdict.cpp
@@ -1,5 +1,6 @@
 #include <burdock/verdict.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace burdock {
@@ -13,7 +14,7 @@
 constexpr bool IsOverload = true;
 constexpr bool NotOverload = false;
 
-constexpr std::array<RefusalRule, 22> Rules{{
+constexpr std::array<RefusalRule, 23> Rules{{
     {RefusalReason::None, "none", Verdict::NotRun, 500, NotRetryable, NotOverload},
     {RefusalReason::Overloaded, "overloaded", Verdict::NotRun, 503, RetryableElsewhere, IsOverload},
     {RefusalReason::DeadlineTooShort, "deadline_too_short", Verdict::NotRun, 503, RetryableElsewhere, IsOverload},
@@ -36,8 +37,12 @@
     {RefusalReason::UnknownCustomer, "unknown_api_key", Verdict::NotRun, 401, NotRetryable, NotOverload},
     {RefusalReason::UnknownModel, "unknown_model", Verdict::NotRun, 404, NotRetryable, NotOverload},
     {RefusalReason::UnknownService, "unknown_service", Verdict::NotRun, 404, NotRetryable, NotOverload},
+    {RefusalReason::BackEndFailed, "back_end_failed", Verdict::MayHaveRun, 502, NotRetryable, NotOverload},
 }};
 
+/** Request timeout, misdirected request, too many requests, service unavailable. */
+constexpr std::array<u16, 4> NotRunStatuses{408, 421, 429, 503};
+
 } // namespace
 
 std::string_view toString(Verdict verdict)
@@ -58,4 +63,9 @@
     return static_cast<RefusalReason>(value);
 }
 
+bool promisesNotRun(u16 httpStatus)
+{
+    return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), httpStatus) != NotRunStatuses.end();
+}
+
 } // namespace burdock
--- a/tests/standins/include/standins/engine.hpp
+++ b/tests/standins/include/standins/engine.hpp
@@ -54,6 +54,8 @@
     void setFrozen(bool isFrozen);
     /** @brief While set, ends each run after its first token without crashing. */
     void setAbortingRuns(bool isAborting);
+    /** @brief Unless zero, each run begins and is then answered with this status. */
+    void setFailureStatus(u16 status);
 
     [[nodiscard]] u32 crashes() const;
     [[nodiscard]] u32 maxRunning() const;
@@ -101,6 +103,7 @@
     std::atomic<u64> m_boot{1};
     std::atomic<bool> m_isFrozen{false};
     std::atomic<bool> m_isAbortingRuns{false};
+    std::atomic<u16> m_failureStatus{0};
     mutable std::mutex m_mutex; // guards the members below
     u32 m_inFlight = 0;
     u32 m_crashesInProgress = 0; // connections from before the last crash may still be open
--- a/tests/standins/source/engine.cpp
+++ b/tests/standins/source/engine.cpp
@@ -111,6 +111,11 @@
     m_isAbortingRuns = isAborting;
 }
 
+void Engine::setFailureStatus(u16 status)
+{
+    m_failureStatus = status;
+}
+
 u32 Engine::crashes() const
 {
     return static_cast<u32>(m_boot - 1);
@@ -212,7 +217,12 @@
         const std::lock_guard lock(m_mutex);
         shouldCrash = shouldCrash || m_running > runCapacity();
     }
-    if (shouldCrash) {
+    if (m_failureStatus != 0) {
+        finishRun(run);
+        auto failure = status(m_failureStatus);
+        failure.headers.emplace_back("Engine-Boot-Id", bootId());
+        co_await reply.send(failure);
+    } else if (shouldCrash) {
         co_await runtime::sleepFor(std::chrono::milliseconds(20));
         if (run.boot == m_boot) {
             crash();
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -510,17 +510,17 @@
     CHECK(end < Replicas / 3.0 * LoadSeconds + 15);
 }
 
-TEST_CASE("each refusal reason has its own rule, and only a claimed key, a lost back end or a passed deadline may have run")
+TEST_CASE("each refusal reason has its own rule, and only a claimed key, a lost or failed back end or a passed deadline may have run")
 {
-    for (u32 value = 1; value <= 21; ++value) {
+    for (u32 value = 1; value <= 22; ++value) {
         const auto reason = refusalReasonFrom(value);
         REQUIRE(reason.has_value());
         const auto &rule = refusalRule(*reason);
         CHECK(rule.reason == *reason);
         CHECK(rule.httpStatus >= 400);
-        const bool mayHaveRun
-            = *reason == RefusalReason::KeyUnderWay || *reason == RefusalReason::BackEndLost || *reason == RefusalReason::DeadlinePassed;
+        const bool mayHaveRun = *reason == RefusalReason::KeyUnderWay || *reason == RefusalReason::BackEndLost
+            || *reason == RefusalReason::DeadlinePassed || *reason == RefusalReason::BackEndFailed;
         CHECK((rule.verdict == Verdict::MayHaveRun) == mayHaveRun);
     }
-    CHECK_FALSE(refusalReasonFrom(22).has_value());
+    CHECK_FALSE(refusalReasonFrom(23).has_value());
 }
