Bound the answers to the processes' own calls

Reported from another system: bytes without end in a head or a body fill the memory of the caller, and the requests of others end with it. Answers to callers' requests were bounded already: endless_answers_test has two more kinds (a status line, bytes that are no answer), which passed before. The processes' own calls were not: engines' states, lists and events of cache stores, the platform's store, and the state that precedes each run were read up to 16 MiB each, any number at once.

--- a/lib/libburdock-clients/source/http_block_store.cpp
+++ b/lib/libburdock-clients/source/http_block_store.cpp
@@ -9,6 +9,7 @@
 
 namespace http = runtime::http;
 
+constexpr http::BodyLimit BlockLimit{std::size_t{16} * 1024 * 1024, nullptr};
 constexpr u16 Ok = 200;
 constexpr u16 InsufficientStorage = 507;
 constexpr std::size_t LengthFieldBytes = 8;
@@ -82,7 +83,7 @@
 {
     http::Request request;
     request.target = "/blocks/" + hash::toHex(hash::asBytes(key));
-    const auto exchange = co_await http::exchange(m_address, request, m_timeout);
+    const auto exchange = co_await http::exchange(m_address, request, m_timeout, BlockLimit);
     if (exchange.progress != http::Progress::Answered || exchange.response.status != Ok) {
         co_return std::nullopt;
     }
--- a/lib/libburdock-clients/source/http_engine.cpp
+++ b/lib/libburdock-clients/source/http_engine.cpp
@@ -10,6 +10,8 @@
 namespace http = runtime::http;
 namespace json = boost::json;
 
+constexpr http::BodyLimit BlockLimit{std::size_t{16} * 1024 * 1024, nullptr};
+constexpr http::BodyLimit EventsLimit{std::size_t{4} * 1024 * 1024, nullptr};
 constexpr u16 Ok = 200;
 constexpr u16 Conflict = 409;
 constexpr std::size_t MaxLineBytes = 1024 * 1024;
@@ -209,7 +211,7 @@
 {
     http::Request request;
     request.target = blockPath(key);
-    auto exchange = co_await http::exchange(m_address, request, m_ioTimeout);
+    auto exchange = co_await http::exchange(m_address, request, m_ioTimeout, BlockLimit);
     if (!exchange.isProvablyComplete() || exchange.response.status != Ok) {
         co_return std::nullopt;
     }
@@ -230,7 +232,7 @@
 {
     http::Request request;
     request.target = "/v1/cache-events?after=" + std::to_string(afterSequence);
-    const auto body = objectOf(co_await http::exchange(m_address, request, m_ioTimeout));
+    const auto body = objectOf(co_await http::exchange(m_address, request, m_ioTimeout, EventsLimit));
     CacheEvents events;
     events.isKnown = body.contains("last");
     events.lastSequence = numberOf(body, "last");
--- a/lib/libburdock-clients/source/http_object_store.cpp
+++ b/lib/libburdock-clients/source/http_object_store.cpp
@@ -11,6 +11,8 @@
 namespace http = runtime::http;
 namespace json = boost::json;
 
+/** Largest value that is read from the platform. */
+constexpr http::BodyLimit ValueLimit{std::size_t{16} * 1024 * 1024, nullptr};
 constexpr u16 Ok = 200;
 constexpr u16 NotModified = 304;
 constexpr u16 NotFound = 404;
@@ -104,7 +106,7 @@
 {
     http::Request request;
     request.target = pathOf(id);
-    co_return toReadResult(co_await http::exchange(m_address, request, m_timeout));
+    co_return toReadResult(co_await http::exchange(m_address, request, m_timeout, ValueLimit));
 }
 
 boost::asio::awaitable<WriteResult> HttpObjectStore::create(const ObjectId &id, std::string_view value)
@@ -125,21 +127,21 @@
     request.target = pathOf(id);
     request.headers.emplace_back(std::string(header), std::move(condition));
     request.body = std::string(value);
-    co_return toWriteResult(co_await http::exchange(m_address, request, m_timeout));
+    co_return toWriteResult(co_await http::exchange(m_address, request, m_timeout, ValueLimit));
 }
 
 boost::asio::awaitable<ReadResult> HttpObjectStore::watch(const ObjectId &id, u64 version, Duration wait)
 {
     http::Request request;
     request.target = pathOf(id) + waitQuery(version, wait);
-    co_return toReadResult(co_await http::exchange(m_address, request, wait + m_timeout));
+    co_return toReadResult(co_await http::exchange(m_address, request, wait + m_timeout, ValueLimit));
 }
 
 boost::asio::awaitable<VmList> HttpObjectStore::watchVms(u64 version, Duration wait)
 {
     http::Request request;
     request.target = "/v1/vms" + waitQuery(version, wait);
-    const auto result = toReadResult(co_await http::exchange(m_address, request, wait + m_timeout));
+    const auto result = toReadResult(co_await http::exchange(m_address, request, wait + m_timeout, ValueLimit));
     VmList list;
     list.status = result.status;
     list.version = result.version;
--- a/lib/libburdock-gateway/source/cache_follower.cpp
+++ b/lib/libburdock-gateway/source/cache_follower.cpp
@@ -27,6 +27,7 @@
 constexpr Duration FreePeriod = std::chrono::milliseconds(500);
 constexpr std::size_t MaxPartsPerFree = 200;
 constexpr u16 FirstHttpErrorStatus = 400;
+constexpr std::size_t MaxAnswerBytes = std::size_t{4} * 1024 * 1024;
 
 } // namespace
 
@@ -89,6 +90,11 @@
     }
 }
 
+http::BodyLimit CacheFollower::answerLimit()
+{
+    return {MaxAnswerBytes, &m_state.responseMemory};
+}
+
 void CacheFollower::noteClock(const CacheEvents &events)
 {
     if (events.clockMs) {
@@ -119,7 +125,7 @@
 boost::asio::awaitable<bool> CacheFollower::readList()
 {
     const auto request = m_dependencies.codec.cacheListRequest();
-    const auto result = co_await m_client.exchange(request, ListTimeout);
+    const auto result = co_await m_client.exchange(request, ListTimeout, answerLimit());
     if (result.progress != http::Progress::Answered) {
         co_return false;
     }
@@ -139,7 +145,7 @@
 {
     const u64 since = freshness().next();
     const auto request = m_dependencies.codec.cacheEventsRequest(since, EventPollTime);
-    const auto result = co_await m_client.exchange(request, EventTimeout);
+    const auto result = co_await m_client.exchange(request, EventTimeout, answerLimit());
     if (result.progress != http::Progress::Answered) {
         m_dependencies.logger.event(LogLevel::Warning, "cache_store_lost", {{"store", m_store}});
         freshness().markOutdated();
@@ -237,7 +243,7 @@
             continue;
         }
         const auto request = m_dependencies.codec.cacheFreeRequest(parts, freshness().epoch());
-        const auto result = co_await m_client.exchange(request, ListTimeout);
+        const auto result = co_await m_client.exchange(request, ListTimeout, answerLimit());
         if (result.progress == http::Progress::Answered && result.response.status < FirstHttpErrorStatus) {
             for (const auto &[salt, id] : parts.parts) {
                 m_state.parts.noteDropped(m_store, salt, id);
--- a/lib/libburdock-gateway/source/cache_follower.hpp
+++ b/lib/libburdock-gateway/source/cache_follower.hpp
@@ -21,6 +21,7 @@
 
 private:
     [[nodiscard]] cache::StoreFreshness &freshness();
+    [[nodiscard]] runtime::http::BodyLimit answerLimit();
     void noteClock(const CacheEvents &events);
     void queueForPeers(const CacheEvents &events);
     [[nodiscard]] bool isConfigured() const;
--- a/lib/libburdock-operator/source/fleet_status.cpp
+++ b/lib/libburdock-operator/source/fleet_status.cpp
@@ -11,6 +11,7 @@
 
 constexpr Duration StatusTimeout = std::chrono::seconds(1);
 constexpr Duration StatusPollInterval = std::chrono::milliseconds(100);
+constexpr runtime::http::BodyLimit StatusLimit{std::size_t{16} * 1024 * 1024, nullptr};
 constexpr u16 Ok = 200;
 
 boost::asio::awaitable<ProcessStatus> fetchStatus(membership::ListedVm vm)
@@ -19,7 +20,8 @@
     status.vm = std::move(vm);
     runtime::http::Request request;
     request.target = "/statusz";
-    const auto exchange = co_await runtime::http::exchange(runtime::http::parseAddress(status.vm.adminAddress), request, StatusTimeout);
+    const auto address = runtime::http::parseAddress(status.vm.adminAddress);
+    const auto exchange = co_await runtime::http::exchange(address, request, StatusTimeout, StatusLimit);
     if (exchange.progress != runtime::http::Progress::Answered || exchange.response.status != Ok) {
         co_return status;
     }
--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/run/response_memory.hpp>
 #include <burdock/runtime/http/connection.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -20,11 +21,19 @@
     Progress progress = Progress::NotSent;
     Response response; ///< complete if progress is Answered
     run::BodyFraming framing = run::BodyFraming::ContentLength; ///< of the response
+    bool isTooLong = false; ///< the response was given up as it exceeded its limit
 
     /** @brief Whether the response is complete, and its framing shows that its body is. */
     [[nodiscard]] bool isProvablyComplete() const;
 };
 
+/** @brief Bounds the body of a response that is read completely. */
+struct BodyLimit
+{
+    std::size_t bytes = std::size_t{256} * 1024;
+    run::ResponseMemory *memory = nullptr; ///< shared with other responses, and outlives them; null for none
+};
+
 /**
  * @brief One request with a streamed response, on a new connection that may carry other requests before it.
  *
@@ -67,7 +76,8 @@
  * @brief Sends a request on a new connection and reads the complete response.
  * @param timeout limit for connecting and for each read
  */
-[[nodiscard]] boost::asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout);
+[[nodiscard]] boost::asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout,
+                                                        BodyLimit limit = {});
 
 /**
  * @brief Sends requests to one server over keep-alive connections.
@@ -81,7 +91,7 @@
     KeepAliveClient(const Address &address, Duration connectTimeout);
 
     /** @brief Sends a request and reads the complete response; the timeout applies to each read. */
-    [[nodiscard]] boost::asio::awaitable<Exchange> exchange(Request request, Duration timeout);
+    [[nodiscard]] boost::asio::awaitable<Exchange> exchange(Request request, Duration timeout, BodyLimit limit = {});
 
 private:
     [[nodiscard]] std::unique_ptr<Connection> takeIdleConnection();
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -1,6 +1,7 @@
 #include <burdock/runtime/http/client.hpp>
 
 #include <boost/asio/this_coro.hpp>
+#include <optional>
 
 namespace burdock::runtime::http {
 
@@ -8,31 +9,57 @@
 
 namespace {
 
-/** Bounds a response that is read completely: its body, and the time of all reads, in timeouts of a single one. */
-constexpr std::size_t MaxCompleteBodyBytes = 16 * 1024 * 1024;
+/** Bounds the time of all reads of a response that is read completely, in timeouts of a single one. */
 constexpr int MaxReadTimeouts = 8;
 
+/** @brief Tracks the size of a response body against its limit. */
+class BodySize
+{
+public:
+    explicit BodySize(const BodyLimit &limit)
+        : m_maxBytes(limit.bytes)
+    {
+        if (limit.memory != nullptr) {
+            m_share.emplace(*limit.memory);
+        }
+    }
+
+    [[nodiscard]] bool tryResize(std::size_t bytes)
+    {
+        return bytes <= m_maxBytes && (!m_share || m_share->tryResize(bytes));
+    }
+
+private:
+    std::size_t m_maxBytes;
+    std::optional<run::ResponseShare> m_share;
+};
+
 // Reads the complete response to a request that was sent.
-asio::awaitable<Exchange> readResponse(Connection &connection, Duration timeout)
+asio::awaitable<Exchange> readResponse(Connection &connection, Duration timeout, BodyLimit limit)
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout * MaxReadTimeouts;
     Exchange result;
     result.progress = Progress::MayBeSent;
     const bool hasHead = co_await connection.readHead(timeout);
     if (!hasHead) {
+        result.isTooLong = connection.hasExceededLimit();
         co_return result;
     }
+    BodySize size(limit);
     result.response = connection.head();
     result.framing = connection.framing();
     while (true) {
         const auto chunk = co_await connection.read(timeout);
+        result.isTooLong = !size.tryResize(result.response.body.size() + chunk.data.size()) || connection.hasExceededLimit();
+        if (result.isTooLong) {
+            co_return result;
+        }
         result.response.body += chunk.data;
         if (chunk.isEnd) {
             result.progress = Progress::Answered;
             co_return result;
         }
-        const bool isTooLong = result.response.body.size() > MaxCompleteBodyBytes || std::chrono::steady_clock::now() > deadline;
-        if (chunk.isBroken || isTooLong) {
+        if (chunk.isBroken || std::chrono::steady_clock::now() > deadline) {
             co_return result;
         }
     }
@@ -67,9 +94,9 @@
     // A connection is reusable only once its send has ended, which may be noticed after the response.
     const bool isSent = co_await m_connection->send(request, m_timeout);
     if (!isSent) {
-        co_return Exchange{Progress::MayBeSent, {}};
+        co_return Exchange{Progress::MayBeSent, {}, {}};
     }
-    co_return co_await readResponse(*m_connection, m_timeout);
+    co_return co_await readResponse(*m_connection, m_timeout, {});
 }
 
 asio::awaitable<Progress> Call::send(const Request &request)
@@ -107,7 +134,7 @@
     return m_connection->read(m_timeout);
 }
 
-asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout)
+asio::awaitable<Exchange> exchange(const Address &address, const Request &request, Duration timeout, BodyLimit limit)
 {
     const auto executor = co_await asio::this_coro::executor;
     Connection connection(executor, address, Reuse::SingleRequest);
@@ -116,7 +143,7 @@
         co_return Exchange{};
     }
     connection.startSend(request);
-    co_return co_await readResponse(connection, timeout);
+    co_return co_await readResponse(connection, timeout, limit);
 }
 
 KeepAliveClient::KeepAliveClient(const Address &address, Duration connectTimeout)
@@ -125,7 +152,7 @@
 {
 }
 
-asio::awaitable<Exchange> KeepAliveClient::exchange(Request request, Duration timeout)
+asio::awaitable<Exchange> KeepAliveClient::exchange(Request request, Duration timeout, BodyLimit limit)
 {
     auto connection = takeIdleConnection();
     if (!connection) {
@@ -137,7 +164,7 @@
         }
     }
     connection->startSend(request);
-    auto result = co_await readResponse(*connection, timeout);
+    auto result = co_await readResponse(*connection, timeout, limit);
     if (result.progress != Progress::Answered) {
         // The fault may affect the idle connections too.
         m_idle.clear();
--- a/tests/integration/endless_answers_test.cpp
+++ b/tests/integration/endless_answers_test.cpp
@@ -51,6 +51,8 @@
 const std::map<std::string, EndlessAnswer> &plainAnswers()
 {
     static const std::map<std::string, EndlessAnswer> s_answers{
+        {"bytes that are no answer", {[](const ReceivedRequest &) { return std::string(); }, "filler"}},
+        {"a status line", {[](const ReceivedRequest &) { return std::string("HTTP/1.1 200 "); }, "filler"}},
         {"header lines", endless("", "X-Filler: filler\r\n")},
         {"one header line", endless("X-Filler: ", "filler")},
         {"chunks", endless("Transfer-Encoding: chunked\r\n\r\n", "8\r\nfillfill\r\n")},
