Answer what is under way at the end of the grace period, and take less before

Reported from another system: requests that came late in the grace period of a planned stop were passed on and cut at its end. Here callers saw closed connections in short grace periods: 8 of 8 callers on kept connections with 2 and 3 s, for requests of 1.5 s, on routes of both kinds; none with 6 s. What was still at work at the end was never answered, whatever the period.

Cause: requests were taken for 2.8 s after SIGTERM, whatever the grace period and however long they last, and the context then stopped.

Change: StopSchedule takes requests for 35 % of the period, 2.8 s at most (as before for 8 s), and none that usually last longer than what is left (AnswerTimes, by route); they are refused as leaving. At the end, what an endpoint is at work on is answered 502, what none has begun is refused. So each caller learns what happened, and no request that may have run is refused.

A stream that has begun is still cut.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -47,10 +47,8 @@
 constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
 /** How often the number of calls to the platform's store is logged. */
 constexpr Duration StoreCallsPeriod = std::chrono::seconds(5);
-/** Time after SIGTERM until the load balancer has removed this entry; new connections may still arrive. */
-constexpr Duration LameDuckPeriod = std::chrono::milliseconds(2800);
-/** Part of the grace period that is reserved for shutting down. */
-constexpr Duration ShutdownMargin = std::chrono::milliseconds(350);
+/** Time in which callers get the answers to requests that are given up at the end of the grace period. */
+constexpr Duration LastAnswersTime = std::chrono::milliseconds(150);
 constexpr Duration DrainPollPeriod = std::chrono::milliseconds(50);
 /** Timeout for sending one chunk of a response to the caller and for receiving one request body. */
 constexpr Duration CallerIoTimeout = std::chrono::seconds(15);
@@ -162,7 +160,7 @@
     {
         if (!m_state.isDraining) {
             m_state.isDraining = true;
-            m_state.acceptUntil = m_dependencies.clock.now() + LameDuckPeriod;
+            m_state.stop.emplace(m_dependencies.clock.now(), m_settings.gracePeriod);
             m_callerServer.closeAfterAnswers();
             spawn(drainAndStop());
         }
@@ -171,10 +169,34 @@
     boost::asio::awaitable<void> handle(const http::Request &request, http::Reply &reply) override
     {
         RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_services, request, reply);
+        const ForwarderEntry entry(m_forwarders, forwarder);
         co_await forwarder.run();
     }
 
 private:
+    /** @brief Lists a forwarder among the active ones during its lifetime. */
+    class ForwarderEntry
+    {
+    public:
+        ForwarderEntry(std::set<RequestForwarder *> &forwarders, RequestForwarder &forwarder)
+            : m_forwarders(forwarders)
+            , m_position(forwarders.insert(&forwarder).first)
+        {
+        }
+
+        ~ForwarderEntry()
+        {
+            m_forwarders.erase(m_position);
+        }
+
+        ForwarderEntry(const ForwarderEntry &) = delete;
+        ForwarderEntry &operator=(const ForwarderEntry &) = delete;
+
+    private:
+        std::set<RequestForwarder *> &m_forwarders;
+        std::set<RequestForwarder *>::iterator m_position;
+    };
+
     void addWatcher(ObjectKind kind, Duration wait, ObjectHandlers handlers)
     {
         m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, kind, wait, std::move(handlers), m_reading));
@@ -334,9 +356,20 @@
                                      {"customers", u64{parsed->customers.size()}}});
         m_state.routes = std::make_shared<const routing::RouteTable>(std::move(*parsed));
         applyServices(m_state.routes->configuration());
+        forgetAnswerTimes(m_state.routes->configuration());
         m_callerServer.setLimits(callerLimits(m_state.routes->configuration().limits));
     }
 
+    /** @brief Forgets the answer times of routes that are gone. */
+    void forgetAnswerTimes(const routing::Configuration &configuration)
+    {
+        std::set<std::string_view> names;
+        for (const auto &route : configuration.routes) {
+            names.insert(route.name);
+        }
+        m_state.answerTimes.keepOnly([&names](std::string_view route) { return names.count(route) > 0; });
+    }
+
     /** @brief Returns the size of a cached token, by the first engines that give it; zero if none do. */
     static double cachedTokenBytes(const routing::Configuration &configuration)
     {
@@ -658,17 +691,26 @@
     {
         m_dependencies.logger.event(LogLevel::Info, "draining", {{"under_way", u64{m_state.activeRequests}}});
         const auto started = m_dependencies.clock.now();
-        const auto end = started + m_settings.gracePeriod - ShutdownMargin;
+        const auto end = m_state.stop->cutAt();
         static_cast<void>(co_await m_dependencies.store.remove(ObjectKind::Entries, m_settings.name));
-        co_await waitUntilIdle(started + LameDuckPeriod, end);
+        co_await waitUntilIdle(m_state.stop->takeUntil(), end);
         m_callerServer.stopListening();
         co_await waitUntilIdle(started, end);
         m_callerServer.closeIdle();
         co_await waitUntilIdle(started, end);
         m_dependencies.logger.event(LogLevel::Info, "drained", {{"cut", u64{m_callerServer.busyConnections()}}});
+        cutOffRequests();
+        co_await waitUntilIdle(started, m_dependencies.clock.now() + LastAnswersTime);
         m_dependencies.context.stop();
     }
 
+    void cutOffRequests()
+    {
+        for (auto *forwarder : m_forwarders) {
+            forwarder->cutOff();
+        }
+    }
+
     /** @brief Waits until atLeast, and then until no request is active, but no longer than until atMost. */
     boost::asio::awaitable<void> waitUntilIdle(TimePoint atLeast, TimePoint atMost)
     {
@@ -693,6 +735,7 @@
     SoftwareKeeper m_software;
     RolloutController m_softwareController;
     const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_noticeObserver, m_permits, m_rollouts, m_software};
+    std::set<RequestForwarder *> m_forwarders; ///< of the requests under way
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
     std::set<std::string, std::less<>> m_evacuatedZones;
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <burdock/admission/answer_times.hpp>
 #include <burdock/admission/connection_shedding.hpp>
+#include <burdock/admission/stop_schedule.hpp>
 #include <burdock/cache/fetch_cost_estimator.hpp>
 #include <burdock/cache/part_retirement.hpp>
 #include <burdock/cache/store_freshness.hpp>
@@ -96,7 +98,8 @@
     std::optional<TimePoint> endpointsKnownSince; ///< from when on no change of the endpoints was missed
     bool hasEvacuationList = false; ///< the list of evacuated zones was received
     bool isDraining = false;
-    TimePoint acceptUntil{}; ///< while draining: later requests are rejected, as they may not finish in time
+    std::optional<admission::StopSchedule> stop; ///< set while draining
+    admission::AnswerTimes answerTimes; ///< by route
 };
 
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -145,8 +145,8 @@
 
 std::optional<RequestForwarder::Rejection> RequestForwarder::validate()
 {
-    if (m_state.isDraining && m_arrivedAt > m_state.acceptUntil) {
-        return Rejection{503, "leaving", RetryAfterElsewhere};
+    if (m_state.stop && !m_state.stop->mayTake(m_arrivedAt, Duration::zero())) {
+        return leavingRejection();
     }
     if (!m_routes) {
         return Rejection{503, "no_configuration", RetryAfterNotSynced};
@@ -161,6 +161,9 @@
     if (auto rejection = checkApiKey()) {
         return rejection;
     }
+    if (m_state.stop && !m_state.stop->mayTake(m_arrivedAt, m_state.answerTimes.usual(m_route->name))) {
+        return leavingRejection();
+    }
     if (auto rejection = checkListsReceived()) {
         return rejection;
     }
@@ -227,10 +230,28 @@
     return {503, "keys_unconfirmed", isServedElsewhere ? RetryAfterElsewhere : RetryAfterNotSynced};
 }
 
+RequestForwarder::Rejection RequestForwarder::leavingRejection()
+{
+    return {503, "leaving", RetryAfterElsewhere};
+}
+
+void RequestForwarder::cutOff()
+{
+    m_isCutOff = true;
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
 boost::asio::awaitable<void> RequestForwarder::tryEndpoints()
 {
     Attempt lastAttempt;
     while (true) {
+        if (m_isCutOff) {
+            const auto rejection = leavingRejection();
+            co_await stopTrying(rejection, lastAttempt);
+            co_return;
+        }
         m_selection = m_services.rollouts.choose(makeSelectionRequest());
         const bool isRefused = m_selection.reason != endpoints::SelectionFailure::None;
         if (isRefused && mustRecordSoftware() && m_services.software.isRecording(m_service) && timeLeft() > MinAttemptTime) {
@@ -263,7 +284,7 @@
         }
         m_triedEndpoints.insert(m_selection.id);
         lastAttempt = co_await attempt(m_selection.id);
-        m_history.hasTimeLeft = timeLeft() > MinAttemptTime && !m_isCallerDisconnected;
+        m_history.hasTimeLeft = timeLeft() > MinAttemptTime && !m_isCallerDisconnected && !m_isCutOff;
         auto step = retry::nextStep(m_history, lastAttempt.outcome);
         if (step == NextStep::TryElsewhere && !m_crashGuard->mayTryElsewhere(m_dependencies.clock.now())) {
             step = retry::finalStep(m_history, lastAttempt.outcome);
@@ -340,7 +361,7 @@
 // Distinguishes a connection that the endpoint closed from one on which the given deadline passed.
 Outcome RequestForwarder::interruptionOutcome(TimePoint waitDeadline) const
 {
-    if (m_isCallerDisconnected) {
+    if (m_isCallerDisconnected || m_isCutOff) {
         return Outcome::Abandoned;
     }
     if (m_isResponseTooLong) {
@@ -717,6 +738,11 @@
         co_await reject(rejection);
         co_return;
     }
+    if (m_isCutOff) {
+        const Rejection rejection{502, "leaving", {}};
+        co_await reject(rejection);
+        co_return;
+    }
     if (timeLeft() <= Duration::zero()) {
         const Rejection rejection{504, "time_up", {}};
         co_await reject(rejection);
@@ -735,6 +761,7 @@
 void RequestForwarder::noteAnswered(const Attempt &attempt)
 {
     countRequest("answered");
+    m_state.answerTimes.note(m_route->name, elapsed());
     m_dependencies.logger.event(LogLevel::Info, "answered",
                                 {{"id", m_requestMetadata.attemptId},
                                  {"attempts", u64{m_history.begun + m_history.declined}},
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -39,6 +39,9 @@
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
+    /** @brief Gives the request up, as the process is about to end; the caller gets an answer unless a stream has begun. */
+    void cutOff();
+
 private:
     /** @brief Result of forwarding the request to one endpoint. */
     struct Attempt
@@ -60,6 +63,7 @@
     [[nodiscard]] std::optional<Rejection> checkApiKey();
     [[nodiscard]] std::optional<Rejection> checkListsReceived() const;
     [[nodiscard]] Rejection staleKeysRejection();
+    [[nodiscard]] static Rejection leavingRejection();
     [[nodiscard]] bool isResumption() const;
     [[nodiscard]] boost::asio::awaitable<bool> findOrigin();
     void noteOrigin();
@@ -121,6 +125,7 @@
     std::optional<run::ResponseShare> m_responseShare; ///< memory of the current attempt's response
     bool m_isResponseTooLong = false; ///< of the current attempt
     bool m_isCallerDisconnected = false; ///< the caller closed the connection
+    bool m_isCutOff = false; ///< cutOff() was called
     bool m_isStreamStarted = false; ///< the head of a stream was sent to the caller
     run::SseSplitter m_sseSplitter;
     u64 m_endpointSoftware = 0; ///< Endpoint::software of the current attempt, as of when the request was sent
