--- a/tests/integration/odd_entries_test.cpp
+++ b/tests/integration/odd_entries_test.cpp
@@ -42,6 +42,11 @@
         entry(address, "8", R"(,"models":3)"),
         "\"\xff\xfe\"",
         "1e99999999999",
+        R"({"service":"\udc80\udcfe","address":"127.0.0.1:9","zone":"zone-a","state":"in_service"})",
+        entry(address, "8", R"(,"note":"\ud800")"),
+        entry(address, "8", R"(,"\udfff":1)"),
+        entry(address, "8", R"(,"note":"\q")"),
+        entry(address, "8", ",\"note\":\"\x01\""),
     };
     for (const std::string port : {"70000", "65536", "99999999999999999999", "-1", "", "0", "80x", " 80"}) {
         entries.push_back(entry("\"127.0.0.1:" + port + "\"", "8", ""));
--- a/tests/unit/read_json_test.cpp
+++ b/tests/unit/read_json_test.cpp
@@ -20,7 +20,8 @@
 TEST_CASE("values that can't be read are read as null, and all others as they are")
 {
     for (const std::string &odd : {nested(33), nested(100'000), std::string("1e99999999999"), std::string("-1e-99999999999"),
-                                   std::string("1.2.3"), std::string("+5")}) {
+                                   std::string("1.2.3"), std::string("+5"), std::string(R"("\ud800")"), std::string(R"("\udc80\udcfe")"),
+                                   std::string(R"("\q")"), std::string(R"("x\u12")"), std::string("\"\x01\"")}) {
         const auto shown = odd.substr(0, 40);
         CAPTURE(shown);
         const auto object = readJsonObject(R"({"a":{"b":[1,-2.5e3,true,"x]}\"\\"]},"odd":)" + odd + R"(,"last":{"c":false}})");
