Bound the bodies of callers' requests

Cause: answers share a bounded memory, requests shared none, and each body was kept three times, once of them with the connection after it had been sent.

Change: bodies share 38 % of the process's memory, each counted with the copy that is forwarded; one may take half of what is free, so that short ones find room. A request that finds none is refused unread as no_memory (503), which is true, as nothing of it was passed on. The body is moved into the message that is sent, and freed once it is. MessageMemory is ResponseMemory under a name that fits both.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -110,7 +110,7 @@
     Impl(const GatewayDependencies &dependencies, const GatewaySettings &settings)
         : m_dependencies(dependencies)
         , m_settings(settings)
-        , m_state(settings.name, settings.responseBytes)
+        , m_state(settings.name, settings.responseBytes, settings.requestBytes)
         , m_peerSocket(dependencies.context, settings.loadAddress)
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
@@ -173,6 +173,12 @@
         co_await forwarder.run();
     }
 
+    boost::asio::awaitable<void> refuseBody(const http::Request &request, http::Reply &reply) override
+    {
+        RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_services, request, reply);
+        co_await forwarder.refuseBody();
+    }
+
 private:
     /** @brief Lists a forwarder among the active ones during its lifetime. */
     class ForwarderEntry
@@ -245,9 +251,10 @@
         m_dependencies.context.stop();
     }
 
-    static http::ServerLimits callerLimits(const routing::CallerLimits &limits)
+    [[nodiscard]] http::ServerLimits callerLimits(const routing::CallerLimits &limits)
     {
         http::ServerLimits server;
+        server.bodyMemory = &m_state.requestMemory;
         server.headerBytes = limits.headerBytes;
         server.bodyBytes = limits.bodyBytes;
         server.headerTimeout = limits.headerTimeout;
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -10,7 +10,7 @@
 #include <burdock/retry/crash_attribution.hpp>
 #include <burdock/retry/retry_budget.hpp>
 #include <burdock/routing/route_table.hpp>
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 #include <burdock/run/stream_origins.hpp>
 #include <burdock/weights/announced_weights.hpp>
 #include <burdock/weights/served_versions.hpp>
@@ -42,8 +42,9 @@
     /**
      * @param name          name of this entry
      * @param responseBytes memory for responses that are read before they are forwarded
+     * @param requestBytes  memory for the bodies of callers' requests
      */
-    GatewayState(std::string_view name, u64 responseBytes);
+    GatewayState(std::string_view name, u64 responseBytes, u64 requestBytes);
 
     /** @brief Returns the retry budget of a service, which is created on first use. */
     [[nodiscard]] retry::RetryBudget &retryBudget(const std::string &service, const GatewaySettings &settings);
@@ -87,7 +88,8 @@
     retry::CrashAttribution crashes;
     admission::ConnectionShedding connectionShedding;
     run::StreamOrigins streamOrigins;
-    run::ResponseMemory responseMemory;
+    run::MessageMemory responseMemory;
+    run::MessageMemory requestMemory;
     u64 bootId = 0; ///< different after each start of this process
     std::vector<std::string> entryNames; ///< of the registered entries
     u32 entryCount = 0; ///< zero while unknown
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -107,6 +107,14 @@
     --m_state.activeRequests;
 }
 
+boost::asio::awaitable<void> RequestForwarder::refuseBody()
+{
+    m_arrivedAt = m_dependencies.clock.now();
+    m_requestMetadata = m_dependencies.codec.readRequest(m_request.headers);
+    const Rejection rejection{503, "no_memory", RetryAfterFull};
+    co_await reject(rejection);
+}
+
 bool RequestForwarder::isResumption() const
 {
     return m_route->isResumable && (!m_requestMetadata.lastEventId.empty() || !m_requestMetadata.resumedAttemptId.empty());
@@ -410,14 +418,14 @@
     const auto *endpoint = m_state.endpoints.find(id);
     m_startDeadline = startDeadline(*endpoint);
     m_endpointSoftware = endpoint->software;
-    const auto request = buildRequest(*endpoint);
+    auto request = buildRequest(*endpoint);
     m_sentAt = m_dependencies.clock.now();
     m_isPrefillPending = m_route->isPrompt;
     m_responseShare.emplace(m_state.responseMemory);
     m_isResponseTooLong = false;
     m_state.endpoints.noteSent(id, m_selection.cost, m_sentAt);
     m_rolloutTrial.noteSent(*endpoint, m_route->name, m_requestMetadata, m_selection, m_sentAt);
-    attempt.outcome = co_await exchange(id, request, attempt);
+    attempt.outcome = co_await exchange(id, std::move(request), attempt);
     m_connection.reset();
     const auto now = m_dependencies.clock.now();
     m_rolloutTrial.noteEnd(attempt.outcome, m_isCallerDisconnected, now);
@@ -458,7 +466,7 @@
     co_return attempt;
 }
 
-boost::asio::awaitable<Outcome> RequestForwarder::exchange(const std::string &id, const http::Request &request, Attempt &attempt)
+boost::asio::awaitable<Outcome> RequestForwarder::exchange(const std::string &id, http::Request request, Attempt &attempt)
 {
     const bool isConnected = co_await connectTo(id);
     if (m_isCallerDisconnected) {
@@ -470,7 +478,7 @@
     if (m_dependencies.clock.now() >= m_startDeadline) {
         co_return Outcome::Declined;
     }
-    m_connection->startSend(request);
+    m_connection->startSend(std::move(request));
     ResponseMetadata responseMetadata;
     const bool hasHead = co_await readMatchingHead(id, responseMetadata);
     if (!hasHead) {
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -10,7 +10,7 @@
 #include "software_keeper.hpp"
 
 #include <burdock/retry/attempt_rule.hpp>
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 #include <burdock/run/sse_splitter.hpp>
 #include <burdock/runtime/http/server.hpp>
 
@@ -39,6 +39,9 @@
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
+    /** @brief Refuses a request whose body was not read, for want of memory. */
+    [[nodiscard]] boost::asio::awaitable<void> refuseBody();
+
     /** @brief Gives the request up, as the process is about to end; the caller gets an answer unless a stream has begun. */
     void cutOff();
 
@@ -75,7 +78,7 @@
     [[nodiscard]] endpoints::Outcome interruptionOutcome(TimePoint waitDeadline) const;
     [[nodiscard]] TimePoint startDeadline(const endpoints::Endpoint &endpoint) const;
     void noteFirstEvent(const std::string &id);
-    [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> exchange(const std::string &id, const runtime::http::Request &request,
+    [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> exchange(const std::string &id, runtime::http::Request request,
                                                                       Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<bool> connectTo(const std::string &id);
     [[nodiscard]] boost::asio::awaitable<bool> readMatchingHead(const std::string &id, ResponseMetadata &responseMetadata);
@@ -122,7 +125,7 @@
     retry::AttemptHistory m_history;
     std::unique_ptr<runtime::http::Connection> m_connection;
     bool m_isReusedConnection = false;
-    std::optional<run::ResponseShare> m_responseShare; ///< memory of the current attempt's response
+    std::optional<run::MessageShare> m_responseShare; ///< memory of the current attempt's response
     bool m_isResponseTooLong = false; ///< of the current attempt
     bool m_isCallerDisconnected = false; ///< the caller closed the connection
     bool m_isCutOff = false; ///< cutOff() was called
--- a/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 #include <burdock/runtime/http/connection.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -31,7 +31,7 @@
 struct BodyLimit
 {
     std::size_t bytes = std::size_t{256} * 1024;
-    run::ResponseMemory *memory = nullptr; ///< shared with other responses, and outlives them; null for none
+    run::MessageMemory *memory = nullptr; ///< shared with other responses, and outlives them; null for none
 };
 
 /**
--- a/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
@@ -43,14 +43,14 @@
     [[nodiscard]] boost::asio::awaitable<bool> connect(Duration timeout);
 
     /** @brief Sends a request; false on failure. A Host header is added as by startSend(). */
-    [[nodiscard]] boost::asio::awaitable<bool> send(const Request &request, Duration timeout);
+    [[nodiscard]] boost::asio::awaitable<bool> send(Request request, Duration timeout);
 
     /**
      * @brief Starts to send a request without waiting, as a server may respond before it has read the whole request.
      *
      * A request without a Host header gets the server's IP address in it.
      */
-    void startSend(const Request &request);
+    void startSend(Request request);
 
     /**
      * @brief Reads the head of the next response; false on failure.
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/run/message_memory.hpp>
 #include <burdock/runtime/http/message.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -48,6 +49,9 @@
 
     /** @brief Handles a request and sends the response through `reply`. */
     virtual boost::asio::awaitable<void> handle(const Request &request, Reply &reply) = 0;
+
+    /** @brief Refuses a request for whose body there is no memory; the request is without it. */
+    virtual boost::asio::awaitable<void> refuseBody(const Request &request, Reply &reply);
 };
 
 /** @brief Size limits in bytes and timeouts of a server. */
@@ -55,6 +59,8 @@
 {
     u32 headerBytes = 16 * 1024;
     u64 bodyBytes = 4 * 1024 * 1024;
+    /** Shared by the bodies of all requests, each counted with the copy that is forwarded; outlives the server. Null for no limit. */
+    run::MessageMemory *bodyMemory = nullptr;
     /** Limit for receiving the rest of a request after its head, and for each write of a response. */
     Duration ioTimeout = std::chrono::seconds(30);
     /** Limit for receiving the head of a request, from its first byte. */
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -31,7 +31,7 @@
 
 private:
     std::size_t m_maxBytes;
-    std::optional<run::ResponseShare> m_share;
+    std::optional<run::MessageShare> m_share;
 };
 
 // Reads the complete response to a request that was sent.
@@ -163,7 +163,7 @@
             co_return Exchange{};
         }
     }
-    connection->startSend(request);
+    connection->startSend(std::move(request));
     auto result = co_await readResponse(*connection, timeout, limit);
     if (result.progress != Progress::Answered) {
         // The fault may affect the idle connections too.
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -73,21 +73,23 @@
         co_return true;
     }
 
-    asio::awaitable<bool> send(const Request &request, Duration timeout)
+    asio::awaitable<bool> send(Request request, Duration timeout)
     {
-        prepareMessage(request);
+        prepareMessage(std::move(request));
         m_stream.expires_after(timeout);
         const auto [error, size] = co_await beast::http::async_write(m_stream, *m_message, Awaitable);
         m_isSent = !error;
+        m_message.reset();
         co_return m_isSent;
     }
 
-    void startSend(const Request &request)
+    void startSend(Request request)
     {
-        prepareMessage(request);
+        prepareMessage(std::move(request));
         m_stream.expires_never();
         auto onSent = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->m_isSent = !error;
+            self->m_message.reset();
         };
         beast::http::async_write(m_stream, *m_message, std::move(onSent));
     }
@@ -192,7 +194,7 @@
     }
 
 private:
-    void prepareMessage(const Request &request)
+    void prepareMessage(Request request)
     {
         m_message.emplace(beast::http::string_to_verb(request.method), request.target, 11);
         if (m_message->method() == beast::http::verb::unknown) {
@@ -205,7 +207,7 @@
             m_message->set(beast::http::field::host, m_address.ip);
         }
         m_message->keep_alive(m_reuse == Reuse::KeepAlive);
-        m_message->body() = request.body;
+        m_message->body() = std::move(request.body);
         m_message->prepare_payload();
         m_isSent = false;
         m_hasExceededLimit = false;
@@ -257,14 +259,14 @@
     return m_impl->connect(timeout);
 }
 
-asio::awaitable<bool> Connection::send(const Request &request, Duration timeout)
+asio::awaitable<bool> Connection::send(Request request, Duration timeout)
 {
-    return m_impl->send(request, timeout);
+    return m_impl->send(std::move(request), timeout);
 }
 
-void Connection::startSend(const Request &request)
+void Connection::startSend(Request request)
 {
-    m_impl->startSend(request);
+    m_impl->startSend(std::move(request));
 }
 
 asio::awaitable<bool> Connection::readHead(Duration timeout)
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t ReadBytes = 8 * 1024;
 /** Connections that are accepted at a time. */
 constexpr u32 MaxAcceptsPerTurn = 64;
+/** The body that was read, and the one that is forwarded. */
+constexpr u64 BodyCopies = 2;
+constexpr u16 ServiceUnavailable = 503;
 constexpr std::size_t DiscardBufferBytes = 64 * 1024;
 constexpr std::size_t MaxDiscardedBytes = 32 * 1024 * 1024;
 constexpr Duration DiscardTimeout = std::chrono::seconds(2);
@@ -188,17 +191,24 @@
     }
 }
 
-Response malformedRequestResponse(u16 status)
+Response problemResponse(u16 status, const std::string &title)
 {
     Response response;
     response.status = status;
     response.headers.emplace_back("Content-Type", "application/problem+json");
-    response.body = R"({"title":"malformed request","verdict":"not_run"})";
+    response.body = R"({"title":")" + title + R"(","verdict":"not_run"})";
     return response;
 }
 
 } // namespace
 
+asio::awaitable<void> Handler::refuseBody(const Request & /*request*/, Reply &reply)
+{
+    auto response = problemResponse(ServiceUnavailable, "overloaded");
+    response.headers.emplace_back("Retry-After", "1");
+    co_await reply.send(response);
+}
+
 class Server::Impl : public std::enable_shared_from_this<Server::Impl>
 {
 public:
@@ -285,6 +295,8 @@
     }
 
 private:
+    using RequestParser = beast::http::request_parser<beast::http::string_body>;
+
     /** @brief An open connection; used only on its own strand, except for its entry in the server's set. */
     struct OpenConnection
     {
@@ -429,7 +441,7 @@
     {
         auto &stream = connection.stream;
         auto &buffer = connection.buffer;
-        beast::http::request_parser<beast::http::string_body> parser;
+        RequestParser parser;
         parser.header_limit(m_limits.headerBytes);
         parser.body_limit(m_limits.bodyBytes);
         boost::system::error_code error = co_await waitForRequest(connection);
@@ -438,9 +450,16 @@
             stream.expires_after(m_limits.headerTimeout);
             std::tie(error, std::ignore) = co_await beast::http::async_read_header(stream, buffer, parser, Awaitable);
         }
+        std::optional<run::MessageShare> bodyShare;
+        if (!error && !parser.is_done() && m_limits.bodyMemory != nullptr) {
+            bodyShare.emplace(*m_limits.bodyMemory);
+        }
         if (!error && !parser.is_done()) {
-            stream.expires_after(m_limits.ioTimeout);
-            std::tie(error, std::ignore) = co_await beast::http::async_read(stream, buffer, parser, Awaitable);
+            error = co_await readBody(connection, parser, bodyShare);
+        }
+        if (error == asio::error::no_memory) {
+            co_await refuseBody(connection, parser.release());
+            co_return false;
         }
         if (error == asio::error::operation_aborted) {
             co_await sendFinalResponse(connection);
@@ -449,7 +468,7 @@
         if (error) {
             if (const u16 status = statusForReadError(error); status != 0 && stream.socket().is_open()) {
                 BeastReply reply(stream, m_limits.ioTimeout, false);
-                const Response response = malformedRequestResponse(status);
+                const Response response = problemResponse(status, "malformed request");
                 co_await reply.send(response);
                 co_await discardInput(stream);
             }
@@ -469,6 +488,33 @@
         co_return canReuse;
     }
 
+    // Returns asio::error::no_memory if the body doesn't fit into its share.
+    asio::awaitable<boost::system::error_code> readBody(OpenConnection &connection, RequestParser &parser,
+                                                        std::optional<run::MessageShare> &share)
+    {
+        const auto announced = parser.content_length();
+        boost::system::error_code error;
+        parser.eager(true);
+        connection.stream.expires_after(m_limits.ioTimeout);
+        while (!error && !parser.is_done()) {
+            const u64 bytes = announced.value_or(parser.get().body().capacity());
+            if (share && !share->tryResize(BodyCopies * bytes)) {
+                co_return asio::error::no_memory;
+            }
+            std::tie(error, std::ignore) = co_await beast::http::async_read_some(connection.stream, connection.buffer, parser, Awaitable);
+        }
+        co_return error;
+    }
+
+    asio::awaitable<void> refuseBody(OpenConnection &connection, beast::http::request<beast::http::string_body> message)
+    {
+        message.body().clear();
+        const auto request = toRequest(std::move(message));
+        BeastReply reply(connection.stream, m_limits.ioTimeout, false);
+        co_await m_handler.refuseBody(request, reply);
+        connection.mayReceiveMore = true;
+    }
+
     // Waits for the first byte of the next request.
     asio::awaitable<boost::system::error_code> waitForRequest(OpenConnection &connection)
     {
--- a/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
+++ b/lib/libburdock-serving/include/burdock/serving/endpoint/service_runner.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 #include <burdock/runtime/http/client.hpp>
 #include <burdock/serving/endpoint/back_end_runner.hpp>
 #include <burdock/serving/endpoint/once_store.hpp>
@@ -31,7 +31,7 @@
         std::string contentType;
         std::string body; ///< empty for a call that may be repeated, as nothing is recorded of it
         bool isComplete = false;
-        std::unique_ptr<run::ResponseShare> memory; ///< for the body
+        std::unique_ptr<run::MessageShare> memory; ///< for the body
     };
 
     [[nodiscard]] boost::asio::awaitable<BackEndResult> forwardCall(const schema::RunRequest &request, ResponseStream &response,
@@ -43,7 +43,7 @@
     OnceStore &m_onceStore;
     runtime::http::Address m_backEnd;
     Duration m_idleTimeout;
-    run::ResponseMemory m_memory;
+    run::MessageMemory m_memory;
     runtime::OrderedMutex<runtime::LockLevel::Leaf> m_mutex;
     std::map<std::string, CallRecord> m_unrecordedCalls; // by run id; removed by onEndSent()
 };
--- a/lib/libburdock-serving/source/endpoint/service_runner.cpp
+++ b/lib/libburdock-serving/source/endpoint/service_runner.cpp
@@ -133,7 +133,7 @@
     const bool isEventStream = record.contentType.starts_with(EventStreamType);
     run::SseSplitter events;
     const bool isRepeatable = request.service().repeatable();
-    record.memory = std::make_unique<run::ResponseShare>(m_memory);
+    record.memory = std::make_unique<run::MessageShare>(m_memory);
     u64 httpChunks = 0;
     bool hasCaller = true;
     while (true) {
--- /dev/null
+++ b/lib/libburdock/include/burdock/run/message_memory.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <burdock/types.hpp>
+
+#include <atomic>
+
+namespace burdock::run {
+
+/**
+ * @brief Shares the memory for messages that are read before they are forwarded: requests, or responses. Thread-safe.
+ *
+ * A message may grow to a part of what is free, so that many long ones at once leave room for short ones.
+ */
+class MessageMemory
+{
+public:
+    /** @param growthShare divisor of the free memory to which one message may grow */
+    explicit MessageMemory(u64 totalBytes, u64 growthShare = DefaultGrowthShare);
+
+    [[nodiscard]] u64 usedBytes() const;
+
+private:
+    friend class MessageShare;
+
+    static constexpr u64 DefaultGrowthShare = 4;
+
+    u64 m_totalBytes;
+    u64 m_growthShare;
+    std::atomic<u64> m_usedBytes{0};
+};
+
+/** @brief The memory of one message, which is returned at the end. Not thread-safe. */
+class MessageShare
+{
+public:
+    explicit MessageShare(MessageMemory &memory);
+    ~MessageShare();
+    MessageShare(const MessageShare &) = delete;
+    MessageShare &operator=(const MessageShare &) = delete;
+
+    /** @brief Takes or returns memory, so that the message has this much; returns false if it would be too much. */
+    [[nodiscard]] bool tryResize(u64 bytes);
+
+    /**
+     * @brief As tryResize(), for bytes that came in that many HTTP chunks.
+     *
+     * A chunk takes as much processor time as some bytes, so it counts as these: many messages in tiny chunks don't keep a process busy.
+     */
+    [[nodiscard]] bool tryResize(u64 bytes, u64 httpChunks);
+
+private:
+    MessageMemory &m_memory;
+    u64 m_bytes = 0;
+};
+
+/** @brief Memory for responses of a process with this much memory; zero means that the memory isn't known. */
+[[nodiscard]] u64 responseMemoryBytes(u32 memoryMegabytes);
+
+/** @brief The same for the bodies of callers' requests. */
+[[nodiscard]] u64 requestMemoryBytes(u32 memoryMegabytes);
+
+/** Growth share of MessageMemory for requests: callers may send longer messages than endpoints do. */
+inline constexpr u64 RequestGrowthShare = 2;
+
+} // namespace burdock::run
--- a/lib/libburdock/source/run/response_memory.cpp
+++ b/lib/libburdock/source/run/message_memory.cpp
@@ -1,4 +1,4 @@
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 
 namespace burdock::run {
 
@@ -8,39 +8,41 @@
 constexpr u64 DefaultBytes = 64 * BytesPerMegabyte;
 /** Share of a process's memory. Strings take up to twice their size while they grow, and responses are copied to be sent. */
 constexpr u64 MemoryShare = 8;
-/** Share of the free memory to which one response may grow. */
-constexpr u64 GrowthShare = 4;
+constexpr u64 RequestMemoryPercent = 38;
+constexpr u64 DefaultRequestBytes = 256 * BytesPerMegabyte;
 constexpr u64 BytesPerHttpChunk = 64;
 
 } // namespace
 
-ResponseMemory::ResponseMemory(u64 totalBytes)
+MessageMemory::MessageMemory(u64 totalBytes, u64 growthShare)
     : m_totalBytes(totalBytes)
+    , m_growthShare(growthShare)
 {
 }
 
-u64 ResponseMemory::usedBytes() const
+u64 MessageMemory::usedBytes() const
 {
     return m_usedBytes;
 }
 
-ResponseShare::ResponseShare(ResponseMemory &memory)
+MessageShare::MessageShare(MessageMemory &memory)
     : m_memory(memory)
 {
 }
 
-ResponseShare::~ResponseShare()
+MessageShare::~MessageShare()
 {
     m_memory.m_usedBytes -= m_bytes;
 }
 
-bool ResponseShare::tryResize(u64 bytes)
+bool MessageShare::tryResize(u64 bytes)
 {
     u64 before = m_memory.m_usedBytes;
     u64 used = 0;
     do {
         used = before - m_bytes + bytes;
-        const bool isTooMuch = bytes > m_bytes && (used > m_memory.m_totalBytes || bytes > (m_memory.m_totalBytes - used) / GrowthShare);
+        const bool isTooMuch
+            = bytes > m_bytes && (used > m_memory.m_totalBytes || bytes > (m_memory.m_totalBytes - used) / m_memory.m_growthShare);
         if (isTooMuch) {
             return false;
         }
@@ -49,7 +51,7 @@
     return true;
 }
 
-bool ResponseShare::tryResize(u64 bytes, u64 httpChunks)
+bool MessageShare::tryResize(u64 bytes, u64 httpChunks)
 {
     return tryResize(bytes + httpChunks * BytesPerHttpChunk);
 }
@@ -59,4 +61,9 @@
     return memoryMegabytes == 0 ? DefaultBytes : memoryMegabytes * BytesPerMegabyte / MemoryShare;
 }
 
+u64 requestMemoryBytes(u32 memoryMegabytes)
+{
+    return memoryMegabytes == 0 ? DefaultRequestBytes : memoryMegabytes * BytesPerMegabyte * RequestMemoryPercent / 100;
+}
+
 } // namespace burdock::run
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -5,7 +5,7 @@
 #include <burdock/platform/contract_names.hpp>
 #include <burdock/platform/http_platform_store.hpp>
 #include <burdock/platform/http_protocol_codec.hpp>
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 #include <burdock/schema/document.hpp>
 
 #include <algorithm>
@@ -56,6 +56,7 @@
     settings.followsRollouts = std::find(contracts.begin(), contracts.end(), platform::RolloutContract) != contracts.end();
     settings.rolloutShare = document.expose_share_size() > 0 ? document.expose_share(0) : settings.rolloutShare;
     settings.responseBytes = run::responseMemoryBytes(static_cast<u32>(document.memory_mb()));
+    settings.requestBytes = run::requestMemoryBytes(static_cast<u32>(document.memory_mb()));
     settings.isReadingShared = document.shared_reading();
     settings.maxCallerConnections
         = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
--- a/tests/unit/response_memory_test.cpp
+++ b/tests/unit/message_memory_test.cpp
@@ -1,4 +1,4 @@
-#include <burdock/run/response_memory.hpp>
+#include <burdock/run/message_memory.hpp>
 
 #include <doctest/doctest.h>
 #include <memory>
@@ -18,9 +18,9 @@
 
 TEST_CASE("one response may take a part of the memory, and returns it at its end")
 {
-    ResponseMemory memory(TotalBytes);
+    MessageMemory memory(TotalBytes);
     {
-        ResponseShare share(memory);
+        MessageShare share(memory);
         CHECK(share.tryResize(TotalBytes / 8));
         CHECK(memory.usedBytes() == TotalBytes / 8);
         CHECK_FALSE(share.tryResize(TotalBytes / 2));
@@ -36,10 +36,10 @@
 {
     for (const u32 count : {1U, 50U, 500U}) {
         CAPTURE(count);
-        ResponseMemory memory(TotalBytes);
-        std::vector<std::unique_ptr<ResponseShare>> shares;
+        MessageMemory memory(TotalBytes);
+        std::vector<std::unique_ptr<MessageShare>> shares;
         for (u32 i = 0; i < count; ++i) {
-            shares.push_back(std::make_unique<ResponseShare>(memory));
+            shares.push_back(std::make_unique<MessageShare>(memory));
         }
         bool isAnyGrowing = true;
         for (u64 bytes = StepBytes; isAnyGrowing; bytes += StepBytes) {
@@ -49,7 +49,7 @@
             }
         }
         CHECK(memory.usedBytes() <= TotalBytes);
-        ResponseShare further(memory);
+        MessageShare further(memory);
         CHECK(further.tryResize(ShortBytes));
     }
 }
@@ -61,10 +61,10 @@
     constexpr u64 StepChunks = 128;
     for (const u32 count : {1U, 50U, 500U}) {
         CAPTURE(count);
-        ResponseMemory memory(TotalBytes);
-        std::vector<std::unique_ptr<ResponseShare>> shares;
+        MessageMemory memory(TotalBytes);
+        std::vector<std::unique_ptr<MessageShare>> shares;
         for (u32 i = 0; i < count; ++i) {
-            shares.push_back(std::make_unique<ResponseShare>(memory));
+            shares.push_back(std::make_unique<MessageShare>(memory));
         }
         std::vector<u64> chunks(count, StepChunks);
         bool isAnyGrowing = true;
