Keep in the lease record what previous holders have just acted on

Cause: the new holder knew only in memory, and only from an acknowledged takeover, what the previous one had just ordered; its first write replaced that in the record.

Change: the record keeps these subjects until the pause has passed. A process that finds its VM as the holder under a token that it doesn't know blocks them for the whole pause from then on. The takeover and what it inherits are one conditional write, so no order of kills and lost answers separates them.

--- a/lib/libburdock-gateway/source/lease_keeper.cpp
+++ b/lib/libburdock-gateway/source/lease_keeper.cpp
@@ -48,8 +48,25 @@
         announced[model] = toJson(announcements);
     }
     boost::json::array subjects(record.subjects.begin(), record.subjects.end());
-    return {{"vm", record.vm},         {"boot", record.bootId},           {"token", record.token},
-            {"beat", record.renewals}, {"subjects", std::move(subjects)}, {"named", std::move(announced)}};
+    boost::json::array inherited(record.inherited.begin(), record.inherited.end());
+    return {{"vm", record.vm},
+            {"boot", record.bootId},
+            {"token", record.token},
+            {"beat", record.renewals},
+            {"subjects", std::move(subjects)},
+            {"inherited", std::move(inherited)},
+            {"named", std::move(announced)}};
+}
+
+std::set<std::string> parseNames(const boost::json::array &items)
+{
+    std::set<std::string> names;
+    for (const auto &item : items) {
+        if (const auto *text = item.if_string()) {
+            names.emplace(*text);
+        }
+    }
+    return names;
 }
 
 std::optional<weights::LeaseRecord> parseLease(const boost::json::value &spec)
@@ -62,13 +79,9 @@
                                 clients::numberOf(*object, "boot"),
                                 clients::numberOf(*object, "token"),
                                 clients::numberOf(*object, "beat"),
-                                {},
+                                parseNames(clients::arrayOf(*object, "subjects")),
+                                parseNames(clients::arrayOf(*object, "inherited")),
                                 {}};
-    for (const auto &subject : clients::arrayOf(*object, "subjects")) {
-        if (const auto *text = subject.if_string()) {
-            record.subjects.emplace(*text);
-        }
-    }
     for (const auto &[model, value] : clients::objectOf(*object, "named")) {
         if (const auto *announcements = value.if_array()) {
             record.announced[std::string(model)] = parseHistory(*announcements);
--- a/lib/libburdock/include/burdock/weights/leader_lease.hpp
+++ b/lib/libburdock/include/burdock/weights/leader_lease.hpp
@@ -18,6 +18,7 @@
     u64 token = 0; ///< fencing token, increased with each change of the holder
     u64 renewals = 0; ///< number of renewals
     std::set<std::string> subjects; ///< subjects that the holder acts on or recently acted on
+    std::set<std::string> inherited; ///< subjects that holders on other VMs may have acted on within the handover pause
     std::map<std::string, AnnouncementHistory>
         announced; ///< by model, for processes that start later; in wall-clock time, which can be off by seconds
 };
@@ -27,9 +28,10 @@
  *
  * Does not need synchronized clocks. A holder acts only for a short time after the start of its last acknowledged write, and only on
  * the subjects listed in that write. Another process acquires the lease once the record has been unchanged for longer than that on its
- * own clock, and does not act on the subjects listed in the record before the handover pause has passed. A holder that was suspended
- * or whose write is executed late therefore never acts concurrently with its successor, and the loss of a holder causes
- * little delay. The clock must include the time in which the VM was suspended.
+ * own clock, and does not act on the subjects listed in the record before the handover pause has passed. It stores them with the record,
+ * so that they stay known if the write isn't acknowledged or the process restarts. A holder that was suspended or whose write is executed
+ * late therefore never acts concurrently with its successor, and the loss of a holder causes little delay. The clock must include the time
+ * in which the VM was suspended.
  */
 class LeaderLease
 {
@@ -78,6 +80,8 @@
 
 private:
     [[nodiscard]] bool isHeldByThisProcess() const;
+    void blockInherited(TimePoint now);
+    [[nodiscard]] std::set<std::string> blockedSubjects(TimePoint now) const;
     [[nodiscard]] std::set<std::string> recentSubjects(TimePoint now) const;
 
     std::string m_vm;
@@ -91,6 +95,7 @@
     std::map<std::string, AnnouncementHistory> m_announced; ///< by model
     std::map<std::string, TimePoint> m_ownActions; ///< last action of this process, by subject
     std::map<std::string, TimePoint> m_blockedUntil; ///< by subject of a previous holder
+    std::optional<u64> m_blockedToken; ///< token of the record whose inherited subjects were blocked last
 };
 
 } // namespace burdock::weights
--- a/lib/libburdock/source/weights/leader_lease.cpp
+++ b/lib/libburdock/source/weights/leader_lease.cpp
@@ -33,6 +33,20 @@
     m_record = record;
     m_revision = revision;
     m_changedAt = now;
+    blockInherited(now);
+}
+
+// When the record was taken over isn't known to a process that has restarted since or whose write was not acknowledged, so the pause counts
+// from when it finds its VM as the holder.
+void LeaderLease::blockInherited(TimePoint now)
+{
+    if (!m_record || m_record->vm != m_vm || m_record->token == m_blockedToken) {
+        return;
+    }
+    m_blockedToken = m_record->token;
+    for (const auto &subject : m_record->inherited) {
+        m_blockedUntil[subject] = now + m_handoverPause;
+    }
 }
 
 std::optional<LeaderLease::Write> LeaderLease::nextWrite(const std::vector<std::string> &subjects, TimePoint now) const
@@ -40,7 +54,7 @@
     if (!m_isObserved) {
         return std::nullopt;
     }
-    LeaseRecord next = m_record.value_or(LeaseRecord{m_vm, m_bootId, 1, 0, {}, {}});
+    LeaseRecord next = m_record.value_or(LeaseRecord{m_vm, m_bootId, 1, 0, {}, {}, {}});
     ++next.renewals;
     next.subjects = recentSubjects(now);
     next.subjects.insert(subjects.begin(), subjects.end());
@@ -55,6 +69,7 @@
     }
     if (isHeldByThisProcess()) {
         const bool isFresh = m_renewedAt && now - *m_renewedAt < m_handoverPause / RenewalIntervalDivisor;
+        next.inherited = blockedSubjects(now);
         const bool isCovered
             = std::includes(m_record->subjects.begin(), m_record->subjects.end(), next.subjects.begin(), next.subjects.end());
         return isFresh && isCovered ? std::nullopt : std::optional(Write{next, m_revision});
@@ -64,6 +79,9 @@
     if (!isSameVm && now - m_changedAt < m_handoverPause / ActionPeriodDivisor + ObservationMargin) {
         return std::nullopt;
     }
+    if (!isSameVm) {
+        next.inherited.insert(m_record->subjects.begin(), m_record->subjects.end());
+    }
     next.vm = m_vm;
     next.bootId = m_bootId;
     ++next.token;
@@ -72,12 +90,6 @@
 
 void LeaderLease::noteWritten(const LeaseRecord &record, u64 revision, TimePoint startedAt, TimePoint now)
 {
-    const bool isTakenOver = m_record && !isHeldByThisProcess() && m_record->vm != m_vm;
-    if (isTakenOver) {
-        for (const auto &subject : m_record->subjects) {
-            m_blockedUntil[subject] = now + m_handoverPause;
-        }
-    }
     observe(record, revision, now);
     m_renewedAt = startedAt;
 }
@@ -98,6 +110,17 @@
     return blocked != m_blockedUntil.end() && now < blocked->second;
 }
 
+std::set<std::string> LeaderLease::blockedSubjects(TimePoint now) const
+{
+    std::set<std::string> subjects;
+    for (const auto &[subject, until] : m_blockedUntil) {
+        if (now < until) {
+            subjects.insert(subject);
+        }
+    }
+    return subjects;
+}
+
 void LeaderLease::noteAct(const std::string &subject, TimePoint now)
 {
     m_ownActions[subject] = now;
--- a/tests/unit/weights_test.cpp
+++ b/tests/unit/weights_test.cpp
@@ -108,6 +108,76 @@
     CHECK(after.token() == 2);
 }
 
+// Guards against a new holder that acts on what the previous one has just acted on, as the answer to its takeover was lost.
+TEST_CASE("a takeover that wasn't acknowledged blocks the previous holder's subjects for the pause")
+{
+    Store store;
+    LeaderLease first("vm-1", 1, Pause);
+    LeaderLease second("vm-2", 2, Pause);
+    REQUIRE(runRound(first, store, {"replica-a"}, at(0ms)));
+    first.noteAct("replica-a", at(100ms));
+    CHECK_FALSE(runRound(second, store, {}, at(100ms)));
+    second.observe(store.record, store.revision, at(1500ms));
+    const auto takeover = second.nextWrite({"replica-b"}, at(1500ms));
+    REQUIRE(takeover);
+    REQUIRE(store.write(*takeover));
+    REQUIRE(runRound(second, store, {"replica-b"}, at(2500ms)));
+    CHECK(second.mayActOn("replica-b", at(2500ms)));
+    CHECK(second.isBlocked("replica-a", at(2500ms)));
+    CHECK(second.isBlocked("replica-a", at(3000ms)));
+    // The next renewals don't prolong the pause.
+    for (auto now = 2600ms; now < 5600ms; now += 100ms) {
+        CHECK(runRound(second, store, {"replica-b"}, at(now)));
+    }
+    CHECK_FALSE(second.isBlocked("replica-a", at(5600ms)));
+    REQUIRE(runRound(second, store, {"replica-a"}, at(5900ms)));
+    CHECK(second.mayActOn("replica-a", at(5900ms)));
+    CHECK(store.record->inherited.empty());
+}
+
+// Guards against a holder that forgets in a restart what the previous one has just acted on.
+TEST_CASE("a holder that restarts after its takeover blocks the previous holder's subjects for the pause, but not its own")
+{
+    for (const auto killedAfter : {0ms, 150ms, 600ms, 2500ms}) {
+        CAPTURE(killedAfter.count());
+        Store store;
+        LeaderLease first("vm-1", 1, Pause);
+        LeaderLease before("vm-2", 2, Pause);
+        REQUIRE(runRound(first, store, {"replica-a"}, at(0ms)));
+        first.noteAct("replica-a", at(100ms));
+        CHECK_FALSE(runRound(before, store, {}, at(100ms)));
+        auto now = 1500ms;
+        REQUIRE(runRound(before, store, {"replica-b"}, at(now)));
+        before.noteAct("replica-b", at(now));
+        for (; now < 1500ms + killedAfter; now += 50ms) {
+            REQUIRE(runRound(before, store, {"replica-b"}, at(now)));
+        }
+        LeaderLease after("vm-2", 3, Pause);
+        now += 500ms;
+        REQUIRE(runRound(after, store, {"replica-a", "replica-b"}, at(now)));
+        CHECK(after.mayActOn("replica-b", at(now)));
+        CHECK((!after.mayActOn("replica-a", at(now)) || now >= 100ms + Pause));
+        CHECK_FALSE(after.isBlocked("replica-a", at(now + 3100ms)));
+    }
+}
+
+// Guards against subjects that are forgotten where the lease changes its holder twice within the pause.
+TEST_CASE("the subjects of two previous holders are blocked")
+{
+    Store store;
+    LeaderLease first("vm-1", 1, Pause);
+    LeaderLease second("vm-2", 2, Pause);
+    LeaderLease third("vm-3", 3, Pause);
+    REQUIRE(runRound(first, store, {"replica-a"}, at(0ms)));
+    CHECK_FALSE(runRound(second, store, {}, at(100ms)));
+    REQUIRE(runRound(second, store, {"replica-b"}, at(1500ms)));
+    CHECK_FALSE(runRound(third, store, {}, at(1500ms)));
+    REQUIRE(runRound(third, store, {"replica-c"}, at(2900ms)));
+    CHECK(third.isBlocked("replica-a", at(2900ms)));
+    CHECK(third.isBlocked("replica-b", at(4400ms)));
+    CHECK_FALSE(third.isBlocked("replica-c", at(2900ms)));
+}
+
 TEST_CASE("a slow write leaves less time to act, and none if it took too long")
 {
     LeaderLease lease("vm-1", 1, Pause);
