Send statuses that aren't registered as they are

Cause: the server converted the status to Beast's enumeration, in which a number that isn't listed is 0. Change: it is set as a number.

--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -21,6 +21,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned HttpVersion = 11;
 constexpr std::size_t ReadBytes = 8 * 1024;
 /** Connections that are accepted at a time. */
 constexpr u32 MaxAcceptsPerTurn = 64;
@@ -40,6 +41,13 @@
     }
 }
 
+// Set as a number, since Beast's enumeration lists only registered statuses.
+void setStatusLine(beast::http::header<false> &head, u16 status)
+{
+    head.version(HttpVersion);
+    head.result(static_cast<unsigned>(status));
+}
+
 class BeastReply : public Reply
 {
 public:
@@ -52,7 +60,8 @@
 
     asio::awaitable<bool> send(const Response &response) override
     {
-        beast::http::response<beast::http::string_body> message(beast::http::int_to_status(response.status), 11);
+        beast::http::response<beast::http::string_body> message;
+        setStatusLine(message, response.status);
         copyHeaders(response.headers, message);
         message.body() = response.body;
         message.keep_alive(m_keepAlive);
@@ -65,7 +74,8 @@
 
     asio::awaitable<bool> begin(const Response &head) override
     {
-        beast::http::response<beast::http::empty_body> message(beast::http::int_to_status(head.status), 11);
+        beast::http::response<beast::http::empty_body> message;
+        setStatusLine(message, head.status);
         copyHeaders(head.headers, message);
         message.keep_alive(m_keepAlive);
         message.chunked(true);
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -190,6 +190,30 @@
     }
 }
 
+// Guards against an answer whose status the HTTP library doesn't list and that reaches the caller with another one.
+TEST_CASE("an endpoint's status reaches the caller as it is, whether it is registered or not")
+{
+    GatewayDeployment gateway;
+    Replica plain([](const ReceivedRequest &request, ReplicaConnection &connection) {
+        const auto status = static_cast<u16>(std::stoi(request.target.substr(request.target.rfind('/') + 1)));
+        connection.write(completeResponse(request, status, "answer"));
+        return ConnectionAction::Keep;
+    });
+    gateway.setUpService("plain", {&plain});
+    for (const u16 status : {299, 418, 425, 451, 499}) {
+        CAPTURE(status);
+        GatewayCall call;
+        call.path = "/once/" + std::to_string(status);
+        const auto answer = gateway.call(call);
+        CHECK(answer.response.status == status);
+        CHECK(answer.response.header("X-Server-Seal") == "seal");
+        CHECK(answer.response.body == "answer");
+    }
+    GatewayCall call;
+    call.path = "/once/529";
+    CHECK(gateway.call(call).response.status == 529);
+}
+
 // Guards against a call that runs twice because it is retried at another endpoint after its response was lost, or reported as not run.
 TEST_CASE("a call that may not be repeated is sent once, and a lost response is not reported as a refusal")
 {
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -27,25 +27,37 @@
     {
     }
 
+    void setStatus(u16 status)
+    {
+        m_status = status;
+    }
+
     asio::awaitable<void> handle(const http::Request & /*request*/, http::Reply &reply) override
     {
         http::Response response;
+        response.status = m_status;
         response.body.assign(m_bodyBytes, 'x');
         co_await reply.send(response);
     }
 
 private:
     std::size_t m_bodyBytes;
+    u16 m_status = 200;
 };
 
 /** @brief A server that handles connections only while the test runs it. */
 class TestServer
 {
 public:
-    explicit TestServer(std::size_t bodyBytes = 2)
+    explicit TestServer(std::size_t bodyBytes = 2, const http::ServerLimits &limits = {})
         : m_handler(bodyBytes)
-        , server(m_context, {"127.0.0.1", 0}, {}, m_handler)
+        , server(m_context, {"127.0.0.1", 0}, limits, m_handler)
+    {
+    }
+
+    [[nodiscard]] FixedSizeHandler &handler()
     {
+        return m_handler;
     }
 
     [[nodiscard]] Tcp::socket connect()
@@ -251,3 +263,73 @@
     CHECK_FALSE(reader.isReset);
     CHECK(reader.text.size() > BodyBytes);
 }
+
+// Guards against a status that the HTTP library doesn't list and that reaches the peer as 000.
+TEST_CASE("each status of three digits is sent as it is")
+{
+    TestServer testServer;
+    for (const u16 status : {200, 299, 418, 425, 509, 520, 529, 530, 599, 999}) {
+        testServer.handler().setStatus(status);
+        auto socket = testServer.connect();
+        write(socket, "GET /page HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+        ResponseReader reader(socket);
+        CHECK(testServer.runUntil([&] {
+            reader.readAvailable();
+            return reader.isClosed;
+        }));
+        CHECK(reader.text.starts_with("HTTP/1.1 " + std::to_string(status) + " "));
+    }
+}
+
+// Guards against long bodies that take more memory than there is for them, and against short ones that find none beside them.
+TEST_CASE("bodies beyond the memory for them are refused unread, and others are served meanwhile")
+{
+    constexpr u64 MemoryBytes = 1024 * 1024;
+    constexpr std::size_t LongBytes = 150'000;
+    run::MessageMemory memory(MemoryBytes, run::RequestGrowthShare);
+    http::ServerLimits limits;
+    limits.bodyMemory = &memory;
+    TestServer testServer(2, limits);
+    const auto longHead = "POST /page HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(LongBytes) + "\r\n\r\n";
+    std::list<Tcp::socket> sockets;
+    std::list<ResponseReader> readers;
+    for (u32 i = 0; i < 10; ++i) {
+        sockets.push_back(testServer.connect());
+        write(sockets.back(), longHead);
+        readers.emplace_back(sockets.back());
+    }
+    const auto refused = [&] {
+        u32 count = 0;
+        for (auto &reader : readers) {
+            reader.readAvailable();
+            count += reader.text.starts_with("HTTP/1.1 503") && reader.text.find("Retry-After") != std::string::npos ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(testServer.runUntil([&] { return refused() >= 7; }));
+    CHECK(refused() < 10);
+    CHECK(memory.usedBytes() <= MemoryBytes);
+    auto shortRequest = testServer.connect();
+    write(shortRequest, "POST /page HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nbody");
+    ResponseReader shortReader(shortRequest);
+    CHECK(testServer.runUntil([&] {
+        shortReader.readAvailable();
+        return shortReader.text.ends_with("xx");
+    }));
+    // The same holds for a body whose length isn't announced.
+    auto chunked = testServer.connect();
+    write(chunked, "POST /page HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string piece(4096, 'x');
+    ResponseReader chunkedReader(chunked);
+    boost::system::error_code error;
+    CHECK(testServer.runUntil([&] {
+        for (u32 i = 0; i < 4; ++i) {
+            asio::write(chunked, asio::buffer("1000\r\n" + piece + "\r\n"), error);
+        }
+        chunkedReader.readAvailable();
+        return chunkedReader.text.starts_with("HTTP/1.1 503");
+    }));
+    sockets.clear();
+    chunked.close();
+    CHECK(testServer.runUntil([&] { return memory.usedBytes() == 0; }));
+}
