Keep connections whose handler throws out of the server's set

A TRACE request with a body, which HTTP forbids, made the HTTP library throw where the request is sent on. The caller got a closed connection, and the server kept a pointer to the connection that was gone, which it uses when it stops (seen in the review by reading).

Change: such a request is answered 400 unread by handlers, and a guard takes each connection out of the set, whatever ends it.

Result: two cases of http_server_test are new. They were not run on the code before.

--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -167,6 +167,12 @@
     return request;
 }
 
+// HTTP forbids a body in a TRACE request, and no HTTP library sends one on.
+bool hasForbiddenBody(const beast::http::request<beast::http::string_body> &message)
+{
+    return message.method() == beast::http::verb::trace && !message.body().empty();
+}
+
 // The status for a request that could not be read; 0 if the connection has failed and no response can be sent.
 u16 statusForReadError(const boost::system::error_code &error)
 {
@@ -339,6 +345,30 @@
         std::atomic<u32> &m_count;
     };
 
+    /** @brief Keeps a connection in the server's set during its lifetime, also if its handler throws. */
+    class TrackingGuard
+    {
+    public:
+        TrackingGuard(Impl &server, OpenConnection &connection)
+            : m_server(server)
+            , m_connection(connection)
+        {
+            m_server.track(&m_connection);
+        }
+
+        ~TrackingGuard()
+        {
+            m_server.untrack(&m_connection);
+        }
+
+        TrackingGuard(const TrackingGuard &) = delete;
+        TrackingGuard &operator=(const TrackingGuard &) = delete;
+
+    private:
+        Impl &m_server;
+        OpenConnection &m_connection;
+    };
+
     void resetIfOpen(OpenConnection *connection)
     {
         const std::lock_guard lock(m_mutex);
@@ -437,9 +467,10 @@
         boost::system::error_code ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
         OpenConnection connection{beast::tcp_stream(std::move(socket)), {}};
-        self->track(&connection);
-        while (co_await self->serveRequest(connection)) { }
-        self->untrack(&connection);
+        {
+            const TrackingGuard guard(*self, connection);
+            while (co_await self->serveRequest(connection)) { }
+        }
         if (connection.mayReceiveMore) {
             co_await discardInput(connection.stream);
         }
@@ -475,6 +506,9 @@
             co_await sendFinalResponse(connection);
             co_return false;
         }
+        if (!error && hasForbiddenBody(parser.get())) {
+            error = beast::http::error::unexpected_body;
+        }
         if (error) {
             if (const u16 status = statusForReadError(error); status != 0 && stream.socket().is_open()) {
                 BeastReply reply(stream, m_limits.ioTimeout, false);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <list>
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 using namespace burdock;
@@ -32,8 +33,16 @@
         m_status = status;
     }
 
+    void setThrowing()
+    {
+        m_isThrowing = true;
+    }
+
     asio::awaitable<void> handle(const http::Request & /*request*/, http::Reply &reply) override
     {
+        if (m_isThrowing) {
+            throw std::invalid_argument("the request can't be handled");
+        }
         http::Response response;
         response.status = m_status;
         response.body.assign(m_bodyBytes, 'x');
@@ -43,6 +52,7 @@
 private:
     std::size_t m_bodyBytes;
     u16 m_status = 200;
+    bool m_isThrowing = false;
 };
 
 /** @brief A server that handles connections only while the test runs it. */
@@ -333,3 +343,37 @@
     chunked.close();
     CHECK(testServer.runUntil([&] { return memory.usedBytes() == 0; }));
 }
+
+// Guards against a request that no HTTP library sends on and whose exception leaves its connection in the server's set.
+TEST_CASE("a TRACE request with a body is rejected, and its connection is closed")
+{
+    TestServer testServer;
+    auto socket = testServer.connect();
+    write(socket, "TRACE /page HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nbody");
+    ResponseReader reader(socket);
+    CHECK(testServer.runUntil([&] {
+        reader.readAvailable();
+        return reader.isClosed;
+    }));
+    CHECK(reader.text.starts_with("HTTP/1.1 400"));
+    socket.close();
+    CHECK(testServer.runUntil([&] { return testServer.server.busyConnections() == 0; }));
+}
+
+// Guards against a handler that throws and leaves a closed connection in the server's set, which is used when the server stops.
+TEST_CASE("a connection whose handler throws is closed, and the server stops as usual")
+{
+    TestServer testServer;
+    testServer.handler().setThrowing();
+    auto socket = testServer.connect();
+    write(socket, RequestText);
+    ResponseReader reader(socket);
+    CHECK(testServer.runUntil([&] {
+        reader.readAvailable();
+        return reader.isClosed;
+    }));
+    CHECK(reader.text.empty());
+    testServer.server.closeIdle();
+    testServer.server.closeAll();
+    CHECK(testServer.runUntil([&] { return testServer.server.busyConnections() == 0; }));
+}
