Ask for API keys also if no customer is listed

Now a configuration that has the list asks for keys on all routes that aren't public, whoever is on it.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -205,7 +205,7 @@
 
 std::optional<RequestForwarder::Rejection> RequestForwarder::checkApiKey()
 {
-    if (m_route->isPublic || m_routes->configuration().customers.empty()) {
+    if (m_route->isPublic || !m_routes->configuration().needsApiKeys) {
         return std::nullopt;
     }
     if (!m_state.areKeysCurrent(m_dependencies.clock.now(), m_settings)) {
--- a/lib/libburdock/include/burdock/routing/configuration.hpp
+++ b/lib/libburdock/include/burdock/routing/configuration.hpp
@@ -97,6 +97,7 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Customer> customers;
+    bool needsApiKeys = false; ///< on all routes that aren't public, also if no customer is listed
     CallerLimits limits;
 };
 
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -1,4 +1,5 @@
 #include <support/gateway_deployment.hpp>
+#include <support/platform_objects.hpp>
 #include <support/ports.hpp>
 
 #include <boost/json.hpp>
@@ -113,6 +114,26 @@
     CHECK(gateway.call({}).response.status == 401);
 }
 
+// Guards against revoked keys that work again because the last customer was taken off the list.
+TEST_CASE("a configuration that lists no customers lets nobody in but on public routes")
+{
+    GatewayDeployment gateway;
+    Replica plain(respondDone);
+    gateway.setUpService("plain", {&plain});
+    REQUIRE(gateway.call({}).response.status == 200);
+    auto configuration = configurationObject(7, {});
+    configuration.as_object()["tenants"].as_array().clear();
+    gateway.store().put("config", "main", configuration);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.call({}).response.status == 401; }));
+    const auto ran = plain.received().size();
+    GatewayCall call;
+    call.key = "";
+    CHECK(gateway.call(call).response.status == 401);
+    CHECK(plain.received().size() == ran);
+    call.path = "/open/1";
+    CHECK(gateway.call(call).response.status == 200);
+}
+
 // Guards against revoked keys that keep working while the store is unreachable, and against public routes that fail along with the keys.
 TEST_CASE("keys are refused once the store was unreachable for too long, public routes are still served")
 {
