Enter a gateway in the list again if its entry was removed

A gateway removes its entry at SIGTERM. Now a gateway that doesn't find itself in the list enters itself again, at the next read of the list.

Result: a new case of gateway_test failed before (no entry after 10 s) and passes.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -654,11 +654,18 @@
             if (list.status == StoreResult::Found) {
                 applyEntryList(list);
                 ++reads;
+                // A removal by the predecessor on this VM may have been executed late. The first lists may be older than the entry.
+                isRegistered = isRegistered && (reads < InitialEntryListReads || isOwnEntryListed());
             }
             co_await runtime::sleepFor(entryListPause(reads));
         }
     }
 
+    [[nodiscard]] bool isOwnEntryListed() const
+    {
+        return std::find(m_state.entryNames.begin(), m_state.entryNames.end(), m_settings.name) != m_state.entryNames.end();
+    }
+
     static Duration entryListPause(u32 reads)
     {
         if (reads == 0) {
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -134,6 +134,18 @@
     CHECK(gateway.call(call).response.status == 200);
 }
 
+// Guards against a gateway that others leave out because a late removal by its predecessor took its entry off the list.
+TEST_CASE("a gateway whose entry was removed from the list enters it again")
+{
+    GatewayDeployment gateway;
+    gateway.configure(3);
+    gateway.awaitReady();
+    REQUIRE(GatewayDeployment::waitFor([&] { return gateway.store().count("burdock-entries") == 1; }));
+    gateway.store().erase("burdock-entries", "vm-1");
+    REQUIRE(gateway.store().count("burdock-entries") == 0);
+    CHECK(GatewayDeployment::waitFor([&] { return gateway.store().count("burdock-entries") == 1; }));
+}
+
 // Guards against revoked keys that keep working while the store is unreachable, and against public routes that fail along with the keys.
 TEST_CASE("keys are refused once the store was unreachable for too long, public routes are still served")
 {
