Return what requests hold before a gateway's process ends

At the end of the grace period, requests whose caller didn't read or hadn't sent its whole request were still under way when the context stopped; their coroutines ended with the context, after the gateway, and wrote into its freed state.

Change: after the last answers, the reads and writes of all connections are aborted, so that the coroutines end while the gateway exists.

Result: planned_stop_test has a case with both kinds of callers; the process ends with 0 within its grace period.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -48,7 +48,7 @@
 /** How often the number of calls to the platform's store is logged. */
 constexpr Duration StoreCallsPeriod = std::chrono::seconds(5);
 /** Time in which callers get the answers to requests that are given up at the end of the grace period. */
-constexpr Duration LastAnswersTime = std::chrono::milliseconds(150);
+constexpr Duration LastAnswersTime = std::chrono::milliseconds(100);
 constexpr Duration DrainPollPeriod = std::chrono::milliseconds(50);
 /** Timeout for sending one chunk of a response to the caller and for receiving one request body. */
 constexpr Duration CallerIoTimeout = std::chrono::seconds(15);
@@ -715,6 +715,9 @@
         m_dependencies.logger.event(LogLevel::Info, "drained", {{"cut", u64{m_callerServer.busyConnections()}}});
         cutOffRequests();
         co_await waitUntilIdle(started, m_dependencies.clock.now() + LastAnswersTime);
+        // What requests hold must be returned while this object exists; the context outlives it.
+        m_callerServer.cancelAll();
+        co_await waitUntilIdle(started, m_dependencies.clock.now() + LastAnswersTime);
         m_dependencies.context.stop();
     }
 
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -122,6 +122,9 @@
      */
     void closeIdle(const std::optional<Response> &finalResponse = std::nullopt);
 
+    /** @brief Aborts the reads and writes of all connections, which then close; handlers that wait for anything else go on. */
+    void cancelAll();
+
     /** @brief Resets all connections (TCP RST), also those not accepted yet; requests that have not reached the handler are dropped. */
     void closeAll();
 
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -290,6 +290,14 @@
         }
     }
 
+    void cancelAll()
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto *connection : m_connections) {
+            asio::post(connection->stream.get_executor(), [self = shared_from_this(), connection] { self->cancelIfOpen(connection); });
+        }
+    }
+
     void setLimits(const ServerLimits &limits)
     {
         m_limits = limits;
@@ -379,6 +387,14 @@
         }
     }
 
+    void cancelIfOpen(OpenConnection *connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_connections.count(connection) > 0) {
+            connection->stream.cancel();
+        }
+    }
+
     void cancelIfIdle(OpenConnection *connection)
     {
         const std::lock_guard lock(m_mutex);
@@ -677,6 +693,11 @@
     m_impl->closeIdle(finalResponse);
 }
 
+void Server::cancelAll()
+{
+    m_impl->cancelAll();
+}
+
 void Server::closeAll()
 {
     m_impl->closeAll();
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -1,8 +1,10 @@
 #include <support/gateway_deployment.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
@@ -210,3 +212,37 @@
     CHECK_FALSE(late.response.header("Retry-After").empty());
     CHECK(replica.received().size() == 1);
 }
+
+// Guards against requests that are still read or written when the process ends, and then use what it has freed.
+TEST_CASE("a planned stop ends as usual beside callers that don't read their answers or don't finish their requests")
+{
+    GatewayDeployment gateway(R"({"grace_seconds":2})");
+    Replica engine([](const ReceivedRequest &request, ReplicaConnection &connection) {
+        connection.write(standins::streamHead(request));
+        for (u32 id = 1; !connection.waitForClose(Duration::zero()); ++id) {
+            connection.write(standins::eventChunk(id, std::string(16 * 1024, 'x')));
+        }
+        return ConnectionAction::Close;
+    });
+    gateway.setUpService("engines", {&engine});
+    const auto address = http::parseAddress(gateway.gateway().callerAddress());
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
+    const std::string headers = "Host: desk.example\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token key-desk\r\n";
+    boost::asio::ip::tcp::socket silent(context);
+    silent.connect(endpoint);
+    boost::asio::write(silent,
+                       boost::asio::buffer("POST /prompts/1 HTTP/1.1\r\nX-Attempt-Id: a1\r\nX-Model-Id: m\r\nX-Token-Usage: 10,1000000\r\n"
+                                           "X-Prompt-Prefix: aa:6,bb:4\r\nContent-Length: 0\r\n"
+                                           + headers + "\r\n"));
+    boost::asio::ip::tcp::socket unfinished(context);
+    unfinished.connect(endpoint);
+    boost::asio::write(unfinished,
+                       boost::asio::buffer("POST /once/1 HTTP/1.1\r\nX-Attempt-Id: a2\r\nContent-Length: 1000\r\n" + headers + "\r\nbody"));
+    REQUIRE(GatewayDeployment::waitFor([&] { return engine.received().size() == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    gateway.process().signal(SIGTERM);
+    const auto begun = Clock::now();
+    CHECK(gateway.process().waitForExit(ExitTimeout) == 0);
+    CHECK(Clock::now() - begun < std::chrono::seconds(2) + ExitMargin);
+}
