--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -346,6 +346,11 @@
     return daemon(name).admin;
 }
 
+std::string Deployment::linkAddress(const std::string &name) const
+{
+    return daemon(name).listen;
+}
+
 std::string Deployment::settings(const std::string &name) const
 {
     return daemon(name).settings;
--- a/tests/integration/support/deployment.hpp
+++ b/tests/integration/support/deployment.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] const std::string &linkPublicKey() const;
     [[nodiscard]] std::string entryAddress(u32 number) const;
     [[nodiscard]] std::string adminAddress(const std::string &name) const;
+    /** @brief Address of an endpoint process for links, without the proxy before it. */
+    [[nodiscard]] std::string linkAddress(const std::string &name) const;
     [[nodiscard]] std::string settings(const std::string &name) const;
     [[nodiscard]] std::string logOf(const std::string &name) const;
     [[nodiscard]] std::string directory() const;
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -153,16 +153,23 @@
 
 std::string GatewayDeployment::callRaw(const GatewayCall &call)
 {
-    const auto address = http::parseAddress(m_gateway.callerAddress());
-    boost::asio::ip::tcp::iostream stream(address.ip, std::to_string(address.port));
-    stream.expires_after(CallTimeout);
     const auto request = toRequest(call);
-    stream << request.method << ' ' << request.target << " HTTP/1.1\r\nConnection: close\r\nContent-Length: " << request.body.size()
-           << "\r\n";
+    std::ostringstream bytes;
+    bytes << request.method << ' ' << request.target << " HTTP/1.1\r\nConnection: close\r\nContent-Length: " << request.body.size()
+          << "\r\n";
     for (const auto &[name, value] : request.headers) {
-        stream << name << ": " << value << "\r\n";
+        bytes << name << ": " << value << "\r\n";
     }
-    stream << "\r\n" << request.body << std::flush;
+    bytes << "\r\n" << request.body;
+    return sendRaw(bytes.str());
+}
+
+std::string GatewayDeployment::sendRaw(const std::string &bytes)
+{
+    const auto address = http::parseAddress(m_gateway.callerAddress());
+    boost::asio::ip::tcp::iostream stream(address.ip, std::to_string(address.port));
+    stream.expires_after(CallTimeout);
+    stream << bytes << std::flush;
     std::ostringstream rawResponse;
     rawResponse << stream.rdbuf();
     return rawResponse.str();
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -77,6 +77,9 @@
     /** @brief Makes a call and returns all bytes received until the connection is closed. */
     [[nodiscard]] std::string callRaw(const GatewayCall &call);
 
+    /** @brief Sends bytes to the callers' address and returns all bytes received until the connection is closed. */
+    [[nodiscard]] std::string sendRaw(const std::string &bytes);
+
     /** @brief Starts a call and closes its connection after the given time. */
     void callAndDisconnect(const GatewayCall &call, Duration after);
     /** @brief Starts a call and closes its connection as soon as a condition holds, at the latest after 20 seconds. */
