Keep no more than a short frame of what peers without a key send on links

Cause: ZeroMQ keeps a frame of any length until it ends, also before the handshake.

Change: messages are sent in frames of 64 KiB, and the listener's longest frame is that and what encryption adds. A handshake has 5 s. ZeroMQ hands over all frames of a message together, so receivers just join them.

The number of connections to this listener is still bounded by the descriptors alone.

--- a/lib/libburdock-runtime/source/link/client.cpp
+++ b/lib/libburdock-runtime/source/link/client.cpp
@@ -58,7 +58,7 @@
             boost::asio::post(m_strand, [self = shared_from_this()] { self->runHeartbeat(); });
         }
         if (m_isEstablished) {
-            m_socket->send({message.SerializeAsString()});
+            m_socket->sendMessage(message.SerializeAsString());
             return;
         }
         m_unsentMessages.push_back(message);
@@ -148,7 +148,7 @@
     {
         schema::LinkMessage message;
         *message.mutable_heartbeat() = m_handler.heartbeat(m_peer);
-        m_socket->send({message.SerializeAsString()});
+        m_socket->sendMessage(message.SerializeAsString());
     }
 
     [[nodiscard]] membership::HeartbeatSchedule::Step nextStep()
@@ -177,7 +177,7 @@
     void handleReceived(u64 generation, detail::Frames frames)
     {
         schema::LinkMessage message;
-        if (generation != m_generation || frames.size() != 1 || !message.ParseFromString(frames.front())) {
+        if (generation != m_generation || !message.ParseFromString(detail::joinMessage(frames, 0))) {
             return;
         }
         {
@@ -213,7 +213,7 @@
             }
             m_isEstablished = true;
             for (const auto &message : m_unsentMessages) {
-                m_socket->send({message.SerializeAsString()});
+                m_socket->sendMessage(message.SerializeAsString());
             }
             m_unsentMessages.clear();
         }
--- a/lib/libburdock-runtime/source/link/server.cpp
+++ b/lib/libburdock-runtime/source/link/server.cpp
@@ -9,7 +9,11 @@
 
 namespace {
 
-constexpr std::size_t RouterFrameCount = 2; // identity, message
+/** The identity of the peer and the first frame of its message. */
+constexpr std::size_t MinRouterFrames = 2;
+/** What encryption adds to a frame, rounded up. */
+constexpr std::size_t FrameOverheadBytes = 256;
+constexpr int HandshakeTimeoutMs = 5000;
 
 std::string toUrl(const http::Address &address)
 {
@@ -23,7 +27,7 @@
 {
     const auto onFrames = [&handler, malformed = m_malformed](detail::Frames frames) {
         schema::LinkMessage message;
-        if (frames.size() != RouterFrameCount || !message.ParseFromString(frames[1])) {
+        if (frames.size() < MinRouterFrames || !message.ParseFromString(detail::joinMessage(frames, 1))) {
             ++*malformed;
             return;
         }
@@ -31,6 +35,8 @@
     };
     m_socket = std::make_shared<detail::Socket>(context.impl().makeStrand(), context.impl().zeroMq(), zmq::socket_type::router, onFrames);
     context.impl().secureAsServer(m_socket->raw());
+    m_socket->raw().set(zmq::sockopt::maxmsgsize, static_cast<i64>(detail::MaxFrameBytes + FrameOverheadBytes));
+    m_socket->raw().set(zmq::sockopt::handshake_ivl, HandshakeTimeoutMs);
     try {
         m_socket->raw().bind(toUrl(address));
     } catch (const zmq::error_t &error) {
@@ -46,7 +52,9 @@
 
 void Server::send(const PeerId &peer, const schema::LinkMessage &message)
 {
-    m_socket->send({peer, message.SerializeAsString()});
+    detail::Frames frames{peer};
+    detail::appendMessage(frames, message.SerializeAsString());
+    m_socket->send(std::move(frames));
 }
 
 u64 Server::malformedCount() const
--- a/lib/libburdock-runtime/source/link/socket.cpp
+++ b/lib/libburdock-runtime/source/link/socket.cpp
@@ -100,6 +100,13 @@
     });
 }
 
+void Socket::sendMessage(std::string message)
+{
+    Frames frames;
+    appendMessage(frames, std::move(message));
+    send(std::move(frames));
+}
+
 void Socket::close()
 {
     boost::asio::dispatch(m_strand, [self = shared_from_this()] { self->release(); });
--- a/lib/libburdock-runtime/source/link/socket.hpp
+++ b/lib/libburdock-runtime/source/link/socket.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "frames.hpp"
+
 #include <burdock/types.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -14,8 +16,6 @@
 
 namespace burdock::runtime::link::detail {
 
-using Frames = std::vector<std::string>;
-
 /**
  * @brief A ZeroMQ socket on an Asio strand.
  *
@@ -41,6 +41,9 @@
     /** @brief Sends a message of one or more frames; drops it if the send queue is full. Thread-safe. */
     void send(Frames frames);
 
+    /** @brief As send(), for a message without a peer id before it. */
+    void sendMessage(std::string message);
+
     /** @brief Closes the socket on its strand; the receiver is not called after that. Thread-safe. */
     void close();
 
