Blame endpoints only for answers that are too long by themselves

What callers saw: 250 callers asked for an answer of 512 KiB each; endpoints that answered properly were ejected for `too_long`, and the next ordinary caller found none (misbehaving_clients_test, "answers that nobody reads").

Cause: an answer that found no memory beside others counted as longer than any answer may be.

Change: it counts so only if it wouldn't fit alone. Otherwise its caller gets 502 `no_answer_memory`, nothing is concluded about the endpoint, and no other one is tried, as the memory would be as short.

Evidence: unit test of the rule.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -369,7 +369,7 @@
 // Distinguishes a connection that the endpoint closed from one on which the given deadline passed.
 Outcome RequestForwarder::interruptionOutcome(TimePoint waitDeadline) const
 {
-    if (m_isCallerDisconnected || m_isCutOff) {
+    if (m_isCallerDisconnected || m_isCutOff || m_isMemoryShort) {
         return Outcome::Abandoned;
     }
     if (m_isResponseTooLong) {
@@ -423,6 +423,7 @@
     m_isPrefillPending = m_route->isPrompt;
     m_responseShare.emplace(m_state.responseMemory);
     m_isResponseTooLong = false;
+    m_isMemoryShort = false;
     m_state.endpoints.noteSent(id, m_selection.cost, m_sentAt);
     m_rolloutTrial.noteSent(*endpoint, m_route->name, m_requestMetadata, m_selection, m_sentAt);
     attempt.outcome = co_await exchange(id, std::move(request), attempt);
@@ -583,8 +584,7 @@
         }
         noteHeard(id);
         httpChunks += chunk.httpChunks;
-        if (!m_responseShare->tryResize(body.size() + chunk.data.size(), httpChunks)) {
-            m_isResponseTooLong = true;
+        if (!tryKeep(body.size() + chunk.data.size(), httpChunks)) {
             co_return false;
         }
         body += chunk.data;
@@ -594,6 +594,16 @@
     }
 }
 
+bool RequestForwarder::tryKeep(u64 bytes, u64 httpChunks)
+{
+    if (m_responseShare->tryResize(bytes, httpChunks)) {
+        return true;
+    }
+    m_isResponseTooLong = m_state.responseMemory.isTooLong(bytes, httpChunks);
+    m_isMemoryShort = !m_isResponseTooLong;
+    return false;
+}
+
 boost::asio::awaitable<Outcome> RequestForwarder::relayStream(const std::string &id)
 {
     if (!m_isStreamStarted) {
@@ -623,9 +633,9 @@
         m_rolloutTrial.noteEvent(m_dependencies.clock.now());
         const auto events = m_sseSplitter.append(chunk.data);
         httpChunks = events.empty() ? httpChunks + chunk.httpChunks : 0;
-        const bool hasMemory = m_responseShare->tryResize(m_sseSplitter.incompleteBytes(), httpChunks);
-        m_isResponseTooLong = !hasMemory || m_sseSplitter.eventCount() > maxEvents();
-        if (m_isResponseTooLong) {
+        const bool hasMemory = tryKeep(m_sseSplitter.incompleteBytes(), httpChunks);
+        m_isResponseTooLong = m_isResponseTooLong || m_sseSplitter.eventCount() > maxEvents();
+        if (!hasMemory || m_isResponseTooLong) {
             co_return interruptionOutcome(until);
         }
         if (!events.empty()) {
@@ -756,6 +766,11 @@
         co_await reject(rejection);
         co_return;
     }
+    if (m_isMemoryShort) {
+        const Rejection rejection{502, "no_answer_memory", {}};
+        co_await reject(rejection);
+        co_return;
+    }
     if (attempt.outcome == Outcome::TooLong) {
         const Rejection rejection{502, "answer_too_long", {}};
         co_await reject(rejection);
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -83,6 +83,8 @@
     [[nodiscard]] boost::asio::awaitable<bool> connectTo(const std::string &id);
     [[nodiscard]] boost::asio::awaitable<bool> readMatchingHead(const std::string &id, ResponseMetadata &responseMetadata);
     [[nodiscard]] boost::asio::awaitable<bool> readBody(const std::string &id, std::string &body);
+    /** @brief Takes memory for the response; returns false if it is too long, or too long beside others. */
+    [[nodiscard]] bool tryKeep(u64 bytes, u64 httpChunks);
     [[nodiscard]] boost::asio::awaitable<endpoints::Outcome> relayStream(const std::string &id);
     [[nodiscard]] runtime::http::Request buildRequest(const endpoints::Endpoint &endpoint);
     [[nodiscard]] boost::asio::awaitable<void> finish(retry::NextStep step, const Attempt &attempt);
@@ -127,6 +129,7 @@
     bool m_isReusedConnection = false;
     std::optional<run::MessageShare> m_responseShare; ///< memory of the current attempt's response
     bool m_isResponseTooLong = false; ///< of the current attempt
+    bool m_isMemoryShort = false; ///< there was no memory for the response of the current attempt beside others
     bool m_isCallerDisconnected = false; ///< the caller closed the connection
     bool m_isCutOff = false; ///< cutOff() was called
     bool m_isStreamStarted = false; ///< the head of a stream was sent to the caller
--- a/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
+++ b/lib/libburdock/include/burdock/endpoints/endpoint_table.hpp
@@ -45,7 +45,7 @@
     Failed, ///< the endpoint answered with an error of its own
     Broken, ///< connection lost or answer invalid
     Unreachable, ///< connecting failed
-    Abandoned, ///< the caller disconnected or the deadline passed; no conclusion about the endpoint
+    Abandoned, ///< the caller disconnected, the deadline passed or memory was short; no conclusion about the endpoint
     Expired, ///< cancelled because the endpoint's weights expired before it started; no conclusion about the endpoint
     TooLong, ///< the answer was longer than any answer may be, or had no end; the endpoint is in trouble, whatever the request
 };
--- a/lib/libburdock/include/burdock/run/message_memory.hpp
+++ b/lib/libburdock/include/burdock/run/message_memory.hpp
@@ -19,9 +19,14 @@
 
     [[nodiscard]] u64 usedBytes() const;
 
+    /** @brief Whether a message of this size doesn't fit even if there are no others. */
+    [[nodiscard]] bool isTooLong(u64 bytes, u64 httpChunks) const;
+
 private:
     friend class MessageShare;
 
+    [[nodiscard]] bool isTooMuch(u64 bytes, u64 used) const;
+
     static constexpr u64 DefaultGrowthShare = 4;
 
     u64 m_totalBytes;
--- a/lib/libburdock/source/run/message_memory.cpp
+++ b/lib/libburdock/source/run/message_memory.cpp
@@ -25,6 +25,17 @@
     return m_usedBytes;
 }
 
+bool MessageMemory::isTooLong(u64 bytes, u64 httpChunks) const
+{
+    const u64 counted = bytes + httpChunks * BytesPerHttpChunk;
+    return isTooMuch(counted, counted);
+}
+
+bool MessageMemory::isTooMuch(u64 bytes, u64 used) const
+{
+    return used > m_totalBytes || bytes > (m_totalBytes - used) / m_growthShare;
+}
+
 MessageShare::MessageShare(MessageMemory &memory)
     : m_memory(memory)
 {
@@ -41,9 +52,7 @@
     u64 used = 0;
     do {
         used = before - m_bytes + bytes;
-        const bool isTooMuch
-            = bytes > m_bytes && (used > m_memory.m_totalBytes || bytes > (m_memory.m_totalBytes - used) / m_memory.m_growthShare);
-        if (isTooMuch) {
+        if (bytes > m_bytes && m_memory.isTooMuch(bytes, used)) {
             return false;
         }
     } while (!m_memory.m_usedBytes.compare_exchange_weak(before, used));
--- a/tests/unit/message_memory_test.cpp
+++ b/tests/unit/message_memory_test.cpp
@@ -86,3 +86,24 @@
     CHECK(responseMemoryBytes(128) == TotalBytes);
     CHECK(responseMemoryBytes(0) > 0);
 }
+
+// Guards against an endpoint that is blamed for a short response which finds no memory beside those of others.
+TEST_CASE("a response is too long only if it doesn't fit alone")
+{
+    MessageMemory memory(TotalBytes);
+    std::vector<std::unique_ptr<MessageShare>> shares;
+    while (true) {
+        shares.push_back(std::make_unique<MessageShare>(memory));
+        if (!shares.back()->tryResize(ShortBytes)) {
+            break;
+        }
+    }
+    CHECK_FALSE(memory.isTooLong(ShortBytes, 0));
+    CHECK_FALSE(memory.isTooLong(TotalBytes / 5, 0));
+    CHECK(memory.isTooLong(TotalBytes / 4, 0));
+    CHECK(memory.isTooLong(ShortBytes, TotalBytes / 4 / 64));
+    shares.clear();
+    MessageShare alone(memory);
+    CHECK(alone.tryResize(TotalBytes / 5));
+    CHECK_FALSE(alone.tryResize(TotalBytes / 4));
+}
