Bound a gateway's connections to endpoints by its descriptors

What was seen: 250 callers whose requests were at work took a gateway with 512 descriptors to 518 and more, and idle connections after the requests of 480 callers to 632 (misbehaving_clients_test). Beyond the limit of a VM no connection can be opened, which counts against the endpoints.

Cause: callers' connections were bounded, those to endpoints and the idle ones among them weren't.

Change: the pool counts all connections that it hands out. At 30 % of the descriptors it closes the idle one that expires first; without any, requests are refused as `no_connection` before anything is sent. 4,100 descriptors give 1,230 connections.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -35,6 +35,7 @@
     u64 responseBytes = 0; ///< memory for responses that are read before they are forwarded
     u64 requestBytes = 0; ///< memory for the bodies of callers' requests
     bool isReadingShared = false; ///< few entries read the platform's store for all, if there are many
+    u32 maxEndpointConnections = 0; ///< idle ones included; zero means unlimited
     u32 maxCallerConnections = 0; ///< further connections are closed; zero means unlimited
 };
 
--- a/lib/libburdock-gateway/source/connection_pool.cpp
+++ b/lib/libburdock-gateway/source/connection_pool.cpp
@@ -13,21 +13,59 @@
 
 } // namespace
 
-std::unique_ptr<runtime::http::Connection> ConnectionPool::acquire(const std::string &endpoint, TimePoint now)
+ConnectionDeleter::ConnectionDeleter(std::shared_ptr<u32> openCount)
+    : m_openCount(std::move(openCount))
+{
+}
+
+void ConnectionDeleter::operator()(runtime::http::Connection *connection) const
+{
+    delete connection;
+    --*m_openCount;
+}
+
+ConnectionPool::ConnectionPool(u32 limit)
+    : m_limit(limit)
+{
+}
+
+bool ConnectionPool::isFull() const
+{
+    return m_limit > 0 && *m_openCount >= m_limit;
+}
+
+bool ConnectionPool::hasRoom() const
+{
+    return !isFull() || !m_idle.empty();
+}
+
+PooledConnection ConnectionPool::acquire(const std::string &endpoint, TimePoint now)
 {
     const auto found = m_idle.find(endpoint);
-    while (found != m_idle.end() && !found->second.empty()) {
+    PooledConnection usable;
+    while (found != m_idle.end() && !found->second.empty() && !usable) {
         IdleConnection idle = std::move(found->second.back());
         found->second.pop_back();
         if (now < idle.expiresAt && idle.connection->isIdle()) {
-            return std::move(idle.connection);
+            usable = std::move(idle.connection);
         }
     }
-    return nullptr;
+    if (found != m_idle.end() && found->second.empty()) {
+        m_idle.erase(found);
+    }
+    return usable;
+}
+
+PooledConnection ConnectionPool::create(const boost::asio::any_io_executor &executor, const runtime::http::Address &address)
+{
+    if (isFull()) {
+        closeOldestIdle();
+    }
+    ++*m_openCount;
+    return {new runtime::http::Connection(executor, address, runtime::http::Reuse::KeepAlive), ConnectionDeleter(m_openCount)};
 }
 
-void ConnectionPool::release(const std::string &endpoint, std::unique_ptr<runtime::http::Connection> connection, Duration keepAlive,
-                             TimePoint now)
+void ConnectionPool::release(const std::string &endpoint, PooledConnection connection, Duration keepAlive, TimePoint now)
 {
     const auto lifetime = keepAlive > Duration::zero() ? keepAlive : DefaultKeepAlive;
     if (lifetime > KeepAliveMargin) {
@@ -48,4 +86,18 @@
     std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
 }
 
+void ConnectionPool::closeOldestIdle()
+{
+    const auto oldest = std::min_element(m_idle.begin(), m_idle.end(), [](const auto &left, const auto &right) {
+        return left.second.front().expiresAt < right.second.front().expiresAt;
+    });
+    if (oldest == m_idle.end()) {
+        return;
+    }
+    oldest->second.pop_front();
+    if (oldest->second.empty()) {
+        m_idle.erase(oldest);
+    }
+}
+
 } // namespace burdock::gateway
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -111,6 +111,7 @@
         : m_dependencies(dependencies)
         , m_settings(settings)
         , m_state(settings.name, settings.responseBytes, settings.requestBytes)
+        , m_pool(settings.maxEndpointConnections)
         , m_peerSocket(dependencies.context, settings.loadAddress)
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -260,6 +260,11 @@
             co_await stopTrying(rejection, lastAttempt);
             co_return;
         }
+        if (!m_services.pool.hasRoom()) {
+            const Rejection rejection{503, "no_connection", RetryAfterFull};
+            co_await stopTrying(rejection, lastAttempt);
+            co_return;
+        }
         m_selection = m_services.rollouts.choose(makeSelectionRequest());
         const bool isRefused = m_selection.reason != endpoints::SelectionFailure::None;
         if (isRefused && mustRecordSoftware() && m_services.software.isRecording(m_service) && timeLeft() > MinAttemptTime) {
@@ -530,7 +535,7 @@
     }
     const auto address = http::parseAddress(endpoint->registration.address);
     const auto executor = co_await boost::asio::this_coro::executor;
-    m_connection = std::make_unique<http::Connection>(executor, address, http::Reuse::KeepAlive);
+    m_connection = m_services.pool.create(executor, address);
     m_dependencies.metrics.count("burdock_endpoint_connections_total", {{"service", m_service}});
     const auto timeout = std::min(ConnectTimeout, timeLeft());
     co_return co_await m_connection->connect(timeout);
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -125,7 +125,7 @@
     std::optional<CrashGuard> m_crashGuard; ///< set once the request has passed the first checks
     std::set<std::string, std::less<>> m_triedEndpoints;
     retry::AttemptHistory m_history;
-    std::unique_ptr<runtime::http::Connection> m_connection;
+    PooledConnection m_connection;
     bool m_isReusedConnection = false;
     std::optional<run::MessageShare> m_responseShare; ///< memory of the current attempt's response
     bool m_isResponseTooLong = false; ///< of the current attempt
--- a/lib/libburdock/source/admission/connection_shedding.cpp
+++ b/lib/libburdock/source/admission/connection_shedding.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/** Share of the descriptors that callers may take, in percent; the rest is for endpoints, the platform and files. */
+/** Shares of the descriptors for callers' connections and for those to endpoints, in percent; the rest is for the platform and files. */
 constexpr u32 DescriptorPercent = 60;
+constexpr u32 EndpointDescriptorPercent = 30;
 /** Share of the memory that callers' connections may take, in percent, and what one of them takes. */
 constexpr u64 MemoryPercent = 40;
 constexpr u64 ConnectionKilobytes = 24;
@@ -75,4 +76,9 @@
     return static_cast<u32>(std::min(byDescriptors, byMemory));
 }
 
+u32 endpointConnectionLimit(u32 descriptors)
+{
+    return static_cast<u32>(u64{descriptors} * EndpointDescriptorPercent / Percent);
+}
+
 } // namespace burdock::admission
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -58,6 +58,7 @@
     settings.responseBytes = run::responseMemoryBytes(static_cast<u32>(document.memory_mb()));
     settings.requestBytes = run::requestMemoryBytes(static_cast<u32>(document.memory_mb()));
     settings.isReadingShared = document.shared_reading();
+    settings.maxEndpointConnections = admission::endpointConnectionLimit(static_cast<u32>(document.descriptors()));
     settings.maxCallerConnections
         = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
     return settings;
--- a/tests/unit/connection_shedding_test.cpp
+++ b/tests/unit/connection_shedding_test.cpp
@@ -203,4 +203,6 @@
     CHECK(admission::connectionLimit(0, 88) > 1000);
     CHECK(admission::connectionLimit(4100, 88) == admission::connectionLimit(0, 88));
     CHECK(admission::connectionLimit(4100, 512) == 2460);
+    CHECK(admission::endpointConnectionLimit(0) == 0);
+    CHECK(admission::endpointConnectionLimit(4100) + admission::connectionLimit(4100, 0) < 3700);
 }
