Keep one account for all that callers make a gateway keep

What callers saw: clients that nobody controls ended the process, with the requests of all others. Silent, idle and unreading clients kept ordinary callers out.

Causes, all in how a server reads and answers: - Beast keeps trailers, and a chunk's size with its extension, in the buffer until they end, and the buffer had no bound. - Only bodies were counted. A head of 16 KiB in fields of four bytes takes 1.3 MB with its copies; each refused connection took 64 KB more, and no longer counted as open; the kernel kept up to 128 KB unread and more unsent for each. - An answer took the memory for endpoints' answers until its caller had read it, and was copied to be sent. - A connection without a request, or with one that made no progress, kept its place as long as it liked.

Change: admission::clientBudget() divides the process: 40 % of the memory at most for connections, each with its buffers in the kernel, and all of 64 % that these don't take for messages: buffers, heads, bodies and answers, from one ClientMemory. Requests leave a part of it for answers and for shorter requests. Where it is short, ClientTable names the connections whose clients make no progress, longest first, also for new connections at the limit; one whose request is at work is never closed. Buffers end at the limit of heads and 8 KiB; trailers don't become a part of the head any more. Long bodies get a wide buffer in the kernel once they are accounted for.

One request at the full limit is served in one piece, in chunks of 1 B to 1 MiB and with a trailer. no_memory now says 1 s: by then connections without progress may be closed.

--- a/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/admission/client_memory.hpp>
 #include <burdock/gateway/platform_store.hpp>
 #include <burdock/gateway/protocol_codec.hpp>
 #include <burdock/runtime/clock.hpp>
@@ -33,10 +34,8 @@
     bool followsRollouts = false; ///< whether orders to move a service to another software version are followed
     double rolloutShare = 0.1; ///< largest share of a service's requests that may go to the target of an undecided order
     u64 responseBytes = 0; ///< memory for responses that are read before they are forwarded
-    u64 requestBytes = 0; ///< memory for the bodies of callers' requests
+    admission::ClientBudget clientBudget; ///< what callers may take
     bool isReadingShared = false; ///< few entries read the platform's store for all, if there are many
-    u32 maxEndpointConnections = 0; ///< idle ones included; zero means unlimited
-    u32 maxCallerConnections = 0; ///< further connections are closed; zero means unlimited
 };
 
 /** @brief Objects that a gateway uses; all must outlive it. */
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -110,8 +110,8 @@
     Impl(const GatewayDependencies &dependencies, const GatewaySettings &settings)
         : m_dependencies(dependencies)
         , m_settings(settings)
-        , m_state(settings.name, settings.responseBytes, settings.requestBytes)
-        , m_pool(settings.maxEndpointConnections)
+        , m_state(settings.name, settings.responseBytes, settings.clientBudget.messageBytes)
+        , m_pool(settings.clientBudget.endpointConnections)
         , m_peerSocket(dependencies.context, settings.loadAddress)
         , m_origins(m_dependencies, m_settings, m_state, m_peerSocket)
         , m_limitObserver(m_dependencies, m_state)
@@ -174,10 +174,10 @@
         co_await forwarder.run();
     }
 
-    boost::asio::awaitable<void> refuseBody(const http::Request &request, http::Reply &reply) override
+    boost::asio::awaitable<void> refuseUnread(const http::Request &request, http::Reply &reply) override
     {
         RequestForwarder forwarder(m_dependencies, m_settings, m_state, m_services, request, reply);
-        co_await forwarder.refuseBody();
+        co_await forwarder.refuseUnread();
     }
 
 private:
@@ -209,16 +209,25 @@
         m_watchers.emplace_back(std::make_unique<ObjectWatcher>(m_dependencies, kind, wait, std::move(handlers), m_reading));
     }
 
-    [[nodiscard]] bool tryAdmit(std::size_t openConnections) override
+    [[nodiscard]] bool tryAdmit() override
     {
-        const bool hasRoom = m_settings.maxCallerConnections == 0 || openConnections < m_settings.maxCallerConnections;
-        const bool isAdmitted = hasRoom && !m_state.connectionShedding.mustClose();
+        const bool isAdmitted = !m_state.connectionShedding.mustClose();
         if (!isAdmitted) {
-            m_dependencies.metrics.count("burdock_connections_turned_away_total", {{"reason", hasRoom ? "overload" : "full"}});
+            m_dependencies.metrics.count("burdock_connections_turned_away_total", {{"reason", "overload"}});
         }
         return isAdmitted;
     }
 
+    void noteFull() override
+    {
+        m_dependencies.metrics.count("burdock_connections_turned_away_total", {{"reason", "full"}});
+    }
+
+    void noteClosedForRoom(admission::ClientPhase phase) override
+    {
+        m_dependencies.metrics.count("burdock_connections_closed_total", {{"phase", std::string(toString(phase))}});
+    }
+
     // Measured by this timer, as all handlers of the process wait in one queue.
     void measureOverload(TimePoint due)
     {
@@ -255,7 +264,8 @@
     [[nodiscard]] http::ServerLimits callerLimits(const routing::CallerLimits &limits)
     {
         http::ServerLimits server;
-        server.bodyMemory = &m_state.requestMemory;
+        server.memory = &m_state.clientMemory;
+        server.connections = m_settings.clientBudget.connections;
         server.headerBytes = limits.headerBytes;
         server.bodyBytes = limits.bodyBytes;
         server.headerTimeout = limits.headerTimeout;
@@ -752,7 +762,8 @@
     RolloutTracker m_rollouts;
     SoftwareKeeper m_software;
     RolloutController m_softwareController;
-    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_noticeObserver, m_permits, m_rollouts, m_software};
+    const ForwardingServices m_services{m_pool,    m_origins,  m_limitObserver, m_noticeObserver,
+                                        m_permits, m_rollouts, m_software};
     std::set<RequestForwarder *> m_forwarders; ///< of the requests under way
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
--- a/lib/libburdock-gateway/source/gateway_state.cpp
+++ b/lib/libburdock-gateway/source/gateway_state.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-GatewayState::GatewayState(std::string_view name, u64 responseBytes, u64 requestBytes)
+GatewayState::GatewayState(std::string_view name, u64 responseBytes, u64 clientBytes)
     : endpoints(endpoints::Policy{}, hash::hash64(name))
     , parts(SaveRetryDelay)
     , retirement(cache::RetirementPolicy{})
@@ -41,7 +41,7 @@
     , connectionShedding(admission::ConnectionSheddingPolicy{})
     , streamOrigins(OriginRetention, OriginCapacity)
     , responseMemory(responseBytes)
-    , requestMemory(requestBytes, run::RequestGrowthShare)
+    , clientMemory(clientBytes)
 {
 }
 
--- a/lib/libburdock-gateway/source/gateway_state.hpp
+++ b/lib/libburdock-gateway/source/gateway_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/admission/answer_times.hpp>
+#include <burdock/admission/client_memory.hpp>
 #include <burdock/admission/connection_shedding.hpp>
 #include <burdock/admission/stop_schedule.hpp>
 #include <burdock/cache/fetch_cost_estimator.hpp>
@@ -42,9 +43,9 @@
     /**
      * @param name          name of this entry
      * @param responseBytes memory for responses that are read before they are forwarded
-     * @param requestBytes  memory for the bodies of callers' requests
+     * @param clientBytes   memory for the messages of callers' connections
      */
-    GatewayState(std::string_view name, u64 responseBytes, u64 requestBytes);
+    GatewayState(std::string_view name, u64 responseBytes, u64 clientBytes);
 
     /** @brief Returns the retry budget of a service, which is created on first use. */
     [[nodiscard]] retry::RetryBudget &retryBudget(const std::string &service, const GatewaySettings &settings);
@@ -89,7 +90,7 @@
     admission::ConnectionShedding connectionShedding;
     run::StreamOrigins streamOrigins;
     run::MessageMemory responseMemory;
-    run::MessageMemory requestMemory;
+    admission::ClientMemory clientMemory;
     u64 bootId = 0; ///< different after each start of this process
     std::vector<std::string> entryNames; ///< of the registered entries
     u32 entryCount = 0; ///< zero while unknown
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -27,6 +27,8 @@
 /** Retry-after times: endpoints are full, no endpoint is available, or this gateway hasn't received enough from the platform yet. */
 constexpr Duration RetryAfterFull = std::chrono::milliseconds(500);
 constexpr Duration RetryAfterNoEndpoint = std::chrono::milliseconds(1000);
+/** By then, connections whose clients make no progress may be closed for others. */
+constexpr Duration RetryAfterNoMemory = std::chrono::milliseconds(1000);
 constexpr Duration RetryAfterNotSynced = std::chrono::milliseconds(700);
 /** Retry-after time if another gateway can serve the request immediately. */
 constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(20);
@@ -107,11 +109,11 @@
     --m_state.activeRequests;
 }
 
-boost::asio::awaitable<void> RequestForwarder::refuseBody()
+boost::asio::awaitable<void> RequestForwarder::refuseUnread()
 {
     m_arrivedAt = m_dependencies.clock.now();
     m_requestMetadata = m_dependencies.codec.readRequest(m_request.headers);
-    const Rejection rejection{503, "no_memory", RetryAfterFull};
+    const Rejection rejection{503, "no_memory", RetryAfterNoMemory};
     co_await reject(rejection);
 }
 
@@ -720,6 +722,8 @@
 
 boost::asio::awaitable<void> RequestForwarder::finish(NextStep step, const Attempt &attempt)
 {
+    // From here on the answer takes the memory of its caller, who may not read it.
+    m_responseShare.reset();
     if (m_isCallerDisconnected) {
         countRequest("caller_left");
         m_dependencies.logger.event(LogLevel::Info, "caller_left",
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -39,8 +39,8 @@
 
     [[nodiscard]] boost::asio::awaitable<void> run();
 
-    /** @brief Refuses a request whose body was not read, for want of memory. */
-    [[nodiscard]] boost::asio::awaitable<void> refuseBody();
+    /** @brief Refuses a request that was not read completely, for want of memory. */
+    [[nodiscard]] boost::asio::awaitable<void> refuseUnread();
 
     /** @brief Gives the request up, as the process is about to end; the caller gets an answer unless a stream has begun. */
     void cutOff();
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <burdock/run/message_memory.hpp>
+#include <burdock/admission/client_memory.hpp>
+#include <burdock/admission/client_table.hpp>
 #include <burdock/runtime/http/message.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -50,17 +51,18 @@
     /** @brief Handles a request and sends the response through `reply`. */
     virtual boost::asio::awaitable<void> handle(const Request &request, Reply &reply) = 0;
 
-    /** @brief Refuses a request for whose body there is no memory; the request is without it. */
-    virtual boost::asio::awaitable<void> refuseBody(const Request &request, Reply &reply);
+    /** @brief Refuses a request for which there is no memory; the request is as far as it was read. */
+    virtual boost::asio::awaitable<void> refuseUnread(const Request &request, Reply &reply);
 };
 
 /** @brief Size limits in bytes and timeouts of a server. */
 struct ServerLimits
 {
-    u32 headerBytes = 16 * 1024;
+    u32 headerBytes = 16 * 1024; ///< of a head, and of the trailers
     u64 bodyBytes = 4 * 1024 * 1024;
-    /** Shared by the bodies of all requests, each counted with the copy that is forwarded; outlives the server. Null for no limit. */
-    run::MessageMemory *bodyMemory = nullptr;
+    u32 connections = 0; ///< at a time; zero means unlimited
+    /** Shared by the messages of all connections, of several servers too; outlives their last handlers. Null for no limit. */
+    admission::ClientMemory *memory = nullptr;
     /** Limit for receiving the rest of a request after its head, and for each write of a response. */
     Duration ioTimeout = std::chrono::seconds(30);
     /** Limit for receiving the head of a request, from its first byte. */
@@ -69,17 +71,20 @@
     Duration idleTimeout = std::chrono::seconds(30);
 };
 
-/** @brief Decides which new connections a server serves. Called on the thread that accepts connections. */
+/** @brief Decides which new connections a server serves, and is told which ones it closes for others. */
 class ConnectionGate
 {
 public:
     virtual ~ConnectionGate() = default;
 
-    /**
-     * @brief Whether to serve a new connection; otherwise it is reset with its request unread.
-     * @param openConnections number of connections that are being served
-     */
-    [[nodiscard]] virtual bool tryAdmit(std::size_t openConnections) = 0;
+    /** @brief Whether to serve a new connection; otherwise it is reset with its request unread. Called on the accepting thread. */
+    [[nodiscard]] virtual bool tryAdmit() = 0;
+
+    /** @brief Notes that a new connection was reset, as there are as many as the limit and none of them could be closed. */
+    virtual void noteFull() = 0;
+
+    /** @brief Notes that a connection in this phase is closed to make room. Must not call the server. */
+    virtual void noteClosedForRoom(admission::ClientPhase phase) = 0;
 };
 
 /** @brief When a server starts to accept connections. */
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -1,212 +1,33 @@
 #include <burdock/runtime/http/server.hpp>
 
+#include "beast_reply.hpp"
+#include "client_connection.hpp"
+#include "connection_registry.hpp"
 #include "listening_socket.hpp"
+#include "request_reader.hpp"
 
 #include <atomic>
-#include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <mutex>
 #include <optional>
-#include <set>
-#include <sys/socket.h>
-#include <tuple>
 
 namespace burdock::runtime::http {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using Tcp = asio::ip::tcp;
+using admission::ClientPhase;
+using detail::Awaitable;
+using detail::BeastReply;
+using detail::ClientConnection;
+using detail::ConnectionRegistry;
+using detail::RequestReader;
 
-constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
-constexpr unsigned HttpVersion = 11;
-constexpr std::size_t ReadBytes = 8 * 1024;
 /** Connections that are accepted at a time. */
 constexpr u32 MaxAcceptsPerTurn = 64;
-/** The body that was read, and the one that is forwarded. */
-constexpr u64 BodyCopies = 2;
 constexpr u16 ServiceUnavailable = 503;
-constexpr std::size_t DiscardBufferBytes = 64 * 1024;
-constexpr std::size_t MaxDiscardedBytes = 32 * 1024 * 1024;
-constexpr Duration DiscardTimeout = std::chrono::seconds(2);
 /** Time for which stopListening() waits for handshakes that have already started. */
 constexpr Duration HandshakeGracePeriod = std::chrono::milliseconds(50);
 
-void copyHeaders(const Headers &from, beast::http::fields &to)
-{
-    for (const auto &[name, value] : from) {
-        to.insert(name, value);
-    }
-}
-
-// Set as a number, since Beast's enumeration lists only registered statuses.
-void setStatusLine(beast::http::header<false> &head, u16 status)
-{
-    head.version(HttpVersion);
-    head.result(static_cast<unsigned>(status));
-}
-
-class BeastReply : public Reply
-{
-public:
-    BeastReply(beast::tcp_stream &stream, Duration timeout, bool keepAlive)
-        : m_stream(stream)
-        , m_timeout(timeout)
-        , m_keepAlive(keepAlive)
-    {
-    }
-
-    asio::awaitable<bool> send(const Response &response) override
-    {
-        beast::http::response<beast::http::string_body> message;
-        setStatusLine(message, response.status);
-        copyHeaders(response.headers, message);
-        message.body() = response.body;
-        message.keep_alive(m_keepAlive);
-        message.prepare_payload();
-        m_stream.expires_after(m_timeout);
-        const auto [error, size] = co_await beast::http::async_write(m_stream, message, Awaitable);
-        m_isComplete = !error;
-        co_return m_isComplete;
-    }
-
-    asio::awaitable<bool> begin(const Response &head) override
-    {
-        beast::http::response<beast::http::empty_body> message;
-        setStatusLine(message, head.status);
-        copyHeaders(head.headers, message);
-        message.keep_alive(m_keepAlive);
-        message.chunked(true);
-        beast::http::response_serializer<beast::http::empty_body> serializer(message);
-        m_stream.expires_after(m_timeout);
-        const auto [error, size] = co_await beast::http::async_write_header(m_stream, serializer, Awaitable);
-        co_return !error;
-    }
-
-    asio::awaitable<bool> write(std::string_view chunk) override
-    {
-        m_stream.expires_after(m_timeout);
-        const auto buffers = beast::http::make_chunk(asio::buffer(chunk));
-        const auto [error, size] = co_await asio::async_write(m_stream, buffers, Awaitable);
-        co_return !error;
-    }
-
-    asio::awaitable<bool> end() override
-    {
-        m_stream.expires_after(m_timeout);
-        const auto [error, size] = co_await asio::async_write(m_stream, beast::http::make_chunk_last(), Awaitable);
-        m_isComplete = !error;
-        co_return m_isComplete;
-    }
-
-    // Nothing reads from the connection while a request is handled, so a disconnect would go unnoticed and endpoints would work on
-    // for a caller that is gone. A disconnect makes the socket readable; peeking leaves the bytes of a further request in place.
-    void setDisconnectHandler(std::function<void()> onDisconnect) override
-    {
-        auto watch = std::make_shared<DisconnectWatch>();
-        watch->onDisconnect = std::move(onDisconnect);
-        m_watch = watch;
-        m_stream.socket().async_wait(Tcp::socket::wait_read, [watch, this](const boost::system::error_code &error) {
-            if (error || watch->isFinished) {
-                return;
-            }
-            if (isCallerDisconnected()) {
-                watch->isFinished = true;
-                watch->onDisconnect();
-            }
-        });
-    }
-
-    [[nodiscard]] bool isCallerDisconnected() override
-    {
-        char byte = 0;
-        const auto size = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    void clearDisconnectHandler()
-    {
-        if (m_watch) {
-            m_watch->isFinished = true;
-            boost::system::error_code ignored;
-            m_stream.socket().cancel(ignored);
-            m_watch.reset();
-        }
-    }
-
-    [[nodiscard]] bool isComplete() const
-    {
-        return m_isComplete;
-    }
-
-private:
-    struct DisconnectWatch
-    {
-        std::function<void()> onDisconnect;
-        bool isFinished = false;
-    };
-
-    beast::tcp_stream &m_stream;
-    std::shared_ptr<DisconnectWatch> m_watch; // shared with the handler of the wait
-    Duration m_timeout;
-    bool m_keepAlive;
-    bool m_isComplete = false;
-};
-
-Request toRequest(beast::http::request<beast::http::string_body> &&message)
-{
-    Request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
-// HTTP forbids a body in a TRACE request, and no HTTP library sends one on.
-bool hasForbiddenBody(const beast::http::request<beast::http::string_body> &message)
-{
-    return message.method() == beast::http::verb::trace && !message.body().empty();
-}
-
-// The status for a request that could not be read; 0 if the connection has failed and no response can be sent.
-u16 statusForReadError(const boost::system::error_code &error)
-{
-    if (error == beast::http::error::body_limit) {
-        return 413;
-    }
-    if (error == beast::http::error::header_limit) {
-        return 431;
-    }
-    if (error == beast::error::timeout) {
-        return 408;
-    }
-    const bool isParseError = error.category() == beast::http::make_error_code(beast::http::error::bad_method).category();
-    const bool isDisconnect = error == beast::http::error::end_of_stream || error == beast::http::error::partial_message;
-    return isParseError && !isDisconnect ? 400 : 0;
-}
-
-// Closing a connection while the caller still sends makes the caller's system discard the response that it has received. Reading
-// on for a limited time prevents this for callers that are not hostile.
-asio::awaitable<void> discardInput(beast::tcp_stream &stream)
-{
-    boost::system::error_code ignored;
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    std::string buffer(DiscardBufferBytes, '\0');
-    stream.expires_after(DiscardTimeout);
-    for (std::size_t discarded = 0; discarded < MaxDiscardedBytes;) {
-        const auto [error, size] = co_await stream.async_read_some(asio::buffer(buffer), Awaitable);
-        if (error) {
-            co_return;
-        }
-        discarded += size;
-    }
-}
-
 Response problemResponse(u16 status, const std::string &title)
 {
     Response response;
@@ -218,7 +39,7 @@
 
 } // namespace
 
-asio::awaitable<void> Handler::refuseBody(const Request & /*request*/, Reply &reply)
+asio::awaitable<void> Handler::refuseUnread(const Request & /*request*/, Reply &reply)
 {
     auto response = problemResponse(ServiceUnavailable, "overloaded");
     response.headers.emplace_back("Retry-After", "1");
@@ -234,10 +55,12 @@
         , m_limits(limits)
         , m_handler(handler)
         , m_gate(gate)
+        , m_connections(std::make_shared<ConnectionRegistry>(gate))
     {
         const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        limitBuffers();
         m_acceptor.bind(endpoint);
         m_acceptor.native_non_blocking(true);
         m_port = m_acceptor.local_endpoint().port();
@@ -262,15 +85,6 @@
         asio::co_spawn(m_acceptor.get_executor(), acceptBacklog(shared_from_this()), asio::detached);
     }
 
-    void closeIdle(const std::optional<Response> &finalResponse)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_finalResponse = finalResponse;
-        for (auto *connection : m_connections) {
-            asio::post(connection->stream.get_executor(), [self = shared_from_this(), connection] { self->cancelIfIdle(connection); });
-        }
-    }
-
     void closeAcceptor()
     {
         m_isStopping = true;
@@ -283,19 +97,12 @@
     void closeAll()
     {
         detail::resetBacklog(m_acceptor.native_handle());
-        const std::lock_guard lock(m_mutex);
-        for (auto *connection : m_connections) {
-            connection->isClosing = true;
-            asio::post(connection->stream.get_executor(), [self = shared_from_this(), connection] { self->resetIfOpen(connection); });
-        }
+        m_connections->resetAll();
     }
 
-    void cancelAll()
+    [[nodiscard]] ConnectionRegistry &connections()
     {
-        const std::lock_guard lock(m_mutex);
-        for (auto *connection : m_connections) {
-            asio::post(connection->stream.get_executor(), [self = shared_from_this(), connection] { self->cancelIfOpen(connection); });
-        }
+        return *m_connections;
     }
 
     void setLimits(const ServerLimits &limits)
@@ -319,18 +126,6 @@
     }
 
 private:
-    using RequestParser = beast::http::request_parser<beast::http::string_body>;
-
-    /** @brief An open connection; used only on its own strand, except for its entry in the server's set. */
-    struct OpenConnection
-    {
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-        bool isIdle = false; // waiting for the next request
-        bool mayReceiveMore = false; // the peer has not learned yet that no further request will be read
-        bool isClosing = false; // guarded by the server's mutex; no further request is passed to the handler
-    };
-
     /** @brief Counts a request as busy during its lifetime. */
     class BusyGuard
     {
@@ -353,54 +148,22 @@
         std::atomic<u32> &m_count;
     };
 
-    /** @brief Keeps a connection in the server's set during its lifetime, also if its handler throws. */
-    class TrackingGuard
-    {
-    public:
-        TrackingGuard(Impl &server, OpenConnection &connection)
-            : m_server(server)
-            , m_connection(connection)
-        {
-            m_server.track(&m_connection);
-        }
-
-        ~TrackingGuard()
-        {
-            m_server.untrack(&m_connection);
-        }
-
-        TrackingGuard(const TrackingGuard &) = delete;
-        TrackingGuard &operator=(const TrackingGuard &) = delete;
-
-    private:
-        Impl &m_server;
-        OpenConnection &m_connection;
+    /** @brief What follows a request on its connection. */
+    enum class Next : u8 {
+        Request,
+        Close,
+        Discard, ///< the client may not know yet that no further request will be read
     };
 
-    void resetIfOpen(OpenConnection *connection)
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_connections.count(connection) > 0) {
-            boost::system::error_code ignored;
-            connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-            connection->stream.socket().close(ignored);
-        }
-    }
-
-    void cancelIfOpen(OpenConnection *connection)
+    // Accepted connections inherit the sizes of their buffers.
+    void limitBuffers()
     {
-        const std::lock_guard lock(m_mutex);
-        if (m_connections.count(connection) > 0) {
-            connection->stream.cancel();
-        }
-    }
-
-    void cancelIfIdle(OpenConnection *connection)
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_connections.count(connection) > 0 && connection->isIdle) {
-            connection->stream.cancel();
+        if (m_limits.memory == nullptr) {
+            return;
         }
+        boost::system::error_code ignored;
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(admission::ConnectionBufferBytes), ignored);
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(admission::ConnectionBufferBytes), ignored);
     }
 
     static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
@@ -427,7 +190,7 @@
             if (!accepted.descriptor) {
                 return accepted.isBacklogEmpty;
             }
-            if (m_gate != nullptr && !m_gate->tryAdmit(openConnectionCount())) {
+            if (!tryAdmit()) {
                 detail::resetConnection(*accepted.descriptor);
                 continue;
             }
@@ -443,10 +206,16 @@
         return true;
     }
 
-    [[nodiscard]] std::size_t openConnectionCount()
+    [[nodiscard]] bool tryAdmit()
     {
-        const std::lock_guard lock(m_mutex);
-        return m_connections.size();
+        if (m_gate != nullptr && !m_gate->tryAdmit()) {
+            return false;
+        }
+        const bool hasRoom = m_connections->makeRoomForConnection(m_limits.connections);
+        if (!hasRoom && m_gate != nullptr) {
+            m_gate->noteFull();
+        }
+        return hasRoom;
     }
 
     static void spawnConnection(const std::shared_ptr<Impl> &self, Tcp::socket socket)
@@ -468,7 +237,7 @@
             while (!error) {
                 Tcp::socket socket(asio::make_strand(self->m_context));
                 self->m_acceptor.accept(socket, error);
-                if (!error) {
+                if (!error && self->m_connections->makeRoomForConnection(self->m_limits.connections)) {
                     spawnConnection(self, std::move(socket));
                 }
             }
@@ -482,155 +251,77 @@
     {
         boost::system::error_code ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
-        OpenConnection connection{beast::tcp_stream(std::move(socket)), {}};
-        {
-            const TrackingGuard guard(*self, connection);
-            while (co_await self->serveRequest(connection)) { }
+        // The registry outlives the connection also if the handler throws.
+        const auto connections = self->m_connections;
+        ClientConnection connection(std::move(socket), *connections, self->m_limits.memory);
+        Next next = Next::Request;
+        while (next == Next::Request) {
+            next = co_await self->serveRequest(connection);
+            connection.releaseMessages();
         }
-        if (connection.mayReceiveMore) {
-            co_await discardInput(connection.stream);
+        if (next == Next::Discard) {
+            co_await connection.discardInput();
         }
-        connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        connection.stream().socket().shutdown(Tcp::socket::shutdown_send, ignored);
     }
 
-    // Serves one request; true if the connection may be reused.
-    asio::awaitable<bool> serveRequest(OpenConnection &connection)
+    asio::awaitable<Next> serveRequest(ClientConnection &connection)
     {
-        auto &stream = connection.stream;
-        auto &buffer = connection.buffer;
-        RequestParser parser;
-        parser.header_limit(m_limits.headerBytes);
-        parser.body_limit(m_limits.bodyBytes);
-        boost::system::error_code error = co_await waitForRequest(connection);
+        RequestReader reader(connection, m_limits);
+        boost::system::error_code error = co_await reader.waitForRequest();
         const BusyGuard busyGuard(m_busyCount);
         if (!error) {
-            stream.expires_after(m_limits.headerTimeout);
-            std::tie(error, std::ignore) = co_await beast::http::async_read_header(stream, buffer, parser, Awaitable);
-        }
-        std::optional<run::MessageShare> bodyShare;
-        if (!error && !parser.is_done() && m_limits.bodyMemory != nullptr) {
-            bodyShare.emplace(*m_limits.bodyMemory);
-        }
-        if (!error && !parser.is_done()) {
-            error = co_await readBody(connection, parser, bodyShare);
-        }
-        if (error == asio::error::no_memory) {
-            co_await refuseBody(connection, parser.release());
-            co_return false;
-        }
-        if (error == asio::error::operation_aborted) {
-            co_await sendFinalResponse(connection);
-            co_return false;
-        }
-        if (!error && hasForbiddenBody(parser.get())) {
-            error = beast::http::error::unexpected_body;
+            error = co_await reader.read();
         }
         if (error) {
-            if (const u16 status = statusForReadError(error); status != 0 && stream.socket().is_open()) {
-                BeastReply reply(stream, m_limits.ioTimeout, false);
-                const Response response = problemResponse(status, "malformed request");
-                co_await reply.send(response);
-                co_await discardInput(stream);
-            }
-            co_return false;
+            co_return co_await answerUnread(connection, reader.request(), error);
         }
-        if (isClosing(connection)) {
-            co_return false;
+        if (!connection.enter(ClientPhase::Working)) {
+            co_return Next::Close;
         }
-        const bool clientKeepsAlive = parser.get().keep_alive();
-        const bool keepAlive = clientKeepsAlive && !m_isStopping && !m_closesAfterAnswers;
-        const auto request = toRequest(parser.release());
-        BeastReply reply(stream, m_limits.ioTimeout, keepAlive);
-        co_await m_handler.handle(request, reply);
+        const bool keepAlive = reader.keepsAlive() && !m_isStopping && !m_closesAfterAnswers;
+        BeastReply reply(connection, m_limits.ioTimeout, keepAlive);
+        co_await m_handler.handle(reader.request(), reply);
         reply.clearDisconnectHandler();
-        const bool canReuse = keepAlive && reply.isComplete();
-        connection.mayReceiveMore = clientKeepsAlive && !canReuse;
-        co_return canReuse;
-    }
-
-    // Returns asio::error::no_memory if the body doesn't fit into its share.
-    asio::awaitable<boost::system::error_code> readBody(OpenConnection &connection, RequestParser &parser,
-                                                        std::optional<run::MessageShare> &share)
-    {
-        const auto announced = parser.content_length();
-        boost::system::error_code error;
-        parser.eager(true);
-        connection.stream.expires_after(m_limits.ioTimeout);
-        while (!error && !parser.is_done()) {
-            const u64 bytes = announced.value_or(parser.get().body().capacity());
-            if (share && !share->tryResize(BodyCopies * bytes)) {
-                co_return asio::error::no_memory;
-            }
-            std::tie(error, std::ignore) = co_await beast::http::async_read_some(connection.stream, connection.buffer, parser, Awaitable);
+        connection.enter(ClientPhase::Idle);
+        if (keepAlive && reply.isComplete()) {
+            co_return Next::Request;
         }
-        co_return error;
+        co_return reader.keepsAlive() ? Next::Discard : Next::Close;
     }
 
-    asio::awaitable<void> refuseBody(OpenConnection &connection, beast::http::request<beast::http::string_body> message)
+    /** @brief Answers a request that was not read completely, if that is possible. */
+    asio::awaitable<Next> answerUnread(ClientConnection &connection, const Request &request, boost::system::error_code error)
     {
-        message.body().clear();
-        const auto request = toRequest(std::move(message));
-        BeastReply reply(connection.stream, m_limits.ioTimeout, false);
-        co_await m_handler.refuseBody(request, reply);
-        connection.mayReceiveMore = true;
-    }
-
-    // Waits for the first byte of the next request.
-    asio::awaitable<boost::system::error_code> waitForRequest(OpenConnection &connection)
-    {
-        if (connection.buffer.size() > 0) {
-            co_return boost::system::error_code();
+        if (!connection.stream().socket().is_open()) {
+            co_return Next::Close;
         }
-        auto error = co_await readFirstBytes(connection);
-        boost::system::error_code ignored;
-        if (error == asio::error::operation_aborted && connection.stream.socket().available(ignored) > 0) {
-            // The request arrived before closeIdle() cancelled the wait.
-            error = co_await readFirstBytes(connection);
+        connection.releaseMessages();
+        BeastReply reply(connection, m_limits.ioTimeout, false);
+        if (error == asio::error::no_memory) {
+            co_await m_handler.refuseUnread(request, reply);
+            co_return Next::Discard;
         }
-        const bool isIdle = error == beast::error::timeout || error == asio::error::eof;
-        co_return isIdle ? boost::system::error_code(beast::http::error::end_of_stream) : error;
-    }
-
-    asio::awaitable<void> sendFinalResponse(OpenConnection &connection)
-    {
-        std::optional<Response> finalResponse;
-        {
-            const std::lock_guard lock(m_mutex);
-            finalResponse = m_finalResponse;
+        if (error == asio::error::operation_aborted) {
+            co_return co_await sendFinalResponse(reply);
         }
-        if (finalResponse && connection.stream.socket().is_open()) {
-            BeastReply reply(connection.stream, m_limits.ioTimeout, false);
-            connection.mayReceiveMore = co_await reply.send(*finalResponse);
+        const u16 status = RequestReader::statusFor(error);
+        if (status == 0) {
+            co_return Next::Close;
         }
+        const Response response = problemResponse(status, "malformed request");
+        co_await reply.send(response);
+        co_return Next::Discard;
     }
 
-    asio::awaitable<boost::system::error_code> readFirstBytes(OpenConnection &connection)
-    {
-        connection.isIdle = true;
-        connection.stream.expires_after(m_limits.idleTimeout);
-        const auto space = connection.buffer.prepare(ReadBytes);
-        const auto [error, size] = co_await connection.stream.async_read_some(space, Awaitable);
-        connection.buffer.commit(size);
-        connection.isIdle = false;
-        co_return error;
-    }
-
-    [[nodiscard]] bool isClosing(const OpenConnection &connection)
-    {
-        const std::lock_guard lock(m_mutex);
-        return connection.isClosing;
-    }
-
-    void track(OpenConnection *connection)
+    asio::awaitable<Next> sendFinalResponse(Reply &reply)
     {
-        const std::lock_guard lock(m_mutex);
-        m_connections.insert(connection);
-    }
-
-    void untrack(OpenConnection *connection)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_connections.erase(connection);
+        const auto finalResponse = m_connections->finalResponse();
+        if (!finalResponse) {
+            co_return Next::Close;
+        }
+        const bool isSent = co_await reply.send(*finalResponse);
+        co_return isSent ? Next::Discard : Next::Close;
     }
 
     asio::io_context &m_context;
@@ -644,9 +335,7 @@
     std::atomic<bool> m_isListening{false};
     std::atomic<bool> m_isDrainingBacklog{false}; // accepting the backlog after stopListening()
     std::atomic<u32> m_busyCount{0};
-    std::mutex m_mutex;
-    std::set<OpenConnection *> m_connections;
-    std::optional<Response> m_finalResponse; // sent on connections that closeIdle() closes
+    std::shared_ptr<ConnectionRegistry> m_connections; // shared with the connections and with what is posted to them
 };
 
 Server::Server(asio::io_context &context, const Address &address, const ServerLimits &limits, Handler &handler, ListenMode mode,
@@ -690,12 +379,12 @@
 
 void Server::closeIdle(const std::optional<Response> &finalResponse)
 {
-    m_impl->closeIdle(finalResponse);
+    m_impl->connections().closeIdle(finalResponse);
 }
 
 void Server::cancelAll()
 {
-    m_impl->cancelAll();
+    m_impl->connections().cancelAll();
 }
 
 void Server::closeAll()
--- a/lib/libburdock/include/burdock/admission/connection_shedding.hpp
+++ b/lib/libburdock/include/burdock/admission/connection_shedding.hpp
@@ -57,10 +57,4 @@
     bool m_canOthersServe = false;
 };
 
-/** @brief Number of callers' connections that a process accepts, given its file descriptors and memory; zero means unlimited. */
-[[nodiscard]] u32 connectionLimit(u32 descriptors, u32 memoryMegabytes);
-
-/** @brief Number of connections to endpoints that a process opens, given its file descriptors; zero means unlimited. */
-[[nodiscard]] u32 endpointConnectionLimit(u32 descriptors);
-
 } // namespace burdock::admission
--- a/lib/libburdock/include/burdock/run/message_memory.hpp
+++ b/lib/libburdock/include/burdock/run/message_memory.hpp
@@ -7,7 +7,7 @@
 namespace burdock::run {
 
 /**
- * @brief Shares the memory for messages that are read before they are forwarded: requests, or responses. Thread-safe.
+ * @brief Shares the memory for responses that are read before they are forwarded. Thread-safe.
  *
  * A message may grow to a part of what is free, so that many long ones at once leave room for short ones.
  */
@@ -61,10 +61,4 @@
 /** @brief Memory for responses of a process with this much memory; zero means that the memory isn't known. */
 [[nodiscard]] u64 responseMemoryBytes(u32 memoryMegabytes);
 
-/** @brief The same for the bodies of callers' requests. */
-[[nodiscard]] u64 requestMemoryBytes(u32 memoryMegabytes);
-
-/** Growth share of MessageMemory for requests: callers may send longer messages than endpoints do. */
-inline constexpr u64 RequestGrowthShare = 2;
-
 } // namespace burdock::run
--- a/lib/libburdock/source/admission/connection_shedding.cpp
+++ b/lib/libburdock/source/admission/connection_shedding.cpp
@@ -4,19 +4,6 @@
 
 namespace burdock::admission {
 
-namespace {
-
-/** Shares of the descriptors for callers' connections and for those to endpoints, in percent; the rest is for the platform and files. */
-constexpr u32 DescriptorPercent = 60;
-constexpr u32 EndpointDescriptorPercent = 30;
-/** Share of the memory that callers' connections may take, in percent, and what one of them takes. */
-constexpr u64 MemoryPercent = 40;
-constexpr u64 ConnectionKilobytes = 24;
-constexpr u64 KilobytesPerMegabyte = 1024;
-constexpr u64 Percent = 100;
-
-} // namespace
-
 ConnectionShedding::ConnectionShedding(const ConnectionSheddingPolicy &policy)
     : m_policy(policy)
 {
@@ -66,19 +53,4 @@
     return true;
 }
 
-u32 connectionLimit(u32 descriptors, u32 memoryMegabytes)
-{
-    const u64 byDescriptors = u64{descriptors} * DescriptorPercent / Percent;
-    const u64 byMemory = memoryMegabytes * KilobytesPerMegabyte * MemoryPercent / Percent / ConnectionKilobytes;
-    if (descriptors == 0 || memoryMegabytes == 0) {
-        return static_cast<u32>(std::max(byDescriptors, byMemory));
-    }
-    return static_cast<u32>(std::min(byDescriptors, byMemory));
-}
-
-u32 endpointConnectionLimit(u32 descriptors)
-{
-    return static_cast<u32>(u64{descriptors} * EndpointDescriptorPercent / Percent);
-}
-
 } // namespace burdock::admission
--- a/lib/libburdock/source/run/message_memory.cpp
+++ b/lib/libburdock/source/run/message_memory.cpp
@@ -8,8 +8,6 @@
 constexpr u64 DefaultBytes = 64 * BytesPerMegabyte;
 /** Share of a process's memory. Strings take up to twice their size while they grow, and responses are copied to be sent. */
 constexpr u64 MemoryShare = 8;
-constexpr u64 RequestMemoryPercent = 38;
-constexpr u64 DefaultRequestBytes = 256 * BytesPerMegabyte;
 constexpr u64 BytesPerHttpChunk = 64;
 
 } // namespace
@@ -70,9 +68,4 @@
     return memoryMegabytes == 0 ? DefaultBytes : memoryMegabytes * BytesPerMegabyte / MemoryShare;
 }
 
-u64 requestMemoryBytes(u32 memoryMegabytes)
-{
-    return memoryMegabytes == 0 ? DefaultRequestBytes : memoryMegabytes * BytesPerMegabyte * RequestMemoryPercent / 100;
-}
-
 } // namespace burdock::run
--- a/main/daemon/source/run_gateway.cpp
+++ b/main/daemon/source/run_gateway.cpp
@@ -1,6 +1,5 @@
 #include "run_gateway.hpp"
 
-#include <burdock/admission/connection_shedding.hpp>
 #include <burdock/gateway/gateway.hpp>
 #include <burdock/platform/contract_names.hpp>
 #include <burdock/platform/http_platform_store.hpp>
@@ -56,11 +55,8 @@
     settings.followsRollouts = std::find(contracts.begin(), contracts.end(), platform::RolloutContract) != contracts.end();
     settings.rolloutShare = document.expose_share_size() > 0 ? document.expose_share(0) : settings.rolloutShare;
     settings.responseBytes = run::responseMemoryBytes(static_cast<u32>(document.memory_mb()));
-    settings.requestBytes = run::requestMemoryBytes(static_cast<u32>(document.memory_mb()));
     settings.isReadingShared = document.shared_reading();
-    settings.maxEndpointConnections = admission::endpointConnectionLimit(static_cast<u32>(document.descriptors()));
-    settings.maxCallerConnections
-        = admission::connectionLimit(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
+    settings.clientBudget = admission::clientBudget(static_cast<u32>(document.descriptors()), static_cast<u32>(document.memory_mb()));
     return settings;
 }
 
--- a/tests/unit/connection_shedding_test.cpp
+++ b/tests/unit/connection_shedding_test.cpp
@@ -195,14 +195,3 @@
         CHECK(process.lateShare() <= 0.25);
     }
 }
-
-TEST_CASE("the number of connections is bounded by descriptors and memory")
-{
-    CHECK(admission::connectionLimit(0, 0) == 0);
-    CHECK(admission::connectionLimit(4100, 0) == 2460);
-    CHECK(admission::connectionLimit(0, 88) > 1000);
-    CHECK(admission::connectionLimit(4100, 88) == admission::connectionLimit(0, 88));
-    CHECK(admission::connectionLimit(4100, 512) == 2460);
-    CHECK(admission::endpointConnectionLimit(0) == 0);
-    CHECK(admission::endpointConnectionLimit(4100) + admission::connectionLimit(4100, 0) < 3700);
-}
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -296,9 +296,9 @@
 {
     constexpr u64 MemoryBytes = 1024 * 1024;
     constexpr std::size_t LongBytes = 150'000;
-    run::MessageMemory memory(MemoryBytes, run::RequestGrowthShare);
+    admission::ClientMemory memory(MemoryBytes);
     http::ServerLimits limits;
-    limits.bodyMemory = &memory;
+    limits.memory = &memory;
     TestServer testServer(2, limits);
     const auto longHead = "POST /page HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(LongBytes) + "\r\n\r\n";
     std::list<Tcp::socket> sockets;
