Bound the clients of the listeners for operators and load balancers

What was seen: clients of the readiness and metrics listeners took a gateway to 274 MiB of 64 with trailers or bodies, those of the processes' admin listeners to 289 MiB of 128; 1,000 unread answers with metrics to each of 250 clients took 111 and 167 MiB; silent connections took 1,043 descriptors of 512 and 1,127 of 1,024 (six cases, listed until now).

Cause: these listeners had the limits of callers' requests, no bound of connections, and none of memory.

Change: operatorLimits(): 16 connections each, of which those without progress make room for new ones, heads of 8 KiB, bodies of 4 KiB, 5 s for a request or an answer, and 2 MiB for the messages of all of them in a process. It is an account of its own, so that callers can't keep a load balancer from its answer.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -126,8 +126,8 @@
         , m_readinessHandler(std::string(dependencies.codec.readinessPath()), [this] { return readinessResponse(); })
         , m_metricsHandler("/metrics", [this] { return metricsResponse(); })
         , m_callerServer(dependencies.context, settings.callerAddress, callerLimits({}), *this, http::ListenMode::Immediate, this)
-        , m_readinessServer(dependencies.context, settings.readinessAddress, http::ServerLimits{}, m_readinessHandler)
-        , m_metricsServer(dependencies.context, settings.metricsAddress, http::ServerLimits{}, m_metricsHandler)
+        , m_readinessServer(dependencies.context, settings.readinessAddress, http::operatorLimits(m_operatorMemory), m_readinessHandler)
+        , m_metricsServer(dependencies.context, settings.metricsAddress, http::operatorLimits(m_operatorMemory), m_metricsHandler)
     {
         m_state.bootId = dependencies.random.word();
         m_state.endpoints.coldAdmission().setLimit({settings.coldFactor, settings.coldSlack});
@@ -762,8 +762,7 @@
     RolloutTracker m_rollouts;
     SoftwareKeeper m_software;
     RolloutController m_softwareController;
-    const ForwardingServices m_services{m_pool,    m_origins,  m_limitObserver, m_noticeObserver,
-                                        m_permits, m_rollouts, m_software};
+    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_noticeObserver, m_permits, m_rollouts, m_software};
     std::set<RequestForwarder *> m_forwarders; ///< of the requests under way
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
@@ -776,6 +775,7 @@
     std::vector<std::unique_ptr<ObjectWatcher>> m_watchers;
     PathHandler m_readinessHandler;
     PathHandler m_metricsHandler;
+    admission::ClientMemory m_operatorMemory{http::OperatorMessageBytes};
     http::Server m_callerServer;
     http::Server m_readinessServer;
     http::Server m_metricsServer;
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -71,6 +71,12 @@
     Duration idleTimeout = std::chrono::seconds(30);
 };
 
+/** Memory for the messages of all clients of a process's listeners for operators. */
+inline constexpr u64 OperatorMessageBytes = 2 * 1024 * 1024;
+
+/** @brief Limits of a listener for operators and load balancers, which has few clients, and requests without bodies. */
+[[nodiscard]] ServerLimits operatorLimits(admission::ClientMemory &memory);
+
 /** @brief Decides which new connections a server serves, and is told which ones it closes for others. */
 class ConnectionGate
 {
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -25,6 +25,10 @@
 /** Connections that are accepted at a time. */
 constexpr u32 MaxAcceptsPerTurn = 64;
 constexpr u16 ServiceUnavailable = 503;
+constexpr u32 OperatorHeaderBytes = 8 * 1024;
+constexpr u64 OperatorBodyBytes = 4 * 1024;
+constexpr u32 OperatorConnections = 16;
+constexpr Duration OperatorTimeout = std::chrono::seconds(5);
 /** Time for which stopListening() waits for handshakes that have already started. */
 constexpr Duration HandshakeGracePeriod = std::chrono::milliseconds(50);
 
@@ -39,6 +43,18 @@
 
 } // namespace
 
+ServerLimits operatorLimits(admission::ClientMemory &memory)
+{
+    ServerLimits limits;
+    limits.headerBytes = OperatorHeaderBytes;
+    limits.bodyBytes = OperatorBodyBytes;
+    limits.connections = OperatorConnections;
+    limits.memory = &memory;
+    limits.ioTimeout = OperatorTimeout;
+    limits.headerTimeout = OperatorTimeout;
+    return limits;
+}
+
 asio::awaitable<void> Handler::refuseUnread(const Request & /*request*/, Reply &reply)
 {
     auto response = problemResponse(ServiceUnavailable, "overloaded");
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.cpp
@@ -70,7 +70,7 @@
     , m_server(m_linkContext, http::parseAddress(settings.endpoint().listen()), *this)
     , m_admin(
           process, [this] { return !m_registry.isLeaving() && m_config.version() > 0; }, [this] { return status(); })
-    , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_admin)
+    , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), http::operatorLimits(m_operatorMemory), m_admin)
 {
     m_registry.setServer(m_server);
     m_suspects.setUpdateListener([this] { sendSuspectUpdates(); });
--- a/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
+++ b/lib/libburdock-serving/source/endpoint/endpoint_role.hpp
@@ -64,6 +64,7 @@
     runtime::link::Context m_linkContext;
     runtime::link::Server m_server;
     AdminHandler m_admin;
+    admission::ClientMemory m_operatorMemory{runtime::http::OperatorMessageBytes};
     runtime::http::Server m_adminServer;
 };
 
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -66,7 +66,7 @@
     , m_callerHandler(process, m_config, m_fleet, m_coordinator)
     , m_adminHandler(
           process, [this] { return isReady(); }, [this] { return status(); })
-    , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), {}, m_adminHandler)
+    , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), http::operatorLimits(m_operatorMemory), m_adminHandler)
     , m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callerHandler,
                      http::ListenMode::Deferred)
 {
--- a/lib/libburdock-serving/source/entry/entry_role.hpp
+++ b/lib/libburdock-serving/source/entry/entry_role.hpp
@@ -39,6 +39,7 @@
     RunCoordinator m_coordinator;
     CallerHandler m_callerHandler;
     AdminHandler m_adminHandler;
+    admission::ClientMemory m_operatorMemory{runtime::http::OperatorMessageBytes};
     runtime::http::Server m_adminServer;
     runtime::http::Server m_callerServer;
 };
