Bound the callers of the product's own entry

What was seen: the entry's listener, with the crowds of misbehaving_clients_own_interface_test, took 281 to 285 MiB of 128 for trailers and chunk heads without end, 542 MiB for bodies that don't end, 424 MiB and 1,126 descriptors of 1,024 for refused clients that send on, and 1,127 descriptors for silent connections (five cases, listed until now).

Cause: it had no bound of connections and no account of what they keep (docs/incidents/long-requests-take-the-memory.md said so).

Change: the account and the bound of connections that gateways have, from entry.memory_mb and entry.descriptors (128 MB and 2,048 if they aren't given; checked).

One request of the full 8 MiB is served with the defaults.

The test's crowd and bounds stay; it now lowers the entry's descriptors to the bound in its settings.

--- a/lib/libburdock-schema/source/document.cpp
+++ b/lib/libburdock-schema/source/document.cpp
@@ -32,6 +32,8 @@
 /** Largest number of requests in a limit. */
 constexpr double MaxRequestCount = 1e9;
 constexpr double MaxDescriptors = 1e7;
+constexpr u32 MinEntryMegabytes = 32;
+constexpr u32 MinEntryDescriptors = 64;
 constexpr double MaxMemoryMegabytes = 1e7;
 
 bool isHex(std::string_view text, std::size_t digits)
@@ -179,6 +181,9 @@
 {
     const auto &entry = settings.entry();
     require(isAddress(entry.listen()), "$.entry.listen", "must be IP:port", faults);
+    require(entry.memory_mb() == 0 || entry.memory_mb() >= MinEntryMegabytes, "$.entry.memory_mb", "must be 0, or 32 or more", faults);
+    require(entry.descriptors() == 0 || entry.descriptors() >= MinEntryDescriptors, "$.entry.descriptors", "must be 0, or 64 or more",
+            faults);
     for (int i = 0; i < entry.seed_links_size(); ++i) {
         require(isAddress(entry.seed_links(i)), "$.entry.seed_links[" + std::to_string(i) + "]", "must be IP:port", faults);
     }
--- a/lib/libburdock-serving/source/entry/entry_role.cpp
+++ b/lib/libburdock-serving/source/entry/entry_role.cpp
@@ -18,6 +18,8 @@
 
 constexpr u32 DefaultMaxBodyBytes = 8 * 1024 * 1024;
 constexpr u32 DefaultReadTimeoutMs = 30'000;
+constexpr u32 DefaultMemoryMegabytes = 128;
+constexpr u32 DefaultDescriptors = 2048;
 // A silent link is replaced within four heartbeats, and two more allow the peer to report on the new link whether it has the request.
 // Failing over earlier would run requests twice whenever links, not endpoints, go silent.
 constexpr u32 AcceptTimeoutHeartbeats = 6;
@@ -27,9 +29,17 @@
 // A caller that sends another request on a kept-alive connection within this time is told in the response that the connection closes.
 constexpr Duration IdlePeriodBeforeClose = std::chrono::milliseconds(200);
 
-http::ServerLimits callerLimits(const schema::EntrySettings &settings)
+admission::ClientBudget clientBudgetOf(const schema::EntrySettings &settings)
+{
+    return admission::clientBudget(settings.descriptors() == 0 ? DefaultDescriptors : settings.descriptors(),
+                                   settings.memory_mb() == 0 ? DefaultMemoryMegabytes : settings.memory_mb());
+}
+
+http::ServerLimits callerLimits(const schema::EntrySettings &settings, u32 connections, admission::ClientMemory &memory)
 {
     http::ServerLimits limits;
+    limits.connections = connections;
+    limits.memory = &memory;
     limits.bodyBytes = settings.max_body_bytes() == 0 ? DefaultMaxBodyBytes : settings.max_body_bytes();
     const Duration readTimeout
         = std::chrono::milliseconds(settings.read_timeout_ms() == 0 ? DefaultReadTimeoutMs : settings.read_timeout_ms());
@@ -66,8 +76,11 @@
     , m_callerHandler(process, m_config, m_fleet, m_coordinator)
     , m_adminHandler(
           process, [this] { return isReady(); }, [this] { return status(); })
+    , m_clientBudget(clientBudgetOf(settings.entry()))
+    , m_clientMemory(m_clientBudget.messageBytes)
     , m_adminServer(process.workers, http::parseAddress(settings.admin_listen()), http::operatorLimits(m_operatorMemory), m_adminHandler)
-    , m_callerServer(process.workers, http::parseAddress(settings.entry().listen()), callerLimits(settings.entry()), m_callerHandler,
+    , m_callerServer(process.workers, http::parseAddress(settings.entry().listen()),
+                     callerLimits(settings.entry(), m_clientBudget.connections, m_clientMemory), m_callerHandler,
                      http::ListenMode::Deferred)
 {
 }
--- a/lib/libburdock-serving/source/entry/entry_role.hpp
+++ b/lib/libburdock-serving/source/entry/entry_role.hpp
@@ -40,6 +40,8 @@
     CallerHandler m_callerHandler;
     AdminHandler m_adminHandler;
     admission::ClientMemory m_operatorMemory{runtime::http::OperatorMessageBytes};
+    admission::ClientBudget m_clientBudget;
+    admission::ClientMemory m_clientMemory;
     runtime::http::Server m_adminServer;
     runtime::http::Server m_callerServer;
 };
--- a/tests/integration/misbehaving_clients_own_interface_test.cpp
+++ b/tests/integration/misbehaving_clients_own_interface_test.cpp
@@ -12,7 +12,7 @@
 
 /** Memory and descriptors of the smallest VM of these processes. */
 constexpr u64 MaxProcessKib = 128 * 1024;
-constexpr u64 MaxDescriptors = 1024;
+constexpr u32 MaxDescriptors = 1024;
 constexpr std::size_t FloodBytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t BodyBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t HeaderBytes = std::size_t{16} * 1024;
@@ -29,8 +29,9 @@
 class SmallDeployment
 {
 public:
-    SmallDeployment()
-        : deployment(options())
+    /** @param entryDescriptors 0 for the default */
+    explicit SmallDeployment(u32 entryDescriptors = MaxDescriptors)
+        : deployment(options(entryDescriptors))
     {
         deployment.start();
     }
@@ -50,9 +51,10 @@
     Deployment deployment;
 
 private:
-    static DeploymentOptions options()
+    static DeploymentOptions options(u32 entryDescriptors)
     {
         DeploymentOptions options;
+        options.entryDescriptors = entryDescriptors;
         options.entries = 1;
         options.engines = 1;
         options.zones = 1;
@@ -210,7 +212,7 @@
 // Guards against limits that a caller within the stated ones meets.
 TEST_CASE("a single request of the entry's full size is served")
 {
-    SmallDeployment small;
+    SmallDeployment small(0);
     const std::string begin = R"({"model":"m","prompt":"x","max_tokens":1,"user":")";
     const std::string end = R"("})";
     runtime::http::Request request;
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -114,6 +114,9 @@
     auto settings = commonSettings(daemon, "ENTRY");
     settings["entry"]
         = json::object{{"listen", daemon.listen}, {"lame_duck_ms", 100}, {"read_timeout_ms", 5000}, {"seed_links", std::move(seeds)}};
+    if (m_options.entryDescriptors > 0) {
+        settings["entry"].as_object()["descriptors"] = m_options.entryDescriptors;
+    }
     addDaemon(std::move(daemon), std::move(settings));
 }
 
--- a/tests/integration/support/deployment.hpp
+++ b/tests/integration/support/deployment.hpp
@@ -42,6 +42,7 @@
     u32 coldLimit = 4; ///< concurrent requests at a cold endpoint; by default the capacity of a cold stand-in
     u32 warmLimit = 32;
     u32 queueLimit = 256;
+    u32 entryDescriptors = 0; ///< of an entry; 0 leaves them out of its settings
     u32 extraCustomers = 0; ///< named customer-0, customer-1 and so on, with API keys key-customer-0, key-customer-1 and so on
     standins::EngineOptions engine;
 };
