Let callers that don't read make room at endpoints

What callers saw: beside 250 callers that ask for a stream and never read it, an ordinary caller was refused four times in a row (misbehaving_clients_test, the last of its cases on the list): all connections to endpoints carried streams that waited for their callers.

Cause: an endpoint works on an answer, and its place counts as taken, until the caller has taken it or 15 s have passed.

Change: before a request is refused because endpoints or connections to them are full, connections of callers that have made no progress for 1 s are closed, 16 at most, and the request tries once more. Their runs are abandoned, which says nothing about the endpoint.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -762,7 +762,8 @@
     RolloutTracker m_rollouts;
     SoftwareKeeper m_software;
     RolloutController m_softwareController;
-    const ForwardingServices m_services{m_pool, m_origins, m_limitObserver, m_noticeObserver, m_permits, m_rollouts, m_software};
+    const ForwardingServices m_services{m_pool,    m_origins,  m_limitObserver, m_noticeObserver,
+                                        m_permits, m_rollouts, m_software,      m_callerServer};
     std::set<RequestForwarder *> m_forwarders; ///< of the requests under way
     LoadExchange m_loadExchange;
     WeightRolloutController m_rolloutController;
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -41,6 +41,9 @@
 /** Larger numbers of output tokens in a request are treated as this one. */
 constexpr u64 MaxOutputTokens = 10'000'000;
 constexpr u64 ExtraEvents = 64;
+/** Connections of callers that are closed for one request, and the time in which they return what they hold. */
+constexpr u32 MaxStalledClosed = 16;
+constexpr Duration StalledClosePause = std::chrono::milliseconds(5);
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusMultipleChoices = 300;
 constexpr u16 StatusServerError = 500;
@@ -63,6 +66,11 @@
     }
 }
 
+bool isFull(endpoints::SelectionFailure reason)
+{
+    return reason == endpoints::SelectionFailure::NoRoom || reason == endpoints::SelectionFailure::TooSlow;
+}
+
 std::string_view nameOf(const std::optional<run::BodyFraming> &framing)
 {
     return framing ? toString(*framing) : std::string_view("none");
@@ -263,12 +271,20 @@
             co_return;
         }
         if (!m_services.pool.hasRoom()) {
+            if (co_await makeRoom()) {
+                continue;
+            }
             const Rejection rejection{503, "no_connection", RetryAfterFull};
             co_await stopTrying(rejection, lastAttempt);
             co_return;
         }
         m_selection = m_services.rollouts.choose(makeSelectionRequest());
         const bool isRefused = m_selection.reason != endpoints::SelectionFailure::None;
+        if (isFull(m_selection.reason)) {
+            if (co_await makeRoom()) {
+                continue;
+            }
+        }
         if (isRefused && mustRecordSoftware() && m_services.software.isRecording(m_service) && timeLeft() > MinAttemptTime) {
             co_await runtime::sleepFor(RecordPollPeriod);
             continue;
@@ -316,6 +332,16 @@
     }
 }
 
+// Endpoints work on answers for as long as the callers have not taken them.
+boost::asio::awaitable<bool> RequestForwarder::makeRoom()
+{
+    if (std::exchange(m_hasMadeRoom, true) || m_services.callers.closeStalled(MaxStalledClosed) == 0) {
+        co_return false;
+    }
+    co_await runtime::sleepFor(StalledClosePause);
+    co_return true;
+}
+
 // A rejection states that the request has not run, and can't be sent once a response has started.
 boost::asio::awaitable<void> RequestForwarder::stopTrying(const Rejection &rejection, const Attempt &lastAttempt)
 {
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -28,6 +28,7 @@
     PermitExchange &permits;
     RolloutTracker &rollouts;
     SoftwareKeeper &software;
+    runtime::http::Server &callers;
 };
 
 /** @brief Handles one request of a caller: validates it, forwards it to endpoints with retries, and sends the final response. */
@@ -73,6 +74,8 @@
     [[nodiscard]] boost::asio::awaitable<void> tryEndpoints();
     [[nodiscard]] boost::asio::awaitable<void> stopTrying(const Rejection &rejection, const Attempt &lastAttempt);
     [[nodiscard]] bool mustRecordSoftware() const;
+    /** @brief Closes callers' connections that keep endpoints waiting; returns false if there are none, or if that was done before. */
+    [[nodiscard]] boost::asio::awaitable<bool> makeRoom();
     [[nodiscard]] endpoints::SelectionRequest makeSelectionRequest() const;
     [[nodiscard]] boost::asio::awaitable<Attempt> attempt(const std::string &id);
     [[nodiscard]] endpoints::Outcome interruptionOutcome(TimePoint waitDeadline) const;
@@ -127,6 +130,7 @@
     retry::AttemptHistory m_history;
     PooledConnection m_connection;
     bool m_isReusedConnection = false;
+    bool m_hasMadeRoom = false; ///< makeRoom() was called
     std::optional<run::MessageShare> m_responseShare; ///< memory of the current attempt's response
     bool m_isResponseTooLong = false; ///< of the current attempt
     bool m_isMemoryShort = false; ///< there was no memory for the response of the current attempt beside others
--- a/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/server.hpp
@@ -133,6 +133,9 @@
      */
     void closeIdle(const std::optional<Response> &finalResponse = std::nullopt);
 
+    /** @brief Closes connections whose clients make no progress with a message, at most that many; returns how many. */
+    u32 closeStalled(u32 most);
+
     /** @brief Aborts the reads and writes of all connections, which then close; handlers that wait for anything else go on. */
     void cancelAll();
 
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -398,6 +398,11 @@
     m_impl->connections().closeIdle(finalResponse);
 }
 
+u32 Server::closeStalled(u32 most)
+{
+    return m_impl->connections().closeStalled(most);
+}
+
 void Server::cancelAll()
 {
     m_impl->connections().cancelAll();
