--- a/tests/integration/misbehaving_clients_test.cpp
+++ b/tests/integration/misbehaving_clients_test.cpp
@@ -3,6 +3,10 @@
 #include <support/platform_objects.hpp>
 #include <support/process_usage.hpp>
 
+#include <burdock/link.pb.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -29,6 +33,10 @@
 constexpr u32 PipelinedRequests = 1000;
 /** Enough for all requests of a crowd at once. */
 constexpr u32 Endpoints = 40;
+constexpr u32 Datagrams = 400;
+constexpr u32 LoadsPerDatagram = 3000;
+/** Lets the gateway take each datagram, as the kernel drops those that it doesn't. */
+constexpr auto PauseBetweenDatagrams = std::chrono::milliseconds(2);
 constexpr u32 MaxTries = 4;
 constexpr auto PauseBetweenTries = std::chrono::milliseconds(500);
 constexpr auto SlowAnswerTime = std::chrono::seconds(8);
@@ -346,6 +354,38 @@
     checkSurvives(Listener::Metrics, {""}, 2 * MaxDescriptors);
 }
 
+// Guards against datagrams that fill a gateway's tables with the loads of gateways that don't exist.
+TEST_CASE("datagrams of many unknown gateways leave the gateway serving within its memory")
+{
+    SmallGateway gateway;
+    REQUIRE(gateway.serves());
+    const ProcessUsage usage(gateway.deployment.process().pid(), {gateway.address(Listener::Callers)});
+    boost::asio::io_context context;
+    boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+    const auto address = runtime::http::parseAddress(gateway.deployment.gateway().loadAddress());
+    const boost::asio::ip::udp::endpoint target(boost::asio::ip::make_address(address.ip), address.port);
+    u64 endpoint = 0;
+    for (u32 sender = 0; sender < Datagrams; ++sender) {
+        schema::EntryLoad message;
+        message.set_entry(fmt::format("unknown-{}", sender));
+        message.set_boot_id(1);
+        message.set_sequence(1);
+        for (u32 i = 0; i < LoadsPerDatagram; ++i) {
+            auto *work = message.add_work();
+            work->set_endpoint(++endpoint);
+            work->set_running(1);
+        }
+        boost::system::error_code ignored;
+        socket.send_to(boost::asio::buffer(message.SerializeAsString()), target, 0, ignored);
+        std::this_thread::sleep_for(PauseBetweenDatagrams);
+    }
+    CHECK(gateway.serves());
+    CHECK(gateway.isRunning());
+    if (IsMemoryMeasured) {
+        CHECK(usage.peakKib() <= MaxGatewayKib);
+    }
+}
+
 // Guards against limits that a caller within the stated ones meets.
 TEST_CASE("a single request at the full limit is served, in one piece, in chunks and with a trailer")
 {
--- a/tests/integration/support/gateway_process.cpp
+++ b/tests/integration/support/gateway_process.cpp
@@ -30,6 +30,7 @@
     , m_callerAddress(freeAddress())
     , m_readinessAddress(freeAddress())
     , m_metricsAddress(freeAddress())
+    , m_loadAddress(freeAddress())
 {
     std::filesystem::create_directories(m_directory);
     auto settings = json::parse(R"({"grace_seconds":6,"revocation_ms":4000,"retry_share":0.2,"retry_slack":50,)"
@@ -40,7 +41,7 @@
     settings["callers_listen"] = m_callerAddress;
     settings["readiness_listen"] = m_readinessAddress;
     settings["metrics_listen"] = m_metricsAddress;
-    settings["load_listen"] = freeAddress();
+    settings["load_listen"] = m_loadAddress;
     settings["platform"] = platform;
     for (const auto &[key, value] : overrides) {
         settings[key] = value;
@@ -85,6 +86,11 @@
     return m_metricsAddress;
 }
 
+const std::string &GatewayProcess::loadAddress() const
+{
+    return m_loadAddress;
+}
+
 std::string GatewayProcess::log() const
 {
     const std::ifstream file(logPath(m_directory));
--- a/tests/integration/support/gateway_process.hpp
+++ b/tests/integration/support/gateway_process.hpp
@@ -30,6 +30,8 @@
     [[nodiscard]] const std::string &callerAddress() const;
     [[nodiscard]] const std::string &readinessAddress() const;
     [[nodiscard]] const std::string &metricsAddress() const;
+    /** @brief Address for datagrams of other gateways. */
+    [[nodiscard]] const std::string &loadAddress() const;
 
     /** @brief Output of the process since its first start. */
     [[nodiscard]] std::string log() const;
@@ -43,6 +45,7 @@
     std::string m_callerAddress;
     std::string m_readinessAddress;
     std::string m_metricsAddress;
+    std::string m_loadAddress;
     std::unique_ptr<ChildProcess> m_process;
 };
 
