--- a/tests/integration/misbehaving_clients_own_interface_test.cpp
+++ b/tests/integration/misbehaving_clients_own_interface_test.cpp
@@ -1,6 +1,7 @@
 #include <support/caller.hpp>
 #include <support/client_crowd.hpp>
 #include <support/process_usage.hpp>
+#include <support/request_bytes.hpp>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -15,7 +16,7 @@
 constexpr u32 MaxDescriptors = 1024;
 constexpr std::size_t FloodBytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t BodyBytes = std::size_t{8} * 1024 * 1024;
-constexpr std::size_t HeaderBytes = std::size_t{16} * 1024;
+constexpr std::size_t FieldBytes = std::size_t{15} * 1024;
 constexpr std::size_t Crowd = 64;
 constexpr std::size_t LargeCrowd = 250;
 constexpr std::size_t CrowdBeyondLimit = 1100;
@@ -73,29 +74,6 @@
     return requestHead("/v1/completions", "Transfer-Encoding: chunked\r\n");
 }
 
-std::string chunkOf(std::size_t bytes)
-{
-    return fmt::format("{:x}\r\n{}\r\n", bytes, std::string(bytes, 'x'));
-}
-
-std::string manyFields()
-{
-    std::string fields;
-    while (fields.size() < HeaderBytes - 1024) {
-        fields += "a:b\r\n";
-    }
-    return fields;
-}
-
-std::string repeat(const std::string &text, u32 count)
-{
-    std::string all;
-    for (u32 i = 0; i < count; ++i) {
-        all += text;
-    }
-    return all;
-}
-
 /** @brief Checks that a process survives a crowd within its memory and descriptors, and that a prompt is served beside it. */
 void checkSurvives(const std::string &process, const std::string &address, SmallDeployment &small, const ClientScript &script,
                    std::size_t count = Crowd)
@@ -147,7 +125,7 @@
 // Guards against many short fields, which take far more memory than their bytes.
 TEST_CASE("heads of many fields leave the entry serving within its memory")
 {
-    checkEntrySurvives({requestHead("/v1/completions", "Content-Length: 8\r\n" + manyFields()) + "fill"}, LargeCrowd);
+    checkEntrySurvives({requestHead("/v1/completions", "Content-Length: 8\r\n" + shortFields(FieldBytes)) + "fill"}, LargeCrowd);
 }
 
 // Guards against bodies that are kept because their ends don't come.
--- a/tests/integration/misbehaving_clients_test.cpp
+++ b/tests/integration/misbehaving_clients_test.cpp
@@ -2,6 +2,7 @@
 #include <support/gateway_deployment.hpp>
 #include <support/platform_objects.hpp>
 #include <support/process_usage.hpp>
+#include <support/request_bytes.hpp>
 
 #include <burdock/link.pb.h>
 
@@ -26,6 +27,7 @@
 constexpr const char *GatewaySettings = R"({"memory_mb":64,"descriptors":512})";
 constexpr std::size_t BodyBytes = std::size_t{1024} * 1024;
 constexpr std::size_t HeaderBytes = std::size_t{16} * 1024;
+constexpr std::size_t FieldBytes = HeaderBytes - 1024;
 constexpr std::size_t FloodBytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t LongAnswerBytes = std::size_t{512} * 1024;
 constexpr std::size_t ShortAnswerBytes = std::size_t{8} * 1024;
@@ -147,29 +149,6 @@
     return requestHead("/read/crowd", "Transfer-Encoding: chunked\r\n");
 }
 
-std::string chunkOf(std::size_t bytes)
-{
-    return fmt::format("{:x}\r\n{}\r\n", bytes, std::string(bytes, 'x'));
-}
-
-std::string manyFields()
-{
-    std::string fields;
-    while (fields.size() < HeaderBytes - 1024) {
-        fields += "a:b\r\n";
-    }
-    return fields;
-}
-
-std::string repeat(const std::string &text, u32 count)
-{
-    std::string all;
-    for (u32 i = 0; i < count; ++i) {
-        all += text;
-    }
-    return all;
-}
-
 /** @brief Checks that a gateway survives a crowd within its memory and descriptors, and serves an ordinary caller beside it. */
 void checkSurvives(SmallGateway &gateway, Listener listener, const ClientScript &script, std::size_t count)
 {
@@ -233,14 +212,14 @@
 // Guards against many short fields, which take far more memory than their bytes, while the bodies behind them don't end.
 TEST_CASE("heads of many fields before bodies that don't end leave the gateway serving within its memory")
 {
-    const auto begin = requestHead("/read/crowd", "Content-Length: 8\r\n" + manyFields()) + "fill";
+    const auto begin = requestHead("/read/crowd", "Content-Length: 8\r\n" + shortFields(FieldBytes)) + "fill";
     checkSurvives(Listener::Callers, {begin}, LargeCrowd);
 }
 
 // Guards against many short fields, which take far more memory than their bytes, while an endpoint works on the requests.
 TEST_CASE("heads of many fields before slow answers leave the gateway serving within its memory")
 {
-    const auto begin = requestHead("/read/slow", "Content-Length: 4\r\n" + manyFields()) + "fill";
+    const auto begin = requestHead("/read/slow", "Content-Length: 4\r\n" + shortFields(FieldBytes)) + "fill";
     checkSurvives(Listener::Callers, {begin}, LargeCrowd);
 }
 
