--- a/tests/unit/link_messages_test.cpp
+++ b/tests/unit/link_messages_test.cpp
@@ -2,6 +2,8 @@
 #include <burdock/runtime/link/server.hpp>
 #include <burdock/runtime/worker_pool.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <doctest/doctest.h>
@@ -15,7 +17,14 @@
 namespace {
 
 constexpr auto Timeout = std::chrono::seconds(20);
-constexpr u16 Port = 11'873; // below the range of the other tests
+
+/** @brief Returns a port that is free at the moment. */
+u16 freePort()
+{
+    using Tcp = boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    return Tcp::acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
+}
 
 /** @brief Collects the customers named in run requests, in which the test sends its texts. */
 class ReceivedTexts
@@ -52,9 +61,9 @@
 class Echo : public link::ServerHandler
 {
 public:
-    Echo(link::Context &context, ReceivedTexts &received)
+    Echo(link::Context &context, const http::Address &address, ReceivedTexts &received)
         : m_received(received)
-        , m_server(context, {"127.0.0.1", Port}, *this)
+        , m_server(context, address, *this)
     {
     }
 
@@ -121,9 +130,10 @@
     WorkerPool pool(2);
     {
         link::Context context(pool.context(), keys);
-        Echo echo(context, atServer);
+        const http::Address address{"127.0.0.1", freePort()};
+        Echo echo(context, address, atServer);
         Receiver receiver(atClient);
-        link::Client client(context, "peer", {"127.0.0.1", Port}, {}, receiver);
+        link::Client client(context, "peer", address, {}, receiver);
         for (const auto &text : texts) {
             client.send(messageWith(text));
         }
