Let connections outlive the account that they return memory to

What was seen: a sanitized gateway ended with 1 in place of 0 after a planned stop beside callers that don't read (planned_stop_test, 2 of 2 runs): connections that the context destroys after the gateway used the freed account.

Change: the count is shared with the connections. The same case passes after it (1 of 1).

--- a/lib/libburdock/include/burdock/admission/client_memory.hpp
+++ b/lib/libburdock/include/burdock/admission/client_memory.hpp
@@ -3,6 +3,7 @@
 #include <burdock/types.hpp>
 
 #include <atomic>
+#include <memory>
 
 namespace burdock::admission {
 
@@ -52,7 +53,7 @@
     [[nodiscard]] bool fits(u64 bytes, u64 used, ClientMessage message) const;
 
     u64 m_totalBytes;
-    std::atomic<u64> m_usedBytes{0};
+    std::shared_ptr<std::atomic<u64>> m_usedBytes = std::make_shared<std::atomic<u64>>(0); // connections may outlive the process's parts
 };
 
 /** @brief The part of the memory that the messages of one connection take; it is returned at the end. Not thread-safe. */
@@ -74,6 +75,7 @@
 
 private:
     ClientMemory &m_memory;
+    std::shared_ptr<std::atomic<u64>> m_usedBytes;
     u64 m_bytes = 0;
 };
 
--- a/lib/libburdock/source/admission/client_memory.cpp
+++ b/lib/libburdock/source/admission/client_memory.cpp
@@ -55,7 +55,7 @@
 
 u64 ClientMemory::usedBytes() const
 {
-    return m_usedBytes;
+    return *m_usedBytes;
 }
 
 bool ClientMemory::fits(u64 bytes, u64 used, ClientMessage message) const
@@ -70,6 +70,7 @@
 
 ClientShare::ClientShare(ClientMemory &memory)
     : m_memory(memory)
+    , m_usedBytes(memory.m_usedBytes)
 {
 }
 
@@ -80,21 +81,21 @@
 
 bool ClientShare::tryResize(u64 bytes, ClientMessage message)
 {
-    u64 before = m_memory.m_usedBytes;
+    u64 before = *m_usedBytes;
     u64 used = 0;
     do {
         used = before - m_bytes + bytes;
         if (bytes > m_bytes && !m_memory.fits(bytes, used, message)) {
             return false;
         }
-    } while (!m_memory.m_usedBytes.compare_exchange_weak(before, used));
+    } while (!m_usedBytes->compare_exchange_weak(before, used));
     m_bytes = bytes;
     return true;
 }
 
 void ClientShare::clear()
 {
-    m_memory.m_usedBytes -= m_bytes;
+    *m_usedBytes -= m_bytes;
     m_bytes = 0;
 }
 
