--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -71,9 +71,15 @@
         return int(self.first.split(' ')[1])
 
 
+class NotHttp(ConnectionError):
+    """Bytes that are no message of the protocol."""
+
+
 async def read_head(reader):
     head = await reader.readuntil(b'\r\n\r\n')
     lines = head.decode('latin-1').split('\r\n')
+    if not re.match(r'HTTP/1\.1 \d{3}( |$)|[A-Za-z]+ \S+ HTTP/1\.1$', lines[0]):
+        raise NotHttp(lines[0])
     headers = [tuple(part.strip() for part in line.split(':', 1)) for line in lines[1:] if ':' in line]
     return Message(lines[0], headers, b'')
 
@@ -356,7 +362,7 @@
 
     def __init__(self, record, port):
         self.record, self.port = record, port
-        self.reader = self.writer = None
+        self.reader = self.writer = self.error = None
 
     async def connect(self):
         self.reader, self.writer = await asyncio.open_connection('127.0.0.1', self.port)
@@ -374,7 +380,8 @@
                         f'seal {answer.header("X-Server-Seal") or "none"}, body {answer.body[:120]!r}')
             return answer
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError) as error:
-            self.record(f'client gets no whole answer for {what}: {type(error).__name__}')
+            self.record(f'client gets no whole answer for {what}: {error!r}')
+            self.error = error
             return None
 
     def close(self):
