Read requests as HTTP defines them, and answer all others with 400

What callers saw: one request, two answers.

Cause: Beast takes a request whose Transfer-Encoding doesn't end with chunked for one without a body. Nobody looked at the header before it was dropped, so the body was read as the next request of the connection. Continued lines, two lengths, a second Host and codings before chunked were let through as well. Ruled out: the codec, which drops hop-by-hop fields as it should; the reader, which reads on after a message that the parser calls complete.

Change: wire::MessageScanner, without I/O, checks the lines, names, control bytes, versions, targets, hosts, lengths, codings, chunks and trailers of a message against RFC 9110 and RFC 9112, and only what it has seen to its end is released to Beast. RequestReader has no other way to the parser, so this holds for all listeners. Why it works: two readers can't differ over a message that has one meaning.

--- a/lib/libburdock-runtime/source/http/request_reader.cpp
+++ b/lib/libburdock-runtime/source/http/request_reader.cpp
@@ -52,6 +52,7 @@
 
 RequestReader::Result RequestReader::read()
 {
+    m_input.emplace(wire::MessageKind::Request, m_limits.headerBytes);
     m_parser.header_limit(m_limits.headerBytes);
     m_parser.body_limit(m_limits.bodyBytes);
     // Bounds the trailers, and each chunk's size with its extension: Beast keeps them in the buffer until they are complete.
@@ -111,11 +112,7 @@
 // Parses what has been read, or reads more if that isn't enough. Beast's own loop would read on until a trailer or a chunk's size ends.
 RequestReader::Result RequestReader::advance()
 {
-    auto &buffer = m_connection.buffer();
-    boost::system::error_code error = beast::http::error::need_more;
-    if (buffer.size() > 0) {
-        buffer.consume(m_parser.put(buffer.data(), error));
-    }
+    auto error = m_input->parse(m_connection.buffer(), m_parser);
     if (error == beast::http::error::need_more) {
         error = co_await readMore();
     }
--- a/lib/libburdock-runtime/source/http/request_reader.hpp
+++ b/lib/libburdock-runtime/source/http/request_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "client_connection.hpp"
+#include "scanned_input.hpp"
 
 #include <burdock/runtime/http/server.hpp>
 
@@ -45,6 +46,7 @@
 
     ClientConnection &m_connection;
     const ServerLimits &m_limits; // may change while the connection waits for a request
+    std::optional<ScannedInput> m_input; // from read() on
     Parser m_parser;
     Request m_request;
     bool m_isHeadCut = false; // fields were dropped
