Pass on only answers that HTTP allows, and whole ones

Of the two other forms, a status 000 and blanks or control bytes in a name, Beast let none through; statuses 101 and 600, continued lines, two lengths, other codings than chunked and a Content-Encoding nobody had asked for did reach callers.

Cause: Linux reports the failure of a connection once. The send of the request, still under way, took the error and kept it to itself; the read then saw a regular end, with which an answer without a length is complete. The rest is Beast's leniency towards old servers. HEAD: its answers were waited for as if they had a body, and the product's own ones had one.

Change: Connection keeps what became of the send. A body that ends with its connection is complete only after a regular end and once the request has been sent; a send under way is waited for within the read's time. Answers pass through MessageScanner as requests do, so those of endpoints, stores, gateways, engines and services alike. One with a fault has failed. Heads that aren't HTTP aren't sent either. Answers to HEAD have no body. Why it works: whichever of send and read is told of the failure, the answer isn't taken for whole.

--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -44,6 +44,7 @@
 /** Connections of callers that are closed for one request, and the time in which they return what they hold. */
 constexpr u32 MaxStalledClosed = 16;
 constexpr Duration StalledClosePause = std::chrono::milliseconds(5);
+constexpr std::string_view HeadMethod = "HEAD"; ///< answers to it have no body
 constexpr u16 StatusOk = 200;
 constexpr u16 StatusMultipleChoices = 300;
 constexpr u16 StatusServerError = 500;
@@ -522,14 +523,16 @@
     attempt.framing = m_connection->framing();
     noteResponse(id, responseMetadata);
     const u16 status = attempt.response.status;
-    if (isSuccess(status) && !responseMetadata.hasSignature && !responseMetadata.isDeclined) {
+    const bool isUnsigned = isSuccess(status) && !responseMetadata.hasSignature;
+    if ((isUnsigned || responseMetadata.hasContentCoding) && !responseMetadata.isDeclined) {
         // A successful response of an endpoint carries its signature or says that the request was not run, so this isn't one.
         co_return Outcome::Broken;
     }
     if (m_isStreamStarted && !isSuccess(status)) {
         co_return responseMetadata.isDeclined ? Outcome::Declined : Outcome::Broken;
     }
-    if (isSuccess(status) && m_route->kind == routing::CallKind::Stream && !responseMetadata.isDeclined) {
+    const bool isStream = m_route->kind == routing::CallKind::Stream && m_request.method != HeadMethod;
+    if (isSuccess(status) && isStream && !responseMetadata.isDeclined) {
         const auto outcome = co_await relayStream(id);
         if (outcome == Outcome::Answered) {
             returnToPool(id, responseMetadata);
--- a/lib/libburdock-runtime/source/http/beast_reply.cpp
+++ b/lib/libburdock-runtime/source/http/beast_reply.cpp
@@ -30,16 +30,20 @@
 
 } // namespace
 
-BeastReply::BeastReply(ClientConnection &connection, Duration timeout, bool keepAlive)
+BeastReply::BeastReply(ClientConnection &connection, Duration timeout, const ReplyOptions &options)
     : m_connection(connection)
     , m_requestBytes(connection.reservedBytes())
     , m_timeout(timeout)
-    , m_keepAlive(keepAlive)
+    , m_options(options)
 {
 }
 
 asio::awaitable<bool> BeastReply::send(const Response &response)
 {
+    if (!m_options.hasBody) {
+        const bool isSent = co_await begin(response);
+        co_return isSent &&co_await end();
+    }
     const bool hasMemory = co_await reserve(response.body.size());
     if (!hasMemory) {
         co_return false;
@@ -48,7 +52,7 @@
     setStatusLine(message, response.status);
     copyHeaders(response.headers, message);
     message.body() = {response.body.data(), response.body.size()};
-    message.keep_alive(m_keepAlive);
+    message.keep_alive(m_options.keepAlive);
     message.prepare_payload();
     beast::http::response_serializer<beast::http::span_body<const char>> serializer(message);
     startWrite();
@@ -68,8 +72,10 @@
     beast::http::response<beast::http::empty_body> message;
     setStatusLine(message, head.status);
     copyHeaders(head.headers, message);
-    message.keep_alive(m_keepAlive);
-    message.chunked(true);
+    message.keep_alive(m_options.keepAlive);
+    if (m_options.hasBody) {
+        message.chunked(true);
+    }
     beast::http::response_serializer<beast::http::empty_body> serializer(message);
     startWrite();
     const auto [error, size] = co_await beast::http::async_write_header(m_connection.stream(), serializer, Awaitable);
@@ -79,6 +85,9 @@
 
 asio::awaitable<bool> BeastReply::write(std::string_view chunk)
 {
+    if (!m_options.hasBody) {
+        co_return true;
+    }
     const bool hasMemory = co_await reserve(chunk.size());
     if (!hasMemory) {
         co_return false;
@@ -92,6 +101,10 @@
 
 asio::awaitable<bool> BeastReply::end()
 {
+    if (!m_options.hasBody) {
+        m_isComplete = true;
+        co_return true;
+    }
     startWrite();
     const auto [error, size] = co_await asio::async_write(m_connection.stream(), beast::http::make_chunk_last(), Awaitable);
     endWrite();
--- a/lib/libburdock-runtime/source/http/beast_reply.hpp
+++ b/lib/libburdock-runtime/source/http/beast_reply.hpp
@@ -8,12 +8,18 @@
 
 namespace burdock::runtime::http::detail {
 
+struct ReplyOptions
+{
+    bool keepAlive = false; ///< the connection stays open after the response
+    bool hasBody = true; ///< false for a response to HEAD, of which only the head is sent
+};
+
 /** @brief Sends the response to one request on its connection. */
 class BeastReply : public Reply
 {
 public:
     /** @param timeout for each write of a part of a response, or of all of one that is complete */
-    BeastReply(ClientConnection &connection, Duration timeout, bool keepAlive);
+    BeastReply(ClientConnection &connection, Duration timeout, const ReplyOptions &options);
 
     boost::asio::awaitable<bool> send(const Response &response) override;
     boost::asio::awaitable<bool> begin(const Response &head) override;
@@ -43,7 +49,7 @@
     std::shared_ptr<DisconnectWatch> m_watch; // shared with the handler of the wait
     u64 m_requestBytes; // reserved for the request
     Duration m_timeout;
-    bool m_keepAlive;
+    ReplyOptions m_options;
     bool m_isComplete = false;
 };
 
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -1,11 +1,17 @@
 #include <burdock/runtime/http/connection.hpp>
 
+#include "scanned_input.hpp"
+
+#include <burdock/wire/syntax.hpp>
+
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <optional>
 #include <sys/socket.h>
+#include <utility>
 
 namespace burdock::runtime::http {
 
@@ -22,7 +28,6 @@
 /** Bounds what is buffered of a head, a chunk extension or a trailer, besides body bytes that have arrived with it. */
 constexpr std::size_t MaxBufferBytes = 32 * 1024;
 constexpr u32 MaxInformationalHeads = 8;
-constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned Ok = 200;
 
 /** Time after which a connection with unacknowledged data fails, so that one to an unreachable VM is closed. */
@@ -34,6 +39,14 @@
         || error == beast::http::error::buffer_overflow;
 }
 
+// Names of customers and endpoints come from the platform, and must not add lines to a head.
+bool isSound(const Request &request)
+{
+    return wire::isToken(request.method) && wire::isRequestTarget(request.method, request.target)
+        && std::all_of(request.headers.begin(), request.headers.end(),
+                       [](const auto &field) { return wire::isToken(field.first) && wire::isFieldValue(field.second); });
+}
+
 void setOptions(Tcp::socket &socket)
 {
     boost::system::error_code ignored;
@@ -53,6 +66,7 @@
         , m_reuse(reuse)
         , m_stream(executor)
         , m_buffer(MaxBufferBytes)
+        , m_sendEnd(executor)
     {
     }
 
@@ -75,21 +89,27 @@
 
     asio::awaitable<bool> send(Request request, Duration timeout)
     {
+        if (!isSound(request)) {
+            refuseToSend();
+            co_return false;
+        }
         prepareMessage(std::move(request));
         m_stream.expires_after(timeout);
         const auto [error, size] = co_await beast::http::async_write(m_stream, *m_message, Awaitable);
-        m_isSent = !error;
-        m_message.reset();
-        co_return m_isSent;
+        endSend(error);
+        co_return m_sendState == SendState::Sent;
     }
 
     void startSend(Request request)
     {
+        if (!isSound(request)) {
+            refuseToSend();
+            return;
+        }
         prepareMessage(std::move(request));
         m_stream.expires_never();
         auto onSent = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-            self->m_isSent = !error;
-            self->m_message.reset();
+            self->endSend(error);
         };
         beast::http::async_write(m_stream, *m_message, std::move(onSent));
     }
@@ -100,18 +120,21 @@
         const auto deadline = std::chrono::steady_clock::now() + timeout;
         for (u32 i = 0; i <= MaxInformationalHeads; ++i) {
             m_parser.emplace();
+            m_input.emplace(m_answerKind, MaxHeaderBytes);
             m_parser->header_limit(MaxHeaderBytes);
             m_parser->body_limit(MaxBodyBytes);
             m_parser->on_chunk_header(m_countChunk);
-            m_stream.expires_at(deadline);
-            const auto [error, size] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, Awaitable);
+            m_parser->skip(m_answerKind == wire::MessageKind::AnswerToHead);
+            boost::system::error_code error;
+            while (!error && !m_parser->is_header_done()) {
+                error = co_await parseMore(deadline);
+            }
             if (error) {
                 m_hasExceededLimit = isLimitError(error);
                 m_parser.reset();
                 co_return false;
             }
-            const auto status = m_parser->get().result_int();
-            if (status >= Ok || status == SwitchingProtocols) {
+            if (m_parser->get().result_int() >= Ok) {
                 copyHead();
                 co_return true;
             }
@@ -133,15 +156,18 @@
             chunk.isEnd = true;
             co_return chunk;
         }
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
         chunk.data.resize(ChunkBytes);
         auto &body = m_parser->get().body();
         body.data = chunk.data.data();
         body.size = chunk.data.size();
         m_httpChunks = 0;
-        m_stream.expires_after(timeout);
-        auto [error, size] = co_await beast::http::async_read_some(m_stream, m_buffer, *m_parser, Awaitable);
+        boost::system::error_code error = co_await parseMore(deadline);
         while (!error && !m_parser->is_done() && m_buffer.size() > 0) {
-            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            error = m_input->parse(m_buffer, *m_parser);
+        }
+        if (error == asio::error::eof) {
+            error = co_await endOfBody(deadline);
         }
         if (error == beast::http::error::need_more) {
             error = {};
@@ -176,7 +202,8 @@
 
     [[nodiscard]] bool isReusable() const
     {
-        return m_reuse == Reuse::KeepAlive && m_isSent && isResponseComplete() && m_parser->get().keep_alive() && m_buffer.size() == 0;
+        return m_reuse == Reuse::KeepAlive && m_sendState == SendState::Sent && isResponseComplete() && m_parser->get().keep_alive()
+            && m_buffer.size() == 0;
     }
 
     [[nodiscard]] bool isIdle()
@@ -194,8 +221,71 @@
     }
 
 private:
+    /** @brief What has become of the request. */
+    enum class SendState : u8 {
+        Sending,
+        Sent,
+        Failed,
+    };
+
+    // The answer then can't be read either, as for a connection that has failed.
+    void refuseToSend()
+    {
+        m_parser.reset();
+        m_sendState = SendState::Failed;
+        close();
+    }
+
+    void endSend(const boost::system::error_code &error)
+    {
+        m_sendState = error ? SendState::Failed : SendState::Sent;
+        m_message.reset();
+        m_sendEnd.cancel();
+    }
+
+    // Parses what has been received; reads more if that isn't enough.
+    asio::awaitable<boost::system::error_code> parseMore(std::chrono::steady_clock::time_point deadline)
+    {
+        auto error = m_input->parse(m_buffer, *m_parser);
+        if (error != beast::http::error::need_more) {
+            co_return error;
+        }
+        const auto size = beast::read_size(m_buffer, MaxBufferBytes);
+        if (size == 0) {
+            co_return beast::http::error::buffer_overflow;
+        }
+        m_stream.expires_at(deadline);
+        const auto [readError, received] = co_await m_stream.async_read_some(m_buffer.prepare(size), Awaitable);
+        m_buffer.commit(received);
+        if (readError) {
+            co_return readError;
+        }
+        error = m_input->parse(m_buffer, *m_parser);
+        co_return error == beast::http::error::need_more ? boost::system::error_code() : error;
+    }
+
+    // The system reports a failure of the connection once, and a send under way may be told of it: the read then sees a regular end. So a
+    // body that ends with its connection is complete only once the request has been sent.
+    asio::awaitable<boost::system::error_code> endOfBody(std::chrono::steady_clock::time_point deadline)
+    {
+        if (m_framing != run::BodyFraming::UntilClose) {
+            co_return beast::http::error::partial_message;
+        }
+        if (m_sendState == SendState::Sending) {
+            m_sendEnd.expires_at(deadline);
+            co_await m_sendEnd.async_wait(Awaitable);
+        }
+        if (m_sendState != SendState::Sent) {
+            co_return asio::error::connection_reset;
+        }
+        boost::system::error_code error;
+        m_parser->put_eof(error);
+        co_return error;
+    }
+
     void prepareMessage(Request request)
     {
+        m_answerKind = request.method == "HEAD" ? wire::MessageKind::AnswerToHead : wire::MessageKind::Answer;
         m_message.emplace(beast::http::string_to_verb(request.method), request.target, 11);
         if (m_message->method() == beast::http::verb::unknown) {
             m_message->method_string(request.method);
@@ -209,7 +299,7 @@
         m_message->keep_alive(m_reuse == Reuse::KeepAlive);
         m_message->body() = std::move(request.body);
         m_message->prepare_payload();
-        m_isSent = false;
+        m_sendState = SendState::Sending;
         m_hasExceededLimit = false;
         m_parser.reset();
     }
@@ -217,9 +307,7 @@
     void copyHead()
     {
         const auto &message = m_parser->get();
-        m_framing = m_parser->need_eof() ? run::BodyFraming::UntilClose
-            : m_parser->chunked()        ? run::BodyFraming::Chunked
-                                         : run::BodyFraming::ContentLength;
+        m_framing = m_input->scanner().framing();
         m_head.status = static_cast<u16>(message.result_int());
         m_head.headers.clear();
         for (const auto &field : message) {
@@ -232,7 +320,9 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<beast::http::request<beast::http::string_body>> m_message;
-    bool m_isSent = false;
+    SendState m_sendState = SendState::Sending;
+    asio::steady_timer m_sendEnd; ///< cancelled when the request has been sent, or can't be
+    wire::MessageKind m_answerKind = wire::MessageKind::Answer;
     bool m_hasExceededLimit = false;
     u32 m_httpChunks = 0; // of the current read
     std::function<void(u64, beast::string_view, boost::system::error_code &)> m_countChunk
@@ -240,6 +330,7 @@
               ++m_httpChunks;
           };
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
+    std::optional<detail::ScannedInput> m_input; ///< of the answer
     Response m_head;
     run::BodyFraming m_framing = run::BodyFraming::ContentLength;
 };
--- a/lib/libburdock-runtime/source/http/server.cpp
+++ b/lib/libburdock-runtime/source/http/server.cpp
@@ -25,6 +25,7 @@
 /** Connections that are accepted at a time. */
 constexpr u32 MaxAcceptsPerTurn = 64;
 constexpr u16 ServiceUnavailable = 503;
+constexpr std::string_view HeadMethod = "HEAD";
 constexpr u32 OperatorHeaderBytes = 8 * 1024;
 constexpr u64 OperatorBodyBytes = 4 * 1024;
 constexpr u32 OperatorConnections = 16;
@@ -296,7 +297,7 @@
             co_return Next::Close;
         }
         const bool keepAlive = reader.keepsAlive() && !m_isStopping && !m_closesAfterAnswers;
-        BeastReply reply(connection, m_limits.ioTimeout, keepAlive);
+        BeastReply reply(connection, m_limits.ioTimeout, {keepAlive, reader.request().method != HeadMethod});
         co_await m_handler.handle(reader.request(), reply);
         reply.clearDisconnectHandler();
         connection.enter(ClientPhase::Idle);
@@ -313,7 +314,7 @@
             co_return Next::Close;
         }
         connection.releaseMessages();
-        BeastReply reply(connection, m_limits.ioTimeout, false);
+        BeastReply reply(connection, m_limits.ioTimeout, {false, request.method != HeadMethod});
         if (error == asio::error::no_memory) {
             co_await m_handler.refuseUnread(request, reply);
             co_return Next::Discard;
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -40,6 +40,17 @@
     return call;
 }
 
+std::string exchangeBytes(const std::string &address, const std::string &bytes)
+{
+    const auto target = http::parseAddress(address);
+    boost::asio::ip::tcp::iostream stream(target.ip, std::to_string(target.port));
+    stream.expires_after(CallTimeout);
+    stream << bytes << std::flush;
+    std::ostringstream rawResponse;
+    rawResponse << stream.rdbuf();
+    return rawResponse.str();
+}
+
 GatewayDeployment::GatewayDeployment(const std::string &settingsOverrides)
     : m_pool(PoolThreads)
     , m_store(m_pool.context(), freeAddress())
@@ -166,13 +177,7 @@
 
 std::string GatewayDeployment::sendRaw(const std::string &bytes)
 {
-    const auto address = http::parseAddress(m_gateway.callerAddress());
-    boost::asio::ip::tcp::iostream stream(address.ip, std::to_string(address.port));
-    stream.expires_after(CallTimeout);
-    stream << bytes << std::flush;
-    std::ostringstream rawResponse;
-    rawResponse << stream.rdbuf();
-    return rawResponse.str();
+    return exchangeBytes(m_gateway.callerAddress(), bytes);
 }
 
 void GatewayDeployment::callAndDisconnect(const GatewayCall &call, Duration after)
--- a/tests/integration/support/gateway_deployment.hpp
+++ b/tests/integration/support/gateway_deployment.hpp
@@ -33,6 +33,9 @@
 /** @brief Returns a call with a prompt of ten tokens for the model `m`. */
 [[nodiscard]] GatewayCall promptCall(const std::string &path, const std::string &attempt);
 
+/** @brief Sends bytes to an address and returns all bytes received until the connection is closed. */
+[[nodiscard]] std::string exchangeBytes(const std::string &address, const std::string &bytes);
+
 /** @brief One gateway as a real process on loopback, with a stand-in for the platform's object store. */
 class GatewayDeployment
 {
