--- a/lib/libburdock-clients/source/http_object_store.cpp
+++ b/lib/libburdock-clients/source/http_object_store.cpp
@@ -1,5 +1,6 @@
 #include <burdock/clients/http_object_store.hpp>
 #include <burdock/clients/json_fields.hpp>
+#include <burdock/wire/syntax.hpp>
 
 #include <boost/json.hpp>
 #include <charconv>
@@ -20,7 +21,7 @@
 
 std::string pathOf(const ObjectId &id)
 {
-    return "/v1/objects/" + id.kind + "/" + id.name;
+    return "/v1/objects/" + wire::percentEncoded(id.kind) + "/" + wire::percentEncoded(id.name);
 }
 
 std::string waitQuery(u64 version, Duration wait)
--- a/lib/libburdock-gateway/source/object_watcher.cpp
+++ b/lib/libburdock-gateway/source/object_watcher.cpp
@@ -124,7 +124,10 @@
             m_handlers.onIdleWatch(started + wait);
             m_reading.noteComplete(m_kind, started + wait);
         }
-        if (!changes.changed.empty() || !changes.removed.empty()) {
+        const bool hasChanges = !changes.changed.empty() || !changes.removed.empty();
+        // The store may cut off a watch that waits, and again the next one.
+        const bool isCutOff = !hasChanges && elapsed < wait / 2;
+        if (hasChanges || isCutOff) {
             co_await runtime::sleepFor(BatchDelay);
         }
     }
--- a/lib/libburdock-serving/source/entry/caller_handler.cpp
+++ b/lib/libburdock-serving/source/entry/caller_handler.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/hash/digest.hpp>
 #include <burdock/serving/problem.hpp>
+#include <burdock/wire/syntax.hpp>
 
 #include <boost/json.hpp>
 #include <charconv>
@@ -312,9 +313,9 @@
 boost::asio::awaitable<void> CallerHandler::handleService(RequestContext &context)
 {
     const auto target = std::string_view(context.request.target).substr(ServicesPrefix.size());
-    const auto slash = std::min(target.find('/'), target.size());
-    const auto name = target.substr(0, std::min(slash, target.find('?')));
-    const auto *service = context.config->service(name);
+    const auto nameEnd = std::min(target.find_first_of("/?"), target.size());
+    const auto name = wire::percentDecoded(target.substr(0, nameEnd));
+    const auto *service = name ? context.config->service(*name) : nullptr;
     const auto key = context.request.header("Idempotency-Key");
     if (service == nullptr || key.size() > MaxIdempotencyKeyLength) {
         const auto response = service == nullptr
@@ -326,7 +327,8 @@
     schema::ServiceWork work;
     work.set_service(service->name());
     work.set_method(context.request.method);
-    work.set_path(std::string(slash < target.size() ? target.substr(slash) : "/"));
+    const auto path = target.substr(nameEnd);
+    work.set_path(path.starts_with('/') ? std::string(path) : "/" + std::string(path));
     work.set_content_type(std::string(context.request.header("Content-Type")));
     work.set_body(context.request.body);
     // If the caller sent no key, a generated one prevents our own processes from running the call twice.
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -2,8 +2,13 @@
 
 #include <burdock/clients/json_fields.hpp>
 #include <burdock/runtime/sleep.hpp>
+#include <burdock/wire/syntax.hpp>
 
+#include <algorithm>
+#include <array>
 #include <boost/json.hpp>
+#include <map>
+#include <optional>
 
 namespace standins {
 
@@ -40,6 +45,59 @@
     return text.empty() ? 0 : std::stoull(std::string(text));
 }
 
+/** @brief A request's kind, name and query, decoded. */
+struct Target
+{
+    std::string kind;
+    std::string name; ///< empty for none
+    std::map<std::string, std::string> query;
+};
+
+// Servers differ in what they make of bytes that should have been encoded, so none are accepted.
+std::optional<std::string> decode(std::string_view text)
+{
+    const auto decoded = burdock::wire::percentDecoded(text);
+    return decoded && burdock::wire::percentEncoded(*decoded) == text ? decoded : std::nullopt;
+}
+
+bool readQuery(std::string_view text, std::map<std::string, std::string> &query)
+{
+    constexpr std::array<std::string_view, 4> Known{"after", "staleOk", "watch", "waitMs"};
+    while (!text.empty()) {
+        const auto pair = text.substr(0, text.find('&'));
+        const auto equals = pair.find('=');
+        const auto name = pair.substr(0, equals);
+        const auto value = equals == std::string_view::npos ? std::nullopt : decode(pair.substr(equals + 1));
+        if (!value || std::find(Known.begin(), Known.end(), name) == Known.end() || !query.emplace(name, *value).second) {
+            return false;
+        }
+        text.remove_prefix(std::min(text.size(), pair.size() + 1));
+    }
+    return true;
+}
+
+// The target is /objects/KIND or /objects/KIND/NAME, with a query.
+std::optional<Target> readTarget(std::string_view text)
+{
+    constexpr std::string_view Prefix = "/objects/";
+    const auto mark = std::min(text.find('?'), text.size());
+    const auto path = text.substr(0, mark);
+    if (!path.starts_with(Prefix)) {
+        return std::nullopt;
+    }
+    const auto rest = path.substr(Prefix.size());
+    const auto slash = std::min(rest.find('/'), rest.size());
+    const auto kind = decode(rest.substr(0, slash));
+    const auto name = decode(rest.substr(std::min(slash + 1, rest.size())));
+    Target target;
+    if (!kind || !name || !readQuery(text.substr(std::min(mark + 1, text.size())), target.query)) {
+        return std::nullopt;
+    }
+    target.kind = *kind;
+    target.name = *name;
+    return target;
+}
+
 } // namespace
 
 ObjectStore::ObjectStore(boost::asio::io_context &workers, const std::string &address)
@@ -131,21 +189,29 @@
         co_await reply.send(unavailable);
         co_return;
     }
-    // The path is /objects/KIND or /objects/KIND/NAME.
-    const std::string path(request.path().substr(std::string_view("/objects/").size()));
-    const auto slash = path.find('/');
-    const auto kind = path.substr(0, slash);
-    const auto name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    const auto target = readTarget(request.target);
+    if (!target) {
+        const auto malformed = jsonResponse(400, json::object());
+        co_await reply.send(malformed);
+        co_return;
+    }
+    const auto &kind = target->kind;
+    const auto &name = target->name;
+    const auto parameter = [&target](const std::string &key) {
+        const auto found = target->query.find(key);
+        return found == target->query.end() ? std::string() : found->second;
+    };
     while (isWithheld(kind)) {
         co_await runtime::sleepFor(PollInterval);
     }
     http::Response response;
-    if (request.method == "GET" && !request.query("watch").empty()) {
-        const auto revision = parseNumber(request.query("watch"));
-        const Duration wait = std::chrono::milliseconds(parseNumber(request.query("waitMs")));
-        response = co_await watch(kind, revision, wait);
+    m_reads += request.method == "GET" ? 1 : 0;
+    if (request.method == "GET" && !parameter("watch").empty()) {
+        const auto revision = parseNumber(parameter("watch"));
+        const Duration wait = std::chrono::milliseconds(parseNumber(parameter("waitMs")));
+        response = co_await watch(kind, revision, isCut(kind) ? Duration::zero() : wait);
     } else if (request.method == "GET") {
-        response = list(kind);
+        response = list(kind, parameter("after"));
     } else {
         response = request.method == "DELETE" ? remove(kind, name) : write(request, kind, name);
         if (mode == ObjectStoreMode::DropsWriteResponses || isUnanswered(kind)) {
@@ -160,16 +226,49 @@
     }
 }
 
-http::Response ObjectStore::list(const std::string &kind) const
+http::Response ObjectStore::list(const std::string &kind, const std::string &after) const
 {
     const std::lock_guard lock(m_mutex);
     json::array items;
-    for (const auto &[key, object] : m_objects) {
-        if (key.first == kind) {
-            items.push_back(objectJson(key.second, object));
+    bool hasMore = kind == m_repeatedKind;
+    const auto begin = after.empty() || kind == m_repeatedKind ? m_objects.lower_bound({kind, {}}) : m_objects.upper_bound({kind, after});
+    for (auto i = begin; i != m_objects.end() && i->first.first == kind; ++i) {
+        if (items.size() >= m_pageSize) {
+            hasMore = true;
+            break;
         }
+        items.push_back(objectJson(i->first.second, i->second));
     }
-    return withSpecTexts(jsonResponse(200, {{"items", items}, {"more", false}, {"storeRevision", m_revision}}));
+    return withSpecTexts(jsonResponse(200, {{"items", items}, {"more", hasMore}, {"storeRevision", m_revision}}));
+}
+
+bool ObjectStore::isCut(const std::string &kind) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cutKind == kind;
+}
+
+void ObjectStore::setPageSize(std::size_t objects)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pageSize = objects;
+}
+
+void ObjectStore::repeatPages(const std::string &kind)
+{
+    const std::lock_guard lock(m_mutex);
+    m_repeatedKind = kind;
+}
+
+void ObjectStore::cutWatches(const std::string &kind)
+{
+    const std::lock_guard lock(m_mutex);
+    m_cutKind = kind;
+}
+
+u64 ObjectStore::reads() const
+{
+    return m_reads;
 }
 
 boost::asio::awaitable<http::Response> ObjectStore::watch(std::string kind, u64 revision, Duration wait)
@@ -225,7 +324,10 @@
 {
     const auto body = json::parse(request.body).as_object();
     const auto &metadata = clients::objectOf(body, "metadata");
-    const auto name = pathName.empty() ? clients::textOf(metadata, "name") : pathName;
+    const auto name = clients::textOf(metadata, "name");
+    if (!pathName.empty() && pathName != name) {
+        return jsonResponse(400, json::object());
+    }
     const std::lock_guard lock(m_mutex);
     const auto found = m_objects.find({kind, name});
     const bool exists = found != m_objects.end();
