Don't give up endpoints that read a long request late

Cause: TCP_USER_TIMEOUT, which Linux applies to a closed window too; it ends the connection without a reset. Ruled out: removing it, as then endpoints that can't be reached would be noticed at the deadline only.

Change: while a request of 1,024 bytes or more is on its way, the connection asks the system each second whether the peer acknowledges. run::receptionOf tells a peer that reads late from one that doesn't respond; for the former the time-out is lifted, the latter is reset.

--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -1,6 +1,7 @@
 #include <burdock/runtime/http/connection.hpp>
 
 #include "scanned_input.hpp"
+#include "send_watch.hpp"
 
 #include <burdock/wire/syntax.hpp>
 
@@ -30,8 +31,9 @@
 constexpr u32 MaxInformationalHeads = 8;
 constexpr unsigned Ok = 200;
 
-/** Time after which a connection with unacknowledged data fails, so that one to an unreachable VM is closed. */
-constexpr unsigned int UserTimeoutMs = 3000;
+/** Requests with shorter bodies fit into what any peer takes in at once. */
+constexpr std::size_t LongRequestBytes = 1024;
+constexpr auto ReceptionPeriod = std::chrono::seconds(1);
 
 bool isLimitError(const boost::system::error_code &error)
 {
@@ -52,8 +54,7 @@
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    using IntegerOption = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    socket.set_option(IntegerOption(UserTimeoutMs), ignored);
+    detail::setUserTimeout(socket, detail::UserTimeout);
 }
 
 } // namespace
@@ -67,6 +68,7 @@
         , m_stream(executor)
         , m_buffer(MaxBufferBytes)
         , m_sendEnd(executor)
+        , m_receptionTimer(executor)
     {
     }
 
@@ -106,8 +108,12 @@
             refuseToSend();
             return;
         }
+        const bool isLong = request.body.size() >= LongRequestBytes;
         prepareMessage(std::move(request));
         m_stream.expires_never();
+        if (isLong) {
+            watchReception();
+        }
         auto onSent = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             self->endSend(error);
         };
@@ -243,6 +249,47 @@
         m_sendEnd.cancel();
     }
 
+    void watchReception()
+    {
+        m_receptionTimer.expires_after(ReceptionPeriod);
+        m_receptionTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                self->checkReception();
+            }
+        });
+    }
+
+    // The system gives up a connection whose peer takes nothing in, even if the peer responds, and doesn't tell it. The peer would work on.
+    void checkReception()
+    {
+        auto &socket = m_stream.socket();
+        const auto progress = socket.is_open() ? detail::sendProgress(socket) : std::nullopt;
+        if (!progress) {
+            return;
+        }
+        switch (run::receptionOf(*progress, detail::UserTimeout)) {
+        case run::Reception::Received:
+            setPatient(false);
+            break;
+        case run::Reception::ReadsLate:
+            setPatient(true);
+            watchReception();
+            break;
+        case run::Reception::Silent:
+            detail::setResetOnClose(socket);
+            close();
+            break;
+        }
+    }
+
+    void setPatient(bool isPatient)
+    {
+        if (std::exchange(m_isPatient, isPatient) != isPatient) {
+            detail::setUserTimeout(m_stream.socket(), isPatient ? Duration::zero() : detail::UserTimeout);
+        }
+    }
+
     // Parses what has been received; reads more if that isn't enough.
     asio::awaitable<boost::system::error_code> parseMore(std::chrono::steady_clock::time_point deadline)
     {
@@ -322,6 +369,8 @@
     std::optional<beast::http::request<beast::http::string_body>> m_message;
     SendState m_sendState = SendState::Sending;
     asio::steady_timer m_sendEnd; ///< cancelled when the request has been sent, or can't be
+    asio::steady_timer m_receptionTimer;
+    bool m_isPatient = false; ///< the system doesn't give up the connection by itself
     wire::MessageKind m_answerKind = wire::MessageKind::Answer;
     bool m_hasExceededLimit = false;
     u32 m_httpChunks = 0; // of the current read
--- a/tests/integration/early_answers_test.cpp
+++ b/tests/integration/early_answers_test.cpp
@@ -96,3 +96,21 @@
         CHECK(answer.response.body == FirstHalf + SecondHalf);
     }
 }
+
+// Guards against a stream that is cut off, and goes on elsewhere while its endpoint works on, as the endpoint reads a long request late.
+TEST_CASE("a stream whose endpoint reads its request late stays at that endpoint")
+{
+    GatewayDeployment gateway;
+    const auto first = standins::eventText(1, "first");
+    const auto second = standins::eventText(2, "second");
+    constexpr Duration LongerThanUserTimeout = std::chrono::milliseconds(4300);
+    EarlyEndpoint late(first, second, EarlyEnd::Close, LongerThanUserTimeout);
+    gateway.configure(3);
+    gateway.registerReplica("r1", "engines", late.address());
+    gateway.registerReplica("r2", "engines", late.address());
+    gateway.awaitReady();
+    const auto answer = gateway.call(longCall("/lasting/1", "s1"));
+    CHECK(isWhole(answer));
+    CHECK(answer.response.body == first + second);
+    CHECK(late.requests() == 1);
+}
--- a/tests/integration/support/platform_objects.cpp
+++ b/tests/integration/support/platform_objects.cpp
@@ -9,11 +9,13 @@
 
 namespace json = boost::json;
 
-std::string route(const std::string &name, const std::string &kind, const std::string &service)
+constexpr u32 LastingTimeoutMs = 8000;
+
+std::string route(const std::string &name, const std::string &kind, const std::string &service, u32 timeoutMs = 3000)
 {
-    return fmt::format(R"({{"name":"{0}","host":"desk.example","pathPrefix":"/{0}/","routeType":"{1}","service":"{2}","timeoutMs":3000,)"
+    return fmt::format(R"({{"name":"{0}","host":"desk.example","pathPrefix":"/{0}/","routeType":"{1}","service":"{2}","timeoutMs":{6},)"
                        R"("targetLatencyMs":2000,"priority":1,"maxAttempts":2,"noAuth":{3},"sticky":{4},"resumable":{5}}})",
-                       name, kind, service, name == "open", kind == "streaming", name == "resumable");
+                       name, kind, service, name == "open", kind == "streaming", name == "resumable" || name == "lasting", timeoutMs);
 }
 
 } // namespace
@@ -22,7 +24,7 @@
 {
     const std::string routes = route("once", "non_idempotent", "plain") + "," + route("read", "idempotent", "plain") + ","
         + route("open", "idempotent", "plain") + "," + route("prompts", "streaming", "engines") + ","
-        + route("resumable", "streaming", "engines");
+        + route("resumable", "streaming", "engines") + "," + route("lasting", "streaming", "engines", LastingTimeoutMs);
     const std::string services = R"({"name":"plain","maxConnections":100,"coldPerS":0.0},)"
                                  R"({"name":"engines","maxConnections":100,"coldPerS":0.0,)"
                                  R"("engine":{"slots":8,"kvCapacity":100000,"models":[{"name":"m"}]}})";
