Bound what is kept of prompt parts with hardly any tokens

Cause: the estimate of an engine's cache drops parts by the sum of their tokens alone. Change: a part counts for 16 tokens at least.

--- a/lib/libburdock/source/cache/engine_cache_estimate.cpp
+++ b/lib/libburdock/source/cache/engine_cache_estimate.cpp
@@ -2,8 +2,17 @@
 
 #include <burdock/hash/digest.hpp>
 
+#include <algorithm>
+
 namespace burdock::cache {
 
+namespace {
+
+/** Engines hold their memory in blocks, and so no part takes less. It also bounds what the estimate itself holds. */
+constexpr u64 MinPartTokens = 16;
+
+} // namespace
+
 u64 partHash(std::string_view salt, std::string_view id)
 {
     return hash::hash64(id, hash::hash64(salt));
@@ -16,9 +25,10 @@
         m_entries.splice(m_entries.begin(), m_entries, known->second);
         return;
     }
-    m_entries.push_front(Entry{part, tokens});
+    const u64 taken = std::max(tokens, MinPartTokens);
+    m_entries.push_front(Entry{part, taken});
     m_byPart[part] = m_entries.begin();
-    m_tokens += tokens;
+    m_tokens += taken;
     while (m_tokens > capacity && !m_entries.empty()) {
         m_tokens -= m_entries.back().tokens;
         m_byPart.erase(m_entries.back().part);
