Choose readers of the store among gateways that are there

Cause: a gateway that is lost stays in the list of gateways. With four of them the list was long enough for shared reading, and both readers were among the lost; the others read only once what they knew was 2.2 s old. Ruled out: removing them from the list, which a gateway that is cut off can't tell from being cut off itself.

Change: reading::PresentEntries, without I/O or clock, keeps when each listed entry was last heard; readers are chosen among those heard in the last 2 s, or in four periods of their reports where these are longer. Why it works: whoever isn't heard isn't relied on, and a gateway that hears nobody reads for itself.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -701,8 +701,8 @@
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
         m_state.crashes.setMembers(m_settings.name, m_state.entryNames);
-        m_reading.setEntries(m_state.entryNames);
         const auto reportPeriod = endpoints::LoadReporter::period(peers.size());
+        m_reading.setEntries(m_state.entryNames, reportPeriod);
         m_state.endpoints.turns().setEntries(list.items.size(), reportPeriod);
         m_state.endpoints.notices().setEntryCount(list.items.size());
         std::vector<u64> entries;
--- a/lib/libburdock-gateway/source/load_exchange.cpp
+++ b/lib/libburdock-gateway/source/load_exchange.cpp
@@ -260,6 +260,7 @@
         return;
     }
     m_permits.noteHeard(message.entry(), sender);
+    m_reading.noteHeard(message.entry());
     if (PermitExchange::isPermitMessage(message)) {
         m_permits.handle(message, sender);
         return;
--- a/lib/libburdock-gateway/source/reading_exchange.cpp
+++ b/lib/libburdock-gateway/source/reading_exchange.cpp
@@ -58,6 +58,7 @@
     , m_state(state)
     , m_socket(socket)
     , m_startedAt(dependencies.clock.now())
+    , m_present(settings.name)
     , m_duty(m_policy, settings.name)
 {
 }
@@ -83,14 +84,27 @@
     at(kind).turn.emplace(m_dependencies.context);
 }
 
-void ReadingExchange::setEntries(const std::vector<std::string> &names)
+void ReadingExchange::setEntries(const std::vector<std::string> &names, Duration reportPeriod)
 {
     if (!m_settings.isReadingShared) {
         return;
     }
-    m_duty.setEntries(names);
-    logRole();
-    wakeDueReaders();
+    m_present.setListed(names, reportPeriod, m_dependencies.clock.now());
+    updateDuty();
+}
+
+void ReadingExchange::noteHeard(std::string_view entry)
+{
+    m_present.noteHeard(entry, m_dependencies.clock.now());
+}
+
+void ReadingExchange::updateDuty()
+{
+    if (const auto present = m_present.changed(m_dependencies.clock.now())) {
+        m_duty.setEntries(*present);
+        logRole();
+        wakeDueReaders();
+    }
 }
 
 void ReadingExchange::logRole()
@@ -201,6 +215,7 @@
 {
     while (m_settings.isReadingShared) {
         co_await runtime::sleepFor(m_policy.questionPeriod);
+        updateDuty();
         wakeDueReaders();
         const auto now = m_dependencies.clock.now();
         const bool isOverdue = isAnyOverdue(now);
--- a/lib/libburdock-gateway/source/reading_exchange.hpp
+++ b/lib/libburdock-gateway/source/reading_exchange.hpp
@@ -4,6 +4,7 @@
 #include "peer_socket.hpp"
 
 #include <burdock/link.pb.h>
+#include <burdock/reading/present_entries.hpp>
 #include <burdock/reading/reading_duty.hpp>
 
 #include <array>
@@ -30,7 +31,11 @@
     /** @brief Must be called for a kind before any other function with it. */
     void follow(ObjectKind kind, Listener listener);
 
-    void setEntries(const std::vector<std::string> &names);
+    /** @param reportPeriod how often entries report to each other at least */
+    void setEntries(const std::vector<std::string> &names, Duration reportPeriod);
+
+    /** @brief Notes that another entry is there. */
+    void noteHeard(std::string_view entry);
 
     [[nodiscard]] const reading::FollowedKind &known(ObjectKind kind) const;
 
@@ -95,6 +100,8 @@
     void answer(const schema::ReadingQuestion &question, u64 askerBootId, const PeerSocket::Endpoint &asker);
     void applyAnswer(const schema::ReadingAnswer &answer);
     void applyChanges(const schema::ObjectChangeSet &message);
+    /** @brief Chooses the readers again if other entries are there than before. */
+    void updateDuty();
     void logRole();
 
     const GatewayDependencies &m_dependencies;
@@ -103,6 +110,7 @@
     PeerSocket &m_socket;
     TimePoint m_startedAt;
     reading::ReadingPolicy m_policy;
+    reading::PresentEntries m_present;
     reading::ReadingDuty m_duty;
     std::array<Kind, KindCount> m_kinds;
     std::optional<Role> m_loggedRole;
