Bound what gateways that aren't listed can report

Cause: the reports of any entry are kept for 1.5 s. Change: once the list of entries is known, at most 32 that aren't in it are heard at a time, as some may have just started.

--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -699,6 +699,7 @@
         }
         m_peerSocket.setPeers(peers);
         m_state.setEntryCount(static_cast<u32>(list.items.size()));
+        m_state.endpoints.peers().setListed(m_state.entryNames);
         m_state.endpoints.coldAdmission().setEntries(m_settings.name, m_state.entryNames);
         m_state.crashes.setMembers(m_settings.name, m_state.entryNames);
         const auto reportPeriod = endpoints::LoadReporter::period(peers.size());
--- a/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
+++ b/lib/libburdock/include/burdock/endpoints/peer_loads.hpp
@@ -3,6 +3,8 @@
 #include <burdock/types.hpp>
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -53,7 +55,11 @@
         bool hasCurrentKeys = false; ///< the entry's API keys are up to date, so that it accepts requests with keys
     };
 
-    /** @brief Replaces or updates the stored report of an entry, unless the new one is out of order. */
+    /** @brief Sets the entries that the platform lists; a few others are heard too, as those that have just started aren't listed yet. */
+    void setListed(const std::vector<std::string> &entries);
+
+    /** @brief Replaces or updates the stored report of an entry, unless the new one is out of order, or there are too many unlisted ones.
+     */
     void apply(const std::string &peer, Report report, TimePoint now);
 
     /** @brief Whether valid reports of all these entries name this weight version of a model, or a newer one. */
@@ -93,10 +99,12 @@
         TimePoint receivedAt{};
     };
 
+    [[nodiscard]] bool hasRoomFor(const std::string &peer) const;
     void subtract(const LoadsById &loads);
     void adjustSum(u64 endpoint, const Load &from, const Load &to);
 
     Duration m_reportLifetime;
+    std::optional<std::set<std::string, std::less<>>> m_listed; ///< nothing until the list is known, and all are heard
     std::map<std::string, ReceivedReport, std::less<>> m_reports;
     LoadsById m_sums;
     u64 m_generation = 0;
--- a/lib/libburdock/source/endpoints/peer_loads.cpp
+++ b/lib/libburdock/source/endpoints/peer_loads.cpp
@@ -1,10 +1,18 @@
 #include <burdock/endpoints/peer_loads.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <limits>
 
 namespace burdock::endpoints {
 
+namespace {
+
+/** Entries that start at the same time, and aren't listed yet. */
+constexpr std::ptrdiff_t MaxUnlistedPeers = 32;
+
+} // namespace
+
 Load &Load::operator+=(const Load &other)
 {
     running += other.running;
@@ -26,8 +34,27 @@
 {
 }
 
+void PeerLoads::setListed(const std::vector<std::string> &entries)
+{
+    m_listed.emplace(entries.begin(), entries.end());
+}
+
+bool PeerLoads::hasRoomFor(const std::string &peer) const
+{
+    if (!m_listed || m_listed->count(peer) > 0 || m_reports.count(peer) > 0) {
+        return true;
+    }
+    const auto isUnlisted = [this](const auto &entry) {
+        return m_listed->count(entry.first) == 0;
+    };
+    return std::count_if(m_reports.begin(), m_reports.end(), isUnlisted) < MaxUnlistedPeers;
+}
+
 void PeerLoads::apply(const std::string &peer, Report report, TimePoint now)
 {
+    if (!hasRoomFor(peer)) {
+        return;
+    }
     const auto [entry, isNew] = m_reports.try_emplace(peer);
     auto &received = entry->second;
     const bool isStale = received.report.bootId == report.bootId && report.sequence <= received.report.sequence;
