Let gateways keep sharing their reading when few are there, and read at once when readers change

Cause: since readers are chosen among the gateways that are there, six of eight no longer shared, and each began a long poll of 1.5 s when what it knew was already 2 s old.

Change: whether reading is shared is decided by the number of listed gateways, as before, if more are there than readers are needed; and the first watch after the readers have changed returns at once.

--- a/lib/libburdock-gateway/source/reading_exchange.cpp
+++ b/lib/libburdock-gateway/source/reading_exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <utility>
 
 namespace burdock::gateway {
 
@@ -89,6 +90,7 @@
     if (!m_settings.isReadingShared) {
         return;
     }
+    m_listedCount = names.size();
     m_present.setListed(names, reportPeriod, m_dependencies.clock.now());
     updateDuty();
 }
@@ -101,7 +103,11 @@
 void ReadingExchange::updateDuty()
 {
     if (const auto present = m_present.changed(m_dependencies.clock.now())) {
-        m_duty.setEntries(*present);
+        m_duty.setEntries(*present, m_listedCount);
+        // What is known may be as old as the last answer of a reader that is gone, and must not wait for the end of a long poll.
+        for (auto &kind : m_kinds) {
+            kind.mustReadAtOnce = true;
+        }
         logRole();
         wakeDueReaders();
     }
@@ -125,8 +131,11 @@
     return at(kind).known;
 }
 
-Duration ReadingExchange::watchTime(ObjectKind kind, Duration ownWait) const
+Duration ReadingExchange::watchTime(ObjectKind kind, Duration ownWait)
 {
+    if (std::exchange(at(kind).mustReadAtOnce, false)) {
+        return Duration::zero();
+    }
     if (!isShared(kind)) {
         return ownWait;
     }
--- a/lib/libburdock-gateway/source/reading_exchange.hpp
+++ b/lib/libburdock-gateway/source/reading_exchange.hpp
@@ -40,7 +40,7 @@
     [[nodiscard]] const reading::FollowedKind &known(ObjectKind kind) const;
 
     /** @brief How long a watch of this kind should wait, if its follower would wait for `ownWait` by itself. */
-    [[nodiscard]] Duration watchTime(ObjectKind kind, Duration ownWait) const;
+    [[nodiscard]] Duration watchTime(ObjectKind kind, Duration ownWait);
 
     /** @brief Waits until this entry has to read this kind; returns at once if nobody does it instead. */
     [[nodiscard]] boost::asio::awaitable<void> waitForTurn(ObjectKind kind);
@@ -87,6 +87,7 @@
         reading::FollowedKind known;
         Listener listener;
         std::optional<boost::asio::steady_timer> turn; ///< expires when this entry has to read by itself
+        bool mustReadAtOnce = false; ///< the next watch doesn't wait, as other entries read than before
     };
 
     [[nodiscard]] Kind &at(ObjectKind kind);
@@ -110,6 +111,7 @@
     PeerSocket &m_socket;
     TimePoint m_startedAt;
     reading::ReadingPolicy m_policy;
+    std::size_t m_listedCount = 0;
     reading::PresentEntries m_present;
     reading::ReadingDuty m_duty;
     std::array<Kind, KindCount> m_kinds;
--- a/lib/libburdock/include/burdock/reading/reading_duty.hpp
+++ b/lib/libburdock/include/burdock/reading/reading_duty.hpp
@@ -38,6 +38,12 @@
 
     void setEntries(const std::vector<std::string> &names);
 
+    /**
+     * @brief As above, where some of the listed entries aren't there.
+     * @param listed number of all entries
+     */
+    void setEntries(const std::vector<std::string> &present, std::size_t listed);
+
     /** @brief Whether others read for this entry, or this entry for others. */
     [[nodiscard]] bool isShared() const;
     /** @brief Whether this entry reads for others. */
@@ -62,7 +68,8 @@
 
     ReadingPolicy m_policy;
     std::string m_own;
-    std::vector<std::string> m_ranked; ///< all entries, the readers first
+    std::vector<std::string> m_ranked; ///< the entries that are there, the readers first
+    std::size_t m_listed = 0;
     std::size_t m_ownRank = 0;
     std::size_t m_readerTurn = 0;
     std::size_t m_entryTurn = 0;
--- a/lib/libburdock/source/reading/reading_duty.cpp
+++ b/lib/libburdock/source/reading/reading_duty.cpp
@@ -14,15 +14,22 @@
 }
 
 void ReadingDuty::setEntries(const std::vector<std::string> &names)
+{
+    setEntries(names, names.size());
+}
+
+void ReadingDuty::setEntries(const std::vector<std::string> &present, std::size_t listed)
 {
     static const u64 s_key = hash::hash64("readers");
-    m_ranked = membership::responsibleMembers(s_key, names, names.size());
+    m_listed = listed;
+    m_ranked = membership::responsibleMembers(s_key, present, present.size());
     m_ownRank = static_cast<std::size_t>(std::find(m_ranked.begin(), m_ranked.end(), m_own) - m_ranked.begin());
 }
 
 bool ReadingDuty::isShared() const
 {
-    return m_ranked.size() >= m_policy.minEntries && m_ownRank < m_ranked.size();
+    const bool hasOthers = m_ranked.size() > m_policy.minReaders;
+    return m_listed >= m_policy.minEntries && hasOthers && m_ownRank < m_ranked.size();
 }
 
 std::size_t ReadingDuty::readerCount() const
--- a/tests/unit/followed_kind_test.cpp
+++ b/tests/unit/followed_kind_test.cpp
@@ -176,3 +176,20 @@
     CHECK_FALSE(duty.isShared());
     CHECK(duty.nextToAsk(false).empty());
 }
+
+// Guards against relying on readers that are gone, and against an entry that hears hardly anybody and waits for others to read.
+TEST_CASE("readers are chosen among the entries that are there, and an entry that hears too few reads for itself")
+{
+    const auto all = names(8);
+    const std::vector<std::string> present(all.begin(), all.begin() + 3);
+    std::size_t readers = 0;
+    for (const auto &name : present) {
+        ReadingDuty duty({}, name);
+        duty.setEntries(present, all.size());
+        CHECK(duty.isShared());
+        readers += duty.isReader() ? 1 : 0;
+        duty.setEntries({present[0], present[1]}, all.size());
+        CHECK_FALSE(duty.isShared());
+    }
+    CHECK(readers == 2);
+}
