Encode the names in salts

What callers saw: nothing known; found by reading where names go.

Change: both names are encoded; plain names make the same salts as before. Seen failing before, on: "salts agree only for the same model, version and customer", 4 kinds of checks. After: passes.

--- a/lib/libburdock/include/burdock/wire/syntax.hpp
+++ b/lib/libburdock/include/burdock/wire/syntax.hpp
@@ -13,6 +13,9 @@
 /** @brief Whether the text can be the value of a field: it holds no control bytes but tabs. */
 [[nodiscard]] bool isFieldValue(std::string_view text);
 
+/** @brief Whether the text reaches the recipient of a field as it is: it can be a value, and has no blanks at its ends. */
+[[nodiscard]] bool isFieldText(std::string_view text);
+
 /** @brief Whether a request with this method may have this target. */
 [[nodiscard]] bool isRequestTarget(std::string_view method, std::string_view target);
 
--- a/lib/libburdock/source/cache/part_index.cpp
+++ b/lib/libburdock/source/cache/part_index.cpp
@@ -1,6 +1,7 @@
 #include <burdock/cache/part_index.hpp>
 
 #include <burdock/hash/digest.hpp>
+#include <burdock/wire/syntax.hpp>
 
 #include <algorithm>
 #include <array>
@@ -32,7 +33,7 @@
 
 std::string Salt::text() const
 {
-    return model + SaltSeparator + std::to_string(version) + SaltSeparator + customer;
+    return wire::percentEncoded(model) + SaltSeparator + std::to_string(version) + SaltSeparator + wire::percentEncoded(customer);
 }
 
 std::string partKey(std::string_view salt, std::string_view id)
@@ -51,13 +52,15 @@
         return std::nullopt;
     }
     Salt salt;
-    salt.model = text.substr(0, first);
-    salt.customer = text.substr(second + 1);
+    const auto model = wire::percentDecoded(text.substr(0, first));
+    const auto customer = wire::percentDecoded(text.substr(second + 1));
     const auto *end = text.data() + second;
     const auto [rest, error] = std::from_chars(text.data() + first + 1, end, salt.version);
-    if (error != std::errc() || rest != end) {
+    if (error != std::errc() || rest != end || !model || !customer) {
         return std::nullopt;
     }
+    salt.model = *model;
+    salt.customer = *customer;
     return salt;
 }
 
--- a/lib/libburdock/source/wire/syntax.cpp
+++ b/lib/libburdock/source/wire/syntax.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view TokenMarks = "!#$%&'*+-.^_`|~";
-constexpr std::string_view UnreservedMarks = "-._~";
+constexpr std::string_view UnreservedMarks = "-._";
 /** Bytes of a host name or an address, besides letters and digits. */
 constexpr std::string_view HostMarks = "-._~%!$&'()*+,;=";
 constexpr std::string_view HexDigits = "0123456789ABCDEF";
@@ -99,6 +99,11 @@
     });
 }
 
+bool isFieldText(std::string_view text)
+{
+    return isFieldValue(text) && trimmed(text) == text;
+}
+
 bool isRequestTarget(std::string_view method, std::string_view target)
 {
     if (target.empty() || !std::all_of(target.begin(), target.end(), isTargetByte)) {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -384,3 +384,20 @@
         CHECK(events.isCompleteAt(framing) == (framing != BodyFraming::UntilClose));
     }
 }
+
+// Guards against a model's name, which callers send, that makes the salt of another customer.
+TEST_CASE("salts agree only for the same model, version and customer, and are read back")
+{
+    const std::vector<cache::Salt> salts{{"m", 1, ""},      {"m~1", 2, ""},  {"m", 1, "2~"}, {"m", 1, "a%#\xc3\xa9"},
+                                         {"m", 1, "a%25#"}, {"m%7E1", 2, ""}};
+    std::set<std::string> texts;
+    for (const auto &salt : salts) {
+        texts.insert(salt.text());
+        const auto parsed = cache::parseSalt(salt.text());
+        REQUIRE(parsed);
+        CHECK(parsed->model == salt.model);
+        CHECK(parsed->version == salt.version);
+        CHECK(parsed->customer == salt.customer);
+    }
+    CHECK(texts.size() == salts.size());
+}
