Don't take keys of customers whose names can't be sent

What callers saw: nothing known; found by reading. A customer's name with a line end added header lines to its requests at endpoints.

Cause: names of customers go into a header unchecked. Change: the keys of such a customer are unknown (401); startSend() tells that it has sent nothing, so that callers of it say NotSent.

--- a/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
+++ b/lib/libburdock-runtime/include/burdock/runtime/http/connection.hpp
@@ -3,6 +3,7 @@
 #include <burdock/run/body_framing.hpp>
 #include <burdock/runtime/http/message.hpp>
 #include <burdock/types.hpp>
+#include <burdock/wire/message_fault.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -49,8 +50,9 @@
      * @brief Starts to send a request without waiting, as a server may respond before it has read the whole request.
      *
      * A request without a Host header gets the server's IP address in it.
+     * @return false if nothing is sent, as the head isn't one that HTTP allows
      */
-    void startSend(Request request);
+    [[nodiscard]] bool startSend(Request request);
 
     /**
      * @brief Reads the head of the next response; false on failure.
@@ -76,6 +78,9 @@
     /** @brief Whether the last read failed because the response is longer than a response may be. */
     [[nodiscard]] bool hasExceededLimit() const;
 
+    /** @brief What is wrong with the response, if HTTP doesn't allow it. */
+    [[nodiscard]] wire::MessageFault fault() const;
+
     /** @brief Whether a connection between requests is still open and has received no unexpected data. */
     [[nodiscard]] bool isIdle();
 
--- a/lib/libburdock-runtime/source/http/client.cpp
+++ b/lib/libburdock-runtime/source/http/client.cpp
@@ -111,7 +111,9 @@
             co_return Progress::NotSent;
         }
     }
-    m_connection->startSend(request);
+    if (!m_connection->startSend(request)) {
+        co_return Progress::NotSent;
+    }
     const bool hasHead = co_await m_connection->readHead(m_timeout);
     if (!hasHead) {
         co_return Progress::MayBeSent;
@@ -142,7 +144,9 @@
     if (!isConnected) {
         co_return Exchange{};
     }
-    connection.startSend(request);
+    if (!connection.startSend(request)) {
+        co_return Exchange{};
+    }
     co_return co_await readResponse(connection, timeout, limit);
 }
 
@@ -163,7 +167,9 @@
             co_return Exchange{};
         }
     }
-    connection->startSend(std::move(request));
+    if (!connection->startSend(std::move(request))) {
+        co_return Exchange{};
+    }
     auto result = co_await readResponse(*connection, timeout, limit);
     if (result.progress != Progress::Answered) {
         // The fault may affect the idle connections too.
--- a/lib/libburdock-runtime/source/http/connection.cpp
+++ b/lib/libburdock-runtime/source/http/connection.cpp
@@ -92,7 +92,6 @@
     asio::awaitable<bool> send(Request request, Duration timeout)
     {
         if (!isSound(request)) {
-            refuseToSend();
             co_return false;
         }
         prepareMessage(std::move(request));
@@ -102,11 +101,10 @@
         co_return m_sendState == SendState::Sent;
     }
 
-    void startSend(Request request)
+    [[nodiscard]] bool startSend(Request request)
     {
         if (!isSound(request)) {
-            refuseToSend();
-            return;
+            return false;
         }
         const bool isLong = request.body.size() >= LongRequestBytes;
         prepareMessage(std::move(request));
@@ -118,6 +116,7 @@
             self->endSend(error);
         };
         beast::http::async_write(m_stream, *m_message, std::move(onSent));
+        return true;
     }
 
     // Informational heads precede the response.
@@ -191,6 +190,11 @@
         return m_hasExceededLimit;
     }
 
+    [[nodiscard]] wire::MessageFault fault() const
+    {
+        return m_input ? m_input->scanner().fault() : wire::MessageFault::None;
+    }
+
     [[nodiscard]] const Response &head() const
     {
         return m_head;
@@ -234,14 +238,6 @@
         Failed,
     };
 
-    // The answer then can't be read either, as for a connection that has failed.
-    void refuseToSend()
-    {
-        m_parser.reset();
-        m_sendState = SendState::Failed;
-        close();
-    }
-
     void endSend(const boost::system::error_code &error)
     {
         m_sendState = error ? SendState::Failed : SendState::Sent;
@@ -349,6 +345,7 @@
         m_sendState = SendState::Sending;
         m_hasExceededLimit = false;
         m_parser.reset();
+        m_input.reset();
     }
 
     void copyHead()
@@ -404,9 +401,14 @@
     return m_impl->send(std::move(request), timeout);
 }
 
-void Connection::startSend(Request request)
+bool Connection::startSend(Request request)
+{
+    return m_impl->startSend(std::move(request));
+}
+
+wire::MessageFault Connection::fault() const
 {
-    m_impl->startSend(std::move(request));
+    return m_impl->fault();
 }
 
 asio::awaitable<bool> Connection::readHead(Duration timeout)
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -160,7 +160,9 @@
 {
     CallOutcome outcome;
     outcome.isAbandoned = randomBelow(AbandonOneIn) == 0;
-    m_connection->startSend(request);
+    if (!m_connection->startSend(request)) {
+        co_return outcome;
+    }
     const auto timeout = outcome.isAbandoned ? AbandonTimeout : ResponseTimeout;
     const bool hasHead = co_await m_connection->readHead(timeout);
     if (hasHead) {
--- a/tests/integration/object_names_test.cpp
+++ b/tests/integration/object_names_test.cpp
@@ -2,6 +2,7 @@
 #include <burdock/runtime/metrics.hpp>
 
 #include <support/gateway_deployment.hpp>
+#include <support/platform_objects.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/strand.hpp>
@@ -150,6 +151,30 @@
     CHECK(odd.received().empty());
 }
 
+// Guards against a customer whose name adds lines to the requests of an endpoint, and against blaming the endpoint for it.
+TEST_CASE("a customer whose name can't be sent in a header is refused, and no endpoint is blamed")
+{
+    GatewayDeployment gateway;
+    auto replica = answeringReplica();
+    auto configuration = configurationObject(3, {"key-desk"});
+    configuration.at("tenants").as_array().push_back({{"name", "odd\r\nX-Tenant-Id: desk"}, {"apiKeys", {"key-odd"}}});
+    gateway.store().put("config", "main", configuration);
+    gateway.registerReplica("r1", "plain", replica.address());
+    gateway.awaitReady();
+    for (u32 i = 0; i < 10; ++i) {
+        GatewayCall odd;
+        odd.key = "key-odd";
+        odd.attempt = "odd" + std::to_string(i);
+        CHECK(gateway.call(odd).response.status == 401);
+        GatewayCall sound;
+        sound.attempt = "a" + std::to_string(i);
+        CHECK(gateway.call(sound).response.status == 200);
+    }
+    for (const auto &request : replica.received()) {
+        CHECK(request.header("X-Tenant-Id") == "desk");
+    }
+}
+
 // Guards against writes that reach another object than the one that was read, or none.
 TEST_CASE("objects whose names need encoding are written, listed and removed")
 {
--- a/tests/integration/support/gateway_deployment.cpp
+++ b/tests/integration/support/gateway_deployment.cpp
@@ -16,6 +16,7 @@
 #include <csignal>
 #include <optional>
 #include <sstream>
+#include <stdexcept>
 
 namespace support {
 
@@ -195,7 +196,9 @@
         const auto executor = co_await boost::asio::this_coro::executor;
         http::Connection connection(executor, http::parseAddress(m_gateway.callerAddress()), http::Reuse::SingleRequest);
         if (co_await connection.connect(CallTimeout)) {
-            connection.startSend(toRequest(call));
+            if (!connection.startSend(toRequest(call))) {
+                throw std::invalid_argument("the call can't be sent");
+            }
             const auto deadline = std::chrono::steady_clock::now() + CallTimeout;
             while (!condition() && std::chrono::steady_clock::now() < deadline) {
                 boost::asio::steady_timer timer(executor, PollInterval);
