Refuse content codings where all answers are read, and log the fault of an answer

What callers saw: with an answer of a plain service that is coded, the own interface passed the body on without the field that says so; a coded block or object would have been kept as it came. Until now only the gateway refused codings.

Cause: the rule stood in the gateway's codec. Change: it is one of the faults of wire::HeadRules; attempt_failed names the fault.

--- a/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
+++ b/lib/libburdock-gateway/include/burdock/gateway/protocol_codec.hpp
@@ -53,7 +53,6 @@
     std::string attemptId;
     std::string endpointId;
     bool hasSignature = false; ///< the endpoint's signature header is present; the signature isn't verified
-    bool hasContentCoding = false; ///< the body isn't as the endpoint made it; callers ask for none but that
     bool isDeclined = false; ///< the endpoint has not run the request and will not run it
     bool isWrongEndpoint = false; ///< declined because endpoint or weights are not those that the request names
     std::optional<u64> weightVersion;
--- a/lib/libburdock-gateway/source/gateway.cpp
+++ b/lib/libburdock-gateway/source/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway_state.hpp"
 #include "load_exchange.hpp"
 #include "object_watcher.hpp"
+#include "path_handler.hpp"
 #include "reading_exchange.hpp"
 #include "request_forwarder.hpp"
 #include "rollout_controller.hpp"
@@ -53,7 +54,6 @@
 /** Timeout for sending one chunk of a response to the caller and for receiving one request body. */
 constexpr Duration CallerIoTimeout = std::chrono::seconds(15);
 constexpr u16 StatusOk = 200;
-constexpr u16 StatusNotFound = 404;
 constexpr u16 StatusUnavailable = 503;
 /** Bytes that a link of 1 Mbit/s carries in 1 ms. */
 constexpr double BytesPerMsAndMegabit = 125.0;
@@ -77,31 +77,6 @@
     return text;
 }
 
-/** @brief Serves a single path with the response that a function returns. */
-class PathHandler : public http::Handler
-{
-public:
-    PathHandler(std::string path, std::function<http::Response()> makeResponse)
-        : m_path(std::move(path))
-        , m_makeResponse(std::move(makeResponse))
-    {
-    }
-
-    boost::asio::awaitable<void> handle(const http::Request &request, http::Reply &reply) override
-    {
-        http::Response response;
-        response.status = StatusNotFound;
-        if (request.path() == m_path) {
-            response = m_makeResponse();
-        }
-        co_await reply.send(response);
-    }
-
-private:
-    std::string m_path;
-    std::function<http::Response()> m_makeResponse;
-};
-
 } // namespace
 
 class Gateway::Impl : public http::Handler, private http::ConnectionGate
--- a/lib/libburdock-gateway/source/request_forwarder.cpp
+++ b/lib/libburdock-gateway/source/request_forwarder.cpp
@@ -24,14 +24,6 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 /** Minimum time left in which an endpoint can be expected to do useful work for a request. */
 constexpr Duration MinAttemptTime = std::chrono::milliseconds(40);
-/** Retry-after times: endpoints are full, no endpoint is available, or this gateway hasn't received enough from the platform yet. */
-constexpr Duration RetryAfterFull = std::chrono::milliseconds(500);
-constexpr Duration RetryAfterNoEndpoint = std::chrono::milliseconds(1000);
-/** By then, connections whose clients make no progress may be closed for others. */
-constexpr Duration RetryAfterNoMemory = std::chrono::milliseconds(1000);
-constexpr Duration RetryAfterNotSynced = std::chrono::milliseconds(700);
-/** Retry-after time if another gateway can serve the request immediately. */
-constexpr Duration RetryAfterElsewhere = std::chrono::milliseconds(20);
 /** Entries that are asked for a permit before the request goes to an endpoint without a limit, or is refused. */
 constexpr u32 MaxPermitQuestions = 3;
 /** How often a stream that waits for software to be recorded looks for an endpoint. */
@@ -54,19 +46,6 @@
     return status >= StatusOk && status < StatusMultipleChoices;
 }
 
-Duration retryAfter(const endpoints::Selection &selection)
-{
-    switch (selection.reason) {
-    case endpoints::SelectionFailure::NoEndpoint:
-        return RetryAfterNoEndpoint;
-    case endpoints::SelectionFailure::Limited:
-    case endpoints::SelectionFailure::Resting:
-        return selection.retryAfter;
-    default:
-        return RetryAfterFull;
-    }
-}
-
 bool isFull(endpoints::SelectionFailure reason)
 {
     return reason == endpoints::SelectionFailure::NoRoom || reason == endpoints::SelectionFailure::TooSlow;
@@ -162,7 +141,7 @@
     m_services.origins.publish(hash::hash64(m_requestMetadata.attemptId), m_endpointSoftware);
 }
 
-std::optional<RequestForwarder::Rejection> RequestForwarder::validate()
+std::optional<Rejection> RequestForwarder::validate()
 {
     if (m_state.stop && !m_state.stop->mayTake(m_arrivedAt, Duration::zero())) {
         return leavingRejection();
@@ -214,7 +193,7 @@
     return std::nullopt;
 }
 
-std::optional<RequestForwarder::Rejection> RequestForwarder::checkApiKey()
+std::optional<Rejection> RequestForwarder::checkApiKey()
 {
     if (m_route->isPublic || !m_routes->configuration().needsApiKeys) {
         return std::nullopt;
@@ -231,7 +210,7 @@
 
 // A gateway that serves before it has received the lists could send requests to an evacuated zone, or prompts to weights that were
 // superseded long ago. Each list names everything in force, so one of each is enough.
-std::optional<RequestForwarder::Rejection> RequestForwarder::checkListsReceived() const
+std::optional<Rejection> RequestForwarder::checkListsReceived() const
 {
     if (!m_state.hasEvacuationList) {
         return Rejection{503, "zones_unknown", RetryAfterNotSynced};
@@ -242,14 +221,14 @@
     return std::nullopt;
 }
 
-RequestForwarder::Rejection RequestForwarder::staleKeysRejection()
+Rejection RequestForwarder::staleKeysRejection()
 {
     // If another gateway has current keys, the caller need not wait until this one reaches the platform again.
     const bool isServedElsewhere = m_state.endpoints.peers().anyHasCurrentKeys();
     return {503, "keys_unconfirmed", isServedElsewhere ? RetryAfterElsewhere : RetryAfterNotSynced};
 }
 
-RequestForwarder::Rejection RequestForwarder::leavingRejection()
+Rejection RequestForwarder::leavingRejection()
 {
     return {503, "leaving", RetryAfterElsewhere};
 }
@@ -291,7 +270,7 @@
             continue;
         }
         if (isRefused) {
-            const Rejection rejection{503, toString(m_selection.reason), retryAfter(m_selection)};
+            const auto rejection = rejectionOf(m_selection);
             co_await stopTrying(rejection, lastAttempt);
             co_return;
         }
@@ -461,6 +440,7 @@
     m_state.endpoints.noteSent(id, m_selection.cost, m_sentAt);
     m_rolloutTrial.noteSent(*endpoint, m_route->name, m_requestMetadata, m_selection, m_sentAt);
     attempt.outcome = co_await exchange(id, std::move(request), attempt);
+    attempt.fault = m_connection ? m_connection->fault() : wire::MessageFault::None;
     m_connection.reset();
     const auto now = m_dependencies.clock.now();
     m_rolloutTrial.noteEnd(attempt.outcome, m_isCallerDisconnected, now);
@@ -491,6 +471,7 @@
                                      {"status", u64{attempt.response.status}},
                                      {"framing", nameOf(attempt.framing)},
                                      {"inside_event", m_sseSplitter.isInsideEvent()},
+                                     {"fault", toString(attempt.fault)},
                                      {"kept_connection", m_isReusedConnection},
                                      {"caller_gone", m_isCallerDisconnected},
                                      {"blamed", std::string_view(blamed)},
@@ -513,7 +494,9 @@
     if (m_dependencies.clock.now() >= m_startDeadline) {
         co_return Outcome::Declined;
     }
-    m_connection->startSend(std::move(request));
+    if (!m_connection->startSend(std::move(request))) {
+        co_return Outcome::Declined;
+    }
     ResponseMetadata responseMetadata;
     const bool hasHead = co_await readMatchingHead(id, responseMetadata);
     if (!hasHead) {
@@ -523,8 +506,7 @@
     attempt.framing = m_connection->framing();
     noteResponse(id, responseMetadata);
     const u16 status = attempt.response.status;
-    const bool isUnsigned = isSuccess(status) && !responseMetadata.hasSignature;
-    if ((isUnsigned || responseMetadata.hasContentCoding) && !responseMetadata.isDeclined) {
+    if (isSuccess(status) && !responseMetadata.hasSignature && !responseMetadata.isDeclined) {
         // A successful response of an endpoint carries its signature or says that the request was not run, so this isn't one.
         co_return Outcome::Broken;
     }
@@ -794,28 +776,7 @@
         co_await reject(rejection);
         co_return;
     }
-    if (m_isCutOff) {
-        const Rejection rejection{502, "leaving", {}};
-        co_await reject(rejection);
-        co_return;
-    }
-    if (timeLeft() <= Duration::zero()) {
-        const Rejection rejection{504, "time_up", {}};
-        co_await reject(rejection);
-        co_return;
-    }
-    if (m_isMemoryShort) {
-        const Rejection rejection{502, "no_answer_memory", {}};
-        co_await reject(rejection);
-        co_return;
-    }
-    if (attempt.outcome == Outcome::TooLong) {
-        const Rejection rejection{502, "answer_too_long", {}};
-        co_await reject(rejection);
-        co_return;
-    }
-    const bool hasExpired = attempt.outcome == Outcome::Expired;
-    const Rejection rejection{502, hasExpired ? "weights_expired" : "endpoint_lost", {}};
+    const auto rejection = rejectionOf(FailedRequest{m_isCutOff, timeLeft() <= Duration::zero(), m_isMemoryShort, attempt.outcome});
     co_await reject(rejection);
 }
 
--- a/lib/libburdock-gateway/source/request_forwarder.hpp
+++ b/lib/libburdock-gateway/source/request_forwarder.hpp
@@ -6,6 +6,7 @@
 #include "origin_exchange.hpp"
 #include "permit_exchange.hpp"
 #include "prompt_planner.hpp"
+#include "rejection.hpp"
 #include "rollout_trial.hpp"
 #include "software_keeper.hpp"
 
@@ -53,14 +54,7 @@
         endpoints::Outcome outcome = endpoints::Outcome::Abandoned;
         runtime::http::Response response; ///< complete, unless the response is streamed
         std::optional<run::BodyFraming> framing; ///< set once the head of the response has been read
-    };
-
-    /** @brief An error response by the gateway itself. */
-    struct Rejection
-    {
-        u16 status = 0;
-        std::string_view reason;
-        Duration retryAfter{};
+        wire::MessageFault fault = wire::MessageFault::None; ///< why the response isn't one
     };
 
     [[nodiscard]] std::optional<Rejection> validate();
--- a/lib/libburdock-runtime/source/http/beast_reply.cpp
+++ b/lib/libburdock-runtime/source/http/beast_reply.cpp
@@ -41,8 +41,8 @@
 asio::awaitable<bool> BeastReply::send(const Response &response)
 {
     if (!m_options.hasBody) {
-        const bool isSent = co_await begin(response);
-        co_return isSent &&co_await end();
+        m_isComplete = co_await begin(response);
+        co_return m_isComplete;
     }
     const bool hasMemory = co_await reserve(response.body.size());
     if (!hasMemory) {
--- a/lib/libburdock-runtime/source/http/scanned_input.cpp
+++ b/lib/libburdock-runtime/source/http/scanned_input.cpp
@@ -28,6 +28,7 @@
     case MessageFault::BadContentLength:
         return error::bad_content_length;
     case MessageFault::BadTransferCoding:
+    case MessageFault::ContentCoding:
         return error::bad_transfer_encoding;
     case MessageFault::BadChunk:
         return error::bad_chunk;
--- a/lib/libburdock/include/burdock/wire/message_fault.hpp
+++ b/lib/libburdock/include/burdock/wire/message_fault.hpp
@@ -19,6 +19,7 @@
     BadHost,
     BadContentLength,
     BadTransferCoding,
+    ContentCoding, ///< of an answer; nobody asks for one
     BadChunk,
     BadTrailer,
     HeadTooLong, ///< a head, the trailers or the line before a chunk exceed their limit
--- a/lib/libburdock/source/wire/head_rules.cpp
+++ b/lib/libburdock/source/wire/head_rules.cpp
@@ -119,6 +119,10 @@
     if (m_kind == MessageKind::Request && equalsIgnoringCase(field.name, "Host")) {
         return noteHost(field.value);
     }
+    const bool isCoded = m_kind != MessageKind::Request && equalsIgnoringCase(field.name, "Content-Encoding");
+    if (isCoded && !field.value.empty() && !equalsIgnoringCase(field.value, "identity")) {
+        return MessageFault::ContentCoding;
+    }
     return MessageFault::None;
 }
 
--- a/tests/integration/malformed_messages_test.cpp
+++ b/tests/integration/malformed_messages_test.cpp
@@ -80,6 +80,7 @@
         {"a continued line that hides the length", start + "X-Note: a\r\n Content-Length: 2\r\n" + ending},
         {"a line feed alone", start + "X-Note: a\nX-Other: b\r\n" + ending},
         {"two lengths", start + "Content-Length: 4\r\n" + ending},
+        {"a content coding", start + "Content-Encoding: gzip\r\n" + ending},
         {"chunks and a length", start + "Content-Length: 4\r\n" + chunks + "\r\n"},
         {"an unknown transfer coding", start + "Transfer-Encoding: gzip\r\n\r\ndone"},
         {"a coding before chunked", start + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"},
--- a/tests/unit/message_scanner_test.cpp
+++ b/tests/unit/message_scanner_test.cpp
@@ -108,6 +108,7 @@
         {"HTTP/1.1 200 O\x01K\r\n\r\n", MessageFault::ControlByte},
         {"HTTP/2 200 OK\r\n\r\n", MessageFault::BadVersion},
         {"nonsense\r\n", MessageFault::BadStartLine},
+        {AnswerStart + "Content-Encoding: gzip\r\n\r\n", MessageFault::ContentCoding},
         {AnswerStart + "X-A : b\r\n\r\n", MessageFault::BadFieldName},
         {AnswerStart + "X A: b\r\n\r\n", MessageFault::BadFieldName},
         {AnswerStart + "X-\x01" + "A: b\r\n\r\n", MessageFault::ControlByte},
@@ -221,5 +222,9 @@
     CHECK(wire::percentEncoded("a03+ /?") == "a03%2B%20%2F%3F");
     CHECK(wire::percentEncoded("a04%C3%A9") == "a04%25C3%25A9");
     CHECK(wire::percentEncoded("caf\xc3\xa9") == "caf%C3%A9");
-    CHECK(wire::percentEncoded("Plain-1._~") == "Plain-1._~");
+    CHECK(wire::percentEncoded("Plain-1._~") == "Plain-1._%7E");
+    CHECK(wire::percentDecoded("a%7e%25+") == "a~%+");
+    for (const std::string malformed : {"%", "%4", "a%4g", "%+1"}) {
+        CHECK_FALSE(wire::percentDecoded(malformed));
+    }
 }
