--- a/tests/integration/object_names_test.cpp
+++ b/tests/integration/object_names_test.cpp
@@ -225,7 +225,10 @@
     gateway.awaitReady();
     for (const std::string kind : {"servers", "evacuations", "versions", "config"}) {
         CAPTURE(kind);
+        // The watch that waits already may end first.
+        const auto before = gateway.store().watchesCut();
         gateway.store().cutWatches(kind);
+        REQUIRE(GatewayDeployment::waitFor([&] { return gateway.store().watchesCut() > before; }));
         CHECK(readsWhileObserved(gateway.store()) < MaxReadsPerSecond);
     }
     CHECK(gateway.readiness() == 200);
--- a/tests/standins/include/standins/object_store.hpp
+++ b/tests/standins/include/standins/object_store.hpp
@@ -50,6 +50,8 @@
     void repeatPages(const std::string &kind);
     /** @brief Makes watches of a kind end at once with nothing, until called with an empty string. */
     void cutWatches(const std::string &kind);
+    /** @brief Number of watches that were cut. */
+    [[nodiscard]] u64 watchesCut() const;
     /** @brief Number of lists, one a page, and watches that were asked for. */
     [[nodiscard]] u64 reads() const;
 
@@ -105,6 +107,7 @@
     std::string m_cutKind; ///< empty for none
     std::size_t m_pageSize = std::numeric_limits<std::size_t>::max();
     std::atomic<u64> m_reads{0};
+    std::atomic<u64> m_watchesCut{0};
     std::string m_unansweredKind; ///< of which writes get no response; empty for none
     std::atomic<ObjectStoreMode> m_mode{ObjectStoreMode::Up};
     runtime::http::Server m_server;
--- a/tests/standins/source/object_store.cpp
+++ b/tests/standins/source/object_store.cpp
@@ -209,7 +209,9 @@
     if (request.method == "GET" && !parameter("watch").empty()) {
         const auto revision = parseNumber(parameter("watch"));
         const Duration wait = std::chrono::milliseconds(parseNumber(parameter("waitMs")));
-        response = co_await watch(kind, revision, isCut(kind) ? Duration::zero() : wait);
+        const bool isWatchCut = isCut(kind);
+        m_watchesCut += isWatchCut ? 1 : 0;
+        response = co_await watch(kind, revision, isWatchCut ? Duration::zero() : wait);
     } else if (request.method == "GET") {
         response = list(kind, parameter("after"));
     } else {
@@ -266,6 +268,11 @@
     m_cutKind = kind;
 }
 
+u64 ObjectStore::watchesCut() const
+{
+    return m_watchesCut;
+}
+
 u64 ObjectStore::reads() const
 {
     return m_reads;
